Failover without a lock, and the tests that bring the failures about

A stand-in fault beside: a replica took entries that it had asked for before its lag was raised. Conclusion: killed, frozen and cut-off primaries, platform outage, members without fence, mode off, hand-over and a lost tail each have a test.

--- a/src/controllers/group.cpp
+++ b/src/controllers/group.cpp
@@ -19,6 +19,8 @@
 static constexpr milliseconds kTickInterval { 20 };
 static constexpr milliseconds kFailedProbePause { 40 }; // a silent member is asked again sooner than a healthy one
 static constexpr milliseconds kPublishInterval { 200 }; // of the status, when nothing changed of note
+static constexpr milliseconds kPathFaultAfter { 600 }; // a replica's word is older than the fault until then
+static constexpr milliseconds kLeavingGrace { 2500 }; // a leaving primary takes writes this long, until it is handed over
 static constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
 
 GroupController::GroupController(Node& node, std::string name)
@@ -41,6 +43,11 @@
     bool wasWorking = m_isWorking;
     if (hasRecordChanged)
         rebuildMembers(role);
+    for (size_t i = 0; i < m_members.size(); ++i) {
+        bool wasLeaving = !hasRecordChanged && i < m_role.isLeaving.size() && m_role.isLeaving[i];
+        if (role.isLeaving[i] && !wasLeaving)
+            m_members[i].leavingSince = Clock::now();
+    }
     m_role = std::move(role);
     auto share = decisions::getShare(*m_role.record, m_role.homes.size());
     for (size_t i = 0; i < m_members.size(); ++i) {
@@ -223,6 +230,8 @@
     if (!m_health.primary || m_health.members[*m_health.primary].failures == 0)
         return false;
     auto& primary = m_health.members[*m_health.primary];
+    if (Clock::now() - primary.failingSince < kPathFaultAfter)
+        return false;
     return std::ranges::any_of(m_health.members, [&](const decisions::MemberHealth& it) {
         return it.isReachable() && it.askedAt >= primary.failingSince && it.status.term == m_health.term
             && it.status.role == decisions::Role::Replica && it.status.heardPrimaryAgo < decisions::FailoverTimings {}.unheardFor;
@@ -235,7 +244,8 @@
     for (size_t i = 0; i < m_members.size(); ++i) {
         auto& it = m_members[i];
         decisions::TargetLoad load;
-        load.isUsable = m_health.members[i].isReachable() && !m_role.isLeaving[i];
+        bool isInGrace = m_health.primary == i && Clock::now() - it.leavingSince < kLeavingGrace;
+        load.isUsable = m_health.members[i].isReachable() && (!m_role.isLeaving[i] || isInGrace);
         load.isNear = it.record.dataCentre == m_node.settings.dataCentre;
         load.waiting = it.pool->getWaiting();
         load.running = it.pool->getRunning();
--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -97,6 +97,7 @@
         std::shared_ptr<boost::asio::steady_timer> probeTimer; // cancelled to probe at once
         std::shared_ptr<boost::asio::steady_timer> confirmTimer; // cancelled when a write waits
         base::TimePoint followedAt {}; // last repair, see repairFollowers()
+        base::TimePoint leavingSince {}; // meaningful while the member is leaving
     };
     struct Waiting { // a write that ran and waits for its confirmation
         decisions::PendingWrite write;
--- a/src/controllers/group_failover.cpp
+++ b/src/controllers/group_failover.cpp
@@ -152,6 +152,10 @@
     for (size_t i = 0; i < m_members.size(); ++i) {
         if (!m_health.members[i].isReachable() || m_health.primary != i)
             m_members[i].pool->wakeAll();
+        // A superseded primary that does not answer will not be waited for: its callers get their answer now.
+        bool isSuperseded = m_health.primary && m_health.primary != i && m_health.members[i].failures > 0 && m_health.term > termBefore;
+        if (isSuperseded)
+            m_members[i].pool->abortRunning();
     }
 }
 
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -86,7 +86,7 @@
 asio::awaitable<Result<Outcome>> GroupController::runRead(Order order)
 {
     auto giveUpAt = std::min(order.deadline, Clock::now() + kStaleWait);
-    decisions::ReadNeed need { order.mark, order.maximumAge };
+    decisions::ReadNeed need { order.mark, order.maximumAge, {} };
     for (;;) {
         auto route = decisions::routeRead(m_health, getLoads(), need, Clock::now());
         if (route.kind == RouteKind::Refuse)
@@ -96,6 +96,7 @@
             co_return fail(route.reason, describeWait(route.reason), kComeBack);
         if (route.kind == RouteKind::Wait) {
             co_await waitForChange(std::min(order.deadline, Clock::now() + kChangePause));
+            need.tried.clear();
             continue;
         }
         auto outcome = co_await tryRead(order, route);
@@ -106,8 +107,10 @@
                 m_retryBudget = decisions::earnRetry(m_retryBudget);
             co_return outcome;
         }
-        bool wasCheap = outcome.error().kind == ErrorKind::NotCaughtUp;
-        if (!wasCheap && !decisions::tryTakeRetry(m_retryBudget))
+        bool wasBehind = outcome.error().kind == ErrorKind::NotCaughtUp;
+        if (wasBehind)
+            need.tried.push_back(route.member);
+        if (!wasBehind && !decisions::tryTakeRetry(m_retryBudget))
             co_return outcome;
         base::count(Counter::Retries);
     }
@@ -182,7 +185,9 @@
     auto reachable = std::ranges::count_if(m_health.members, &decisions::MemberHealth::isReachable);
     bool isMajorityReachable = static_cast<size_t>(reachable) >= m_role.record->getMajority();
     bool isStarting = std::ranges::none_of(m_health.members, &decisions::MemberHealth::isKnown);
-    auto lostAt = m_health.primary ? m_health.members[*m_health.primary].failingSince : m_health.withoutPrimarySince;
+    auto lostAt = m_health.withoutPrimarySince;
+    if (m_health.primary)
+        lostAt = m_role.isLeaving[*m_health.primary] ? m_members[*m_health.primary].leavingSince : m_health.members[*m_health.primary].failingSince;
     return (isMajorityReachable || isStarting) && Clock::now() - lostAt < kHoldLimit;
 }
 
--- a/src/controllers/pool.cpp
+++ b/src/controllers/pool.cpp
@@ -172,6 +172,7 @@
             co_return tl::make_unexpected(opened.error());
         }
     }
+    m_used.push_back(link.get());
     co_return Lease(shared_from_this(), std::move(link), isTransaction);
 }
 
@@ -194,6 +195,7 @@
 
 void Pool::giveBack(std::unique_ptr<links::HttpConnection> link, bool holdsSlot, bool isTransaction)
 {
+    std::erase(m_used, link.get());
     bool isWanted = link->isOpen() && m_open <= m_limits.share.connections;
     if (!isWanted)
         return close(std::move(link), holdsSlot, isTransaction);
@@ -205,6 +207,7 @@
 
 void Pool::close(std::unique_ptr<links::HttpConnection> link, bool holdsSlot, bool isTransaction)
 {
+    std::erase(m_used, link.get());
     link->close();
     m_running -= holdsSlot ? 1 : 0;
     m_transactions -= isTransaction ? 1 : 0;
@@ -247,6 +250,12 @@
     }
 }
 
+void Pool::abortRunning()
+{
+    for (auto* it : m_used)
+        it->close();
+}
+
 void Pool::closeIdle()
 {
     m_open -= static_cast<unsigned>(m_idle.size());
--- a/src/controllers/pool.h
+++ b/src/controllers/pool.h
@@ -62,6 +62,8 @@
     boost::asio::awaitable<decisions::Result<Lease>> acquire(Lane lane, base::TimePoint deadline, bool isTransaction);
     // The member is gone or has lost its role: statements that wait for it are told to look for another.
     void wakeAll();
+    // The member was superseded: exchanges in flight end now, as ones that may have arrived.
+    void abortRunning();
     // Closes idle connections, e.g. when the member leaves.
     void closeIdle();
     void noteLatency(std::chrono::duration<double, std::milli> latency);
@@ -99,6 +101,7 @@
     PoolLimits m_limits;
     decisions::AdaptiveLimit m_limit;
     std::vector<std::unique_ptr<links::HttpConnection>> m_idle;
+    std::vector<links::HttpConnection*> m_used; // leased, also to transactions
     std::array<std::deque<std::shared_ptr<Waiter>>, static_cast<size_t>(Lane::Count)> m_lanes;
     size_t m_nextLane { 0 };
     unsigned m_open { 0 }; // connections open or being opened
--- a/src/decisions/routing.cpp
+++ b/src/decisions/routing.cpp
@@ -70,6 +70,8 @@
         return std::nullopt;
     case Containment::Behind:
         faults.anyBehind = true;
+        if (std::ranges::find(need.tried, i) != need.tried.end())
+            return std::nullopt;
         // The primary's position in the last probe is old; what the session saw of this term it has.
         if (isPrimary && need.mark.term == health.term)
             break;
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -11,6 +11,7 @@
 struct ReadNeed {
     Mark mark {}; // the session's mark of the group
     std::optional<milliseconds> maximumAge {}; // empty: any age, the mark alone decides
+    std::vector<size_t> tried {}; // members that refused this read as behind since the view last changed
 };
 
 // A member as a target for the next statement.
--- a/src/links/http.h
+++ b/src/links/http.h
@@ -75,7 +75,9 @@
     virtual boost::asio::awaitable<LinkResult<void>> open(base::TimePoint deadline) = 0;
     // Sends one request and reads its answer, which must carry the same request id.
     virtual boost::asio::awaitable<LinkResult<HttpAnswer>> exchange(HttpRequest request, base::TimePoint deadline) = 0;
-    virtual bool isOpen() const = 0;
+    // Whether the next exchange has a connection to go out on; looks at the socket, so call it between exchanges only.
+    virtual bool isOpen() = 0;
+    // Also ends an exchange in flight: it fails as one that may have arrived.
     virtual void close() = 0;
 };
 
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace alderward::links {
 
@@ -71,7 +72,19 @@
         co_return answer;
     }
 
-    bool isOpen() const override { return m_isOpen; }
+    // A kept connection that the far side closed, or on which something came unasked, is of no use. Finding that out before
+    // sending keeps "not run" a certainty where "unknown" would be the answer afterwards.
+    bool isOpen() override
+    {
+        if (!m_isOpen)
+            return false;
+        char byte = 0;
+        auto n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        bool isQuiet = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (!isQuiet)
+            close();
+        return isQuiet;
+    }
 
     void close() override
     {
--- a/src/links/target.cpp
+++ b/src/links/target.cpp
@@ -3,7 +3,6 @@
 
 namespace alderward::links {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 using decisions::FenceAnswer;
 using decisions::MemberStatus;
--- /dev/null
+++ b/tests/process/failover_test.cpp
@@ -0,0 +1,222 @@
+// Failover: killed, frozen and cut-off primaries; outages of the platform; bounds; planned hand-over.
+#include "harness/harness.h"
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace harness;
+
+namespace {
+
+json::array toArray(const std::vector<std::string>& names)
+{
+    json::array array;
+    for (auto& it : names)
+        array.emplace_back(it);
+    return array;
+}
+
+// Cuts a member off from everybody but the hosts named in `reachableFrom`.
+void isolateMember(Cluster& cluster, const std::string& name, const std::vector<std::string>& others)
+{
+    cluster.setMember(name, { { "cut", toArray(others) } });
+    for (auto& it : cluster.getShape().groups.front().members) {
+        if (it != name)
+            cluster.setMember(it, { { "cut", toArray({ name }) } });
+    }
+}
+
+uint64_t getTerm(Cluster& cluster, const std::string& member)
+{
+    return static_cast<uint64_t>(cluster.getMemberStats(member)["term"].to_number<uint64_t>());
+}
+
+bool hasNewPrimary(Cluster& cluster, const std::string& old)
+{
+    for (size_t i = 0; i < cluster.getShape().hosts; ++i) {
+        auto primary = cluster.getPrimary("orders", i);
+        if (primary.empty() || primary == old)
+            return false;
+    }
+    return true;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(failover)
+
+BOOST_AUTO_TEST_CASE(killed_primary_is_replaced_and_no_acknowledged_write_is_lost)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    Caller caller(cluster.getCallerAddress(0));
+    for (int i = 0; i < 10; ++i)
+        BOOST_REQUIRE_EQUAL(caller.write("orders", "APPEND log " + std::to_string(i), "k" + std::to_string(i)).status, 200);
+    cluster.getMember("orders-a").kill();
+    // Held within its deadline while the primary is replaced, then served.
+    auto after = caller.write("orders", "APPEND log x", "k-after");
+    BOOST_TEST(after.status == 200u, json::serialize(after.body));
+    BOOST_TEST(getResult(caller.read("orders", "GET log")) == "0123456789x");
+    BOOST_TEST(hasNewPrimary(cluster, "orders-a"));
+    BOOST_TEST(cluster.sumMetric("invariant_violations") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(frozen_primary_that_wakes_acknowledges_nothing_and_follows)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    Caller caller(cluster.getCallerAddress(0));
+    BOOST_REQUIRE_EQUAL(caller.write("orders", "SET a 1", "k1").status, 200);
+    cluster.getMember("orders-a").signal(SIGSTOP);
+    auto during = caller.write("orders", "SET a 2", "k2", 8000);
+    // Sent to the frozen member it is unknown; the same key again settles that, without running it twice.
+    if (during.status != 200)
+        BOOST_TEST(getRan(during) == "unknown");
+    auto again = caller.write("orders", "SET a 2", "k2", 8000);
+    BOOST_TEST(again.status == 200u, json::serialize(again.body));
+    cluster.getMember("orders-a").signal(SIGCONT);
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return getTerm(cluster, "orders-a") >= 2 && cluster.getMemberStats("orders-a")["role"] == "replica"; }));
+    BOOST_TEST(getResult(caller.read("orders", "GET a")) == "2");
+    // No failing back.
+    BOOST_TEST(hasNewPrimary(cluster, "orders-a"));
+}
+
+BOOST_AUTO_TEST_CASE(cut_off_primary_with_callers_on_its_side_acknowledges_nothing)
+{
+    auto shape = getSmallShape();
+    shape.groups.front().acknowledge = "primary";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    Caller caller(cluster.getCallerAddress(0));
+    BOOST_REQUIRE_EQUAL(caller.write("orders", "SET a 1", "k1").status, 200);
+    // h1 and orders-a on one side, everything else on the other.
+    isolateMember(cluster, "orders-a", { "orders-b", "orders-c", "h2", "h3" });
+    cluster.setMember("orders-b", { { "cut", toArray({ "orders-a", "h1" }) } });
+    cluster.setMember("orders-c", { { "cut", toArray({ "orders-a", "h1" }) } });
+    cluster.cutPeers(0, { "h2", "h3" });
+    cluster.cutPeers(1, { "h1" });
+    cluster.cutPeers(2, { "h1" });
+    auto lost = caller.write("orders", "SET a lost", "k2", 1500);
+    BOOST_TEST(lost.status != 200u, json::serialize(lost.body));
+    Caller other(cluster.getCallerAddress(1));
+    BOOST_TEST(waitUntil(milliseconds(6000), [&] { return cluster.getPrimary("orders", 1) != "orders-a" && !cluster.getPrimary("orders", 1).empty(); }));
+    auto written = other.write("orders", "SET a 3", "k3");
+    BOOST_TEST(written.status == 200u, json::serialize(written.body));
+    // The old side must still acknowledge nothing, and a read with a stated age must not be answered as fresh.
+    BOOST_TEST(caller.write("orders", "SET a lost2", "k4", 1000).status != 200u);
+    auto stale = caller.read("orders", "GET a", 100, 1000);
+    BOOST_TEST(stale.status != 200u, json::serialize(stale.body));
+    // A read of any age goes on: the data centre serves what it can.
+    auto any = Caller(cluster.getCallerAddress(0)).read("orders", "GET a", std::nullopt, 1000);
+    BOOST_TEST(any.status == 200u, json::serialize(any.body));
+    // Healed: the old primary follows, its tail is gone.
+    for (auto& it : { "orders-a", "orders-b", "orders-c" })
+        cluster.setMember(it, { { "cut", json::array() } });
+    for (size_t i = 0; i < 3; ++i)
+        cluster.cutPeers(i, {});
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return cluster.getMemberStats("orders-a")["role"] == "replica"; }));
+    BOOST_TEST(getResult(other.read("orders", "GET a", 100)) == "3");
+    BOOST_TEST(cluster.sumMetric("invariant_violations") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(failover_works_while_the_platform_is_down_and_the_claim_follows)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    cluster.setPlatform({ { "down", true } });
+    Caller caller(cluster.getCallerAddress(1));
+    cluster.getMember("orders-a").kill();
+    auto written = caller.write("orders", "SET a 1", "k1");
+    BOOST_TEST(written.status == 200u, json::serialize(written.body));
+    cluster.setPlatform({ { "down", false } });
+    Client platform(cluster.getPlatformAddress());
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] {
+        auto answer = platform.post("/kv/get", { { "key", "alderward/claims/orders" } });
+        return answer.body.contains("value") && answer.body["value"].get_string().find("\"term\":2") != json::string::npos;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(members_without_fence_are_promoted_only_with_the_claim)
+{
+    auto shape = getSmallShape();
+    shape.groups.front().canFence = false;
+    Cluster cluster(shape);
+    cluster.beginAll();
+    cluster.setPlatform({ { "down", true } });
+    cluster.getMember("orders-a").kill();
+    Caller caller(cluster.getCallerAddress(1));
+    auto refused = caller.write("orders", "SET a 1", "k1", 2500);
+    BOOST_TEST(refused.status == 503u, json::serialize(refused.body));
+    BOOST_TEST(getRan(refused) == "no");
+    BOOST_TEST(getTerm(cluster, "orders-b") == 1u);
+    cluster.setPlatform({ { "down", false } });
+    BOOST_TEST(waitUntil(milliseconds(6000), [&] { return hasNewPrimary(cluster, "orders-a"); }));
+    BOOST_TEST(caller.write("orders", "SET a 2", "k2").status == 200u);
+}
+
+BOOST_AUTO_TEST_CASE(promotion_off_holds_back_says_so_and_refuses_at_once)
+{
+    auto shape = getSmallShape();
+    shape.groups.front().promotion = R"({"mode":"off"})";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    cluster.getMember("orders-a").kill();
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return cluster.hasEvent(0, "promotion-held-back", "orders"); }));
+    auto began = std::chrono::steady_clock::now();
+    auto refused = Caller(cluster.getCallerAddress(0)).write("orders", "SET a 1", "k1", 20000);
+    BOOST_TEST(getErrorKind(refused) == "no-primary");
+    BOOST_TEST(getRan(refused) == "no");
+    BOOST_TEST((std::chrono::steady_clock::now() - began < std::chrono::seconds(10)));
+    BOOST_TEST(refused.body.at("error").at("retryAfterMs").to_number<int>() > 0);
+    BOOST_TEST(getTerm(cluster, "orders-b") == 1u);
+    // Reads of any age go on.
+    BOOST_TEST(Caller(cluster.getCallerAddress(0)).read("orders", "GET a").status == 200u);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_primary_is_handed_over_without_losing_a_write)
+{
+    auto shape = getSmallShape();
+    shape.groups.front().acknowledge = "primary";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    cluster.setMember("orders-b", { { "lagMs", 100 } });
+    cluster.setMember("orders-c", { { "lagMs", 100 } });
+    Caller caller(cluster.getCallerAddress(0));
+    std::string expected;
+    for (int i = 0; i < 30; ++i) {
+        if (i == 10)
+            cluster.setHostLeaving("orders-a", true);
+        auto written = caller.write("orders", "APPEND log " + std::to_string(i % 10), "k" + std::to_string(i));
+        BOOST_REQUIRE_MESSAGE(written.status == 200, json::serialize(written.body));
+        expected += std::to_string(i % 10);
+    }
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return hasNewPrimary(cluster, "orders-a"); }));
+    BOOST_TEST(getResult(caller.read("orders", "GET log")) == expected);
+    // No new work for the one that leaves.
+    auto reads = cluster.getMemberStats("orders-a")["reads"];
+    for (int i = 0; i < 20; ++i)
+        caller.read("orders", "GET log");
+    BOOST_TEST((cluster.getMemberStats("orders-a")["reads"] == reads));
+}
+
+BOOST_AUTO_TEST_CASE(lost_tail_is_told_to_its_session)
+{
+    auto shape = getSmallShape();
+    shape.groups.front().acknowledge = "primary";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    cluster.setMember("orders-b", { { "lagMs", 60000 } });
+    cluster.setMember("orders-c", { { "lagMs", 60000 } });
+    Caller caller(cluster.getCallerAddress(0));
+    BOOST_REQUIRE_EQUAL(caller.write("orders", "SET a 1", "k1").status, 200);
+    cluster.getMember("orders-a").kill();
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return hasNewPrimary(cluster, "orders-a"); }));
+    cluster.setMember("orders-b", { { "lagMs", 0 } });
+    cluster.setMember("orders-c", { { "lagMs", 0 } });
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return getErrorKind(caller.read("orders", "GET a", std::nullopt, 500)) == "session-writes-lost"; }));
+    // Once told, the session goes on from what the group holds.
+    auto next = caller.read("orders", "GET a");
+    BOOST_TEST(next.status == 200u, json::serialize(next.body));
+    BOOST_TEST(getResult(next) == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/member.cpp
+++ b/tests/standins/member.cpp
@@ -201,9 +201,10 @@
         request.path = "/member/log";
         request.from = m_options.name;
         auto term = m_term;
+        auto lag = m_lag;
         request.body = json::serialize(json::object { { "term", term }, { "after", getPosition() }, { "lastTerm", getLogTerm() }, { "lagMs", m_lag.count() } });
         auto answer = co_await link.exchange(std::move(request), Clock::now() + kPullTimeout);
-        bool isStale = term != m_term || m_isPrimary || m_fencedTerm > m_term || m_cut.contains(m_primaryName);
+        bool isStale = term != m_term || lag != m_lag || m_isPrimary || m_fencedTerm > m_term || m_cut.contains(m_primaryName);
         if (!answer || isStale || answer->status != 200) {
             co_await base::sleepFor(milliseconds(5));
             co_return;
--- /dev/null
+++ b/tests/unit/routing_test.cpp
@@ -0,0 +1,154 @@
+// Ages, routes and confirmation: the decisions that read-your-writes and acknowledgement rest on.
+#include "decisions/routing.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace alderward::decisions;
+using std::chrono::milliseconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint {} + std::chrono::hours(1) + milliseconds(ms);
+}
+
+GroupRecord makeRecord()
+{
+    GroupRecord record;
+    record.name = "orders";
+    record.members = { { "a", "127.0.0.1:1", "x" }, { "b", "127.0.0.1:2", "y" }, { "c", "127.0.0.1:3", "z" } };
+    return record;
+}
+
+MemberStatus makeStatus(Role role, uint64_t position, uint64_t term = 1, uint64_t fenced = 0)
+{
+    MemberStatus status;
+    status.term = term;
+    status.fencedTerm = fenced;
+    status.role = role;
+    status.log = { term, position, { { 1, 1 } } };
+    if (term > 1)
+        status.log.history.push_back({ term, 50 });
+    return status;
+}
+
+// Primary a at 100, replicas b at 100 and c at 40, all asked at `ms`.
+GroupHealth makeGroup(int ms)
+{
+    auto health = makeHealth(makeRecord(), at(0));
+    health = takeStatus(health, 0, makeStatus(Role::Primary, 100), at(ms), at(ms));
+    health = takeStatus(health, 1, makeStatus(Role::Replica, 100), at(ms), at(ms));
+    return takeStatus(health, 2, makeStatus(Role::Replica, 40), at(ms), at(ms));
+}
+
+const std::vector<TargetLoad> kIdle(3);
+
+}
+
+BOOST_AUTO_TEST_SUITE(routing)
+
+BOOST_AUTO_TEST_CASE(read_of_any_age_goes_to_a_replica_that_holds_the_mark)
+{
+    auto route = routeRead(makeGroup(10), kIdle, { { 1, 90 }, {} }, at(11));
+    BOOST_TEST((route.kind == RouteKind::Member));
+    BOOST_TEST(route.member == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(read_ahead_of_everything_reachable_waits)
+{
+    auto health = makeGroup(10);
+    std::vector<TargetLoad> loads(3);
+    loads[0].isUsable = false;
+    // A replica that had all the primary had is asked once whether it has caught up since; c is too far behind to ask.
+    BOOST_TEST(routeRead(health, loads, { { 1, 500 }, {}, {} }, at(5000)).member == 1u);
+    auto route = routeRead(health, loads, { { 1, 500 }, {}, { 1 } }, at(5000));
+    BOOST_TEST((route.kind == RouteKind::Wait));
+    BOOST_TEST((route.reason == ErrorKind::NotCaughtUp));
+}
+
+BOOST_AUTO_TEST_CASE(primary_serves_a_mark_of_its_term_that_its_last_probe_did_not_show)
+{
+    auto route = routeRead(makeGroup(10), kIdle, { { 1, 101 }, {} }, at(500));
+    BOOST_TEST((route.kind == RouteKind::Member));
+    BOOST_TEST(route.member == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(lost_writes_are_told_and_never_read_past)
+{
+    auto health = makeHealth(makeRecord(), at(0));
+    for (size_t i = 0; i < 3; ++i)
+        health = takeStatus(health, i, makeStatus(i == 1 ? Role::Primary : Role::Replica, 70, 2), at(10), at(10));
+    auto route = routeRead(health, kIdle, { { 1, 60 }, {} }, at(11));
+    BOOST_TEST((route.kind == RouteKind::Refuse));
+    BOOST_TEST((route.reason == ErrorKind::SessionWritesLost));
+    BOOST_TEST((routeWrite(health, kIdle, { 1, 60 }).kind == RouteKind::Refuse));
+    BOOST_TEST((routeWrite(health, kIdle, { 1, 49 }).kind == RouteKind::Member));
+}
+
+BOOST_AUTO_TEST_CASE(age_grows_from_the_newest_confirmed_probe_that_the_position_reached)
+{
+    auto health = makeGroup(10);
+    BOOST_TEST((getAgeBound(health, 1, 100, at(60)) == milliseconds(50)));
+    BOOST_TEST(!getAgeBound(health, 1, 99, at(60)));
+    BOOST_TEST(!getAgeBound(health, 2, 100, at(60)));
+}
+
+BOOST_AUTO_TEST_CASE(a_probe_that_no_majority_confirmed_makes_nothing_fresh)
+{
+    auto health = makeGroup(10);
+    // The cut-off primary still answers us and moves on; its replicas do not answer any more.
+    health = takeStatus(health, 0, makeStatus(Role::Primary, 200), at(1000), at(1000));
+    health = takeFailure(health, 1, false, at(1000));
+    health = takeFailure(health, 2, false, at(1000));
+    BOOST_TEST((getAgeBound(health, 1, 200, at(1010)) == milliseconds(1000)));
+    auto route = routeRead(health, kIdle, { {}, milliseconds(100) }, at(1010));
+    BOOST_TEST((route.kind != RouteKind::Member || route.member == 0u));
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_a_majority_has_left_is_no_primary)
+{
+    auto health = makeGroup(10);
+    health = takeStatus(health, 1, makeStatus(Role::Replica, 100, 1, 2), at(20), at(20));
+    BOOST_TEST(health.primary.has_value());
+    health = takeStatus(health, 2, makeStatus(Role::Replica, 40, 1, 2), at(20), at(20));
+    BOOST_TEST(!health.primary.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_older_answer_does_not_replace_a_newer_one)
+{
+    auto health = makeGroup(50);
+    auto after = takeStatus(health, 0, makeStatus(Role::Primary, 1), at(20), at(60));
+    BOOST_TEST((after == health));
+    BOOST_TEST((takeFailure(health, 0, false, at(20)) == health));
+}
+
+BOOST_AUTO_TEST_CASE(the_newest_confirmed_age_mark_is_never_dropped)
+{
+    auto health = makeGroup(10);
+    for (int i = 0; i < 300; ++i)
+        health = takeStatus(health, 0, makeStatus(Role::Primary, 100), at(100 + i), at(100 + i));
+    BOOST_TEST((getAgeBound(health, 1, 100, at(1000)) == milliseconds(990)));
+}
+
+// ---- confirmation ----
+
+BOOST_AUTO_TEST_CASE(write_is_confirmed_by_a_majority_that_stood_after_it_ran)
+{
+    PendingWrite write { { 1, 100 }, at(50), false };
+    BOOST_TEST((confirmWrite(write, { { 1, 0, 10, at(49) }, {} }, 3) == Confirmation::Pending));
+    BOOST_TEST((confirmWrite(write, { { 1, 0, 10, at(50) }, {} }, 3) == Confirmation::Confirmed));
+    BOOST_TEST((confirmWrite(write, { { 1, 2, 10, at(60) }, {} }, 3) == Confirmation::Pending));
+    BOOST_TEST((confirmWrite(write, { { 1, 2, 10, at(60) }, { 2, 2, 10, at(60) } }, 3) == Confirmation::Superseded));
+}
+
+BOOST_AUTO_TEST_CASE(replicated_write_needs_its_position_at_a_majority)
+{
+    PendingWrite write { { 1, 100 }, at(50), true };
+    BOOST_TEST((confirmWrite(write, { { 1, 0, 99, at(60) }, { 1, 0, 99, at(60) } }, 3) == Confirmation::Pending));
+    BOOST_TEST((confirmWrite(write, { { 1, 0, 100, at(40) }, {} }, 3) == Confirmation::Confirmed));
+    // One that promised to a later term does not count, even if it holds the entry.
+    BOOST_TEST((confirmWrite(write, { { 1, 2, 100, at(60) }, {} }, 3) == Confirmation::Pending));
+    BOOST_TEST((confirmWrite(write, {}, 1) == Confirmation::Confirmed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/session_test.cpp
@@ -0,0 +1,62 @@
+// Tokens, marks and logs: what a session has seen, and whether a member holds it.
+#include "decisions/session.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace alderward::decisions;
+
+static const std::string kKey = "a-key-of-sixteen-characters";
+
+BOOST_AUTO_TEST_SUITE(session)
+
+BOOST_AUTO_TEST_CASE(token_comes_back_as_it_went)
+{
+    SessionMarks marks { { "ledger1", { 3, 77 } }, { "ledger2", { 1, 1 } } };
+    auto token = encodeToken(marks, kKey);
+    BOOST_TEST((decodeToken(token, kKey).value() == marks));
+    BOOST_TEST(decodeToken("", kKey)->empty());
+}
+
+BOOST_AUTO_TEST_CASE(cut_forged_or_foreign_token_is_refused)
+{
+    auto token = encodeToken({ { "ledger1", { 3, 77 } } }, kKey);
+    for (size_t n = 1; n < token.size(); ++n)
+        BOOST_TEST((decodeToken(token.substr(0, n), kKey).error().kind == ErrorKind::BadToken));
+    for (size_t i = 0; i < token.size(); ++i) {
+        auto forged = token;
+        forged[i] = forged[i] == 'A' ? 'B' : 'A';
+        auto marks = decodeToken(forged, kKey);
+        // The last character carries bits that base64 drops; the marks themselves can never differ.
+        BOOST_TEST((!marks || (i + 1 == token.size() && marks->at("ledger1") == Mark { 3, 77 })));
+    }
+    BOOST_TEST(!decodeToken(token, "another-key-of-16-chars"));
+    BOOST_TEST(!decodeToken("no token at all!", kKey));
+    BOOST_TEST(!decodeToken(std::string(100000, 'A'), kKey));
+}
+
+BOOST_AUTO_TEST_CASE(mark_never_goes_back)
+{
+    SessionMarks marks;
+    raiseMark(marks, "g", { 2, 5 });
+    raiseMark(marks, "g", { 1, 900 });
+    BOOST_TEST((marks["g"] == Mark { 2, 5 }));
+}
+
+BOOST_AUTO_TEST_CASE(containment_by_term_history)
+{
+    // Term 1 wrote 1..100, term 2 began at 90: entries 90..100 of term 1 are lost.
+    LogState log { 2, 120, { { 1, 1 }, { 2, 90 } } };
+    BOOST_TEST((getContainment(log, {}) == Containment::Contained));
+    BOOST_TEST((getContainment(log, { 1, 89 }) == Containment::Contained));
+    BOOST_TEST((getContainment(log, { 1, 95 }) == Containment::Lost));
+    BOOST_TEST((getContainment(log, { 2, 120 }) == Containment::Contained));
+    BOOST_TEST((getContainment(log, { 2, 121 }) == Containment::Behind));
+    BOOST_TEST((getContainment(log, { 3, 95 }) == Containment::Behind));
+}
+
+BOOST_AUTO_TEST_CASE(a_history_too_short_to_tell_reads_as_lost)
+{
+    LogState log { 90, 5000, { { 80, 4000 }, { 90, 4500 } } };
+    BOOST_TEST((getContainment(log, { 3, 10 }) == Containment::Lost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
