--- a/src/controllers/groups.cpp
+++ b/src/controllers/groups.cpp
@@ -45,6 +45,11 @@
         auto* host = decisions::findHost(membership, it);
         return host && host->dataCentre == m_node.settings.dataCentre;
     });
+    // A suspect may still be the only home that is left, so it stays in, at the end.
+    std::ranges::stable_partition(order, [&](const std::string& it) {
+        auto* host = decisions::findHost(membership, it);
+        return host && host->state == decisions::HostState::Alive;
+    });
     return order;
 }
 
--- a/src/controllers/hosts.cpp
+++ b/src/controllers/hosts.cpp
@@ -278,6 +278,18 @@
         co_await send(it, makeRequest(), kExchangeTimeout);
 }
 
+void HostsController::checkHost(const std::string& name)
+{
+    asio::co_spawn(
+        m_strand, [this, name]() -> asio::awaitable<void> {
+            if (!m_checking.insert(name).second)
+                co_return;
+            co_await exchangeWith(name);
+            m_checking.erase(name);
+        },
+        asio::detached);
+}
+
 void HostsController::sendGroupNews(const std::vector<std::string>& hosts, const peer::GroupNews& news)
 {
     for (auto& name : hosts) {
--- a/src/controllers/hosts.h
+++ b/src/controllers/hosts.h
@@ -27,6 +27,8 @@
     boost::asio::awaitable<void> announceLeaving();
     // Tells the named hosts at once about a group's new primary.
     void sendGroupNews(const std::vector<std::string>& hosts, const peer::GroupNews& news);
+    // A relay to this host got no answer: it is asked at once whether it lives.
+    void checkHost(const std::string& name);
     boost::asio::awaitable<peer::ExchangeReply> handleExchange(peer::ExchangeRequest request);
 
 private:
@@ -50,6 +52,7 @@
     std::function<void(const peer::GroupNews&)> m_onGroupNews;
     unsigned m_hostMismatches { 0 }; // exchanges in a row whose host digests differed
     uint64_t m_round { 0 };
+    std::set<std::string> m_checking; // hosts that checkHost() is asking now
 };
 
 }
--- a/src/decisions/routing.cpp
+++ b/src/decisions/routing.cpp
@@ -13,11 +13,12 @@
 struct Candidate {
     size_t index { 0 };
     bool mustWait { false };
+    bool mustConfirm { false }; // its age is known only after a confirmation
     bool isFar { false };
     bool isPrimary { false };
     unsigned busy { 0 };
 
-    auto rank() const { return std::tuple(mustWait, isFar, busy, isPrimary, index); }
+    auto rank() const { return std::tuple(mustWait || mustConfirm, isFar, busy, isPrimary, index); }
 };
 
 struct ReadFaults {
@@ -46,6 +47,12 @@
     return age && *age <= *need.maximumAge;
 }
 
+static bool isMajorityReachable(const GroupHealth& health)
+{
+    auto n = std::ranges::count_if(health.members, &MemberHealth::isReachable);
+    return static_cast<size_t>(n) > health.members.size() / 2;
+}
+
 // A replica that is only just behind is asked to wait for the position; the primary always has it.
 static bool isWorthWaiting(const GroupHealth& health, const LogState& log, const Mark& mark, TimePoint now)
 {
@@ -63,7 +70,7 @@
     faults.anyReachable = true;
     auto log = getNewestLog(health.members[i], load, health.term);
     bool isPrimary = health.primary == i;
-    Candidate candidate { i, false, !load.isNear, isPrimary, load.waiting + load.running };
+    Candidate candidate { i, false, false, !load.isNear, isPrimary, load.waiting + load.running };
     switch (getContainment(log, need.mark)) {
     case Containment::Lost:
         ++faults.lost;
@@ -82,7 +89,11 @@
     case Containment::Contained:
         break;
     }
-    if (!isYoungEnough(health, log, need, now)) {
+    if (isYoungEnough(health, log, need, now))
+        return candidate;
+    // The primary of a term that a majority confirms after the read is as fresh as can be; with no majority it is not.
+    candidate.mustConfirm = isPrimary && isMajorityReachable(health);
+    if (!candidate.mustConfirm) {
         faults.anyTooOld = true;
         return std::nullopt;
     }
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -125,8 +125,10 @@
     base::count(base::Counter::RequestsRelayed);
     auto address = host->peerAddress;
     auto reply = co_await services.node.peers.relay(name, address, std::move(request), left + kRelayMargin / 2);
-    if (!reply)
+    if (!reply) {
+        services.hosts.checkHost(name);
         co_return RelayResult { std::nullopt, reply.error().mayHaveArrived };
+    }
     co_return RelayResult { Reply { reply->status(), reply->body(), milliseconds(reply->retry_after_ms()) }, true };
 }
 
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -154,11 +156,21 @@
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_options.bodyLimit);
         parser.header_limit(kHeaderLimit);
-        stream.expires_after(m_options.requestTimeout);
+        // Not the stream's own timeout: that closes the socket, and a slow sender is to get an answer.
+        bool isLate = false;
+        asio::steady_timer timer(stream.get_executor(), m_options.requestTimeout);
+        timer.async_wait([&stream, &isLate](boost::system::error_code timerError) {
+            if (timerError)
+                return;
+            isLate = true;
+            stream.cancel();
+        });
         auto [ec, n] = co_await http::async_read(stream, buf, parser, kUse);
-        stream.expires_never();
+        bool hasFired = timer.cancel() == 0 && !isLate;
+        if (hasFired) // its handler is queued behind us and refers to this frame
+            co_await asio::post(stream.get_executor(), asio::use_awaitable);
         if (ec) {
-            co_await answerError(stream, ec, n);
+            co_await answerError(stream, ec, isLate);
             co_return false;
         }
         auto& message = parser.get();
@@ -172,14 +184,14 @@
         co_return co_await write(stream, std::move(answer), requestId, keepAlive) && keepAlive;
     }
 
-    asio::awaitable<void> answerError(boost::beast::tcp_stream& stream, boost::system::error_code ec, size_t n)
+    asio::awaitable<void> answerError(boost::beast::tcp_stream& stream, boost::system::error_code ec, bool isLate)
     {
         unsigned status = 400;
         if (ec == http::error::body_limit)
             status = 413;
-        else if (ec == boost::beast::error::timeout)
+        else if (isLate)
             status = 408;
-        else if (n == 0 || ec == http::error::end_of_stream || ec.category() != make_error_code(http::error::bad_method).category())
+        else if (ec == http::error::end_of_stream || ec.category() != make_error_code(http::error::bad_method).category())
             co_return;
         if (!m_options.answerForError || !stream.socket().is_open())
             co_return;
--- a/src/links/peer.cpp
+++ b/src/links/peer.cpp
@@ -16,6 +16,9 @@
 namespace asio = boost::asio;
 
 static constexpr base::milliseconds kStopGrace { 200 };
+// A frozen host keeps its connections open: pings find it out, and calls that wait for it end as "may have arrived".
+static constexpr int kPingIntervalMs = 500;
+static constexpr int kPingTimeoutMs = 400;
 static constexpr int kReconnectLeastMs = 50;
 static constexpr int kReconnectMostMs = 500;
 
@@ -104,6 +107,8 @@
         int port = 0;
         builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, kPingIntervalMs / 2);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
         builder.RegisterService(&m_service);
         m_server = builder.BuildAndStart();
         return m_server && port != 0;
@@ -200,6 +205,9 @@
             arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kReconnectLeastMs);
             arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kReconnectMostMs);
             arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kPingIntervalMs);
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kPingTimeoutMs);
+            arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
             stub = peer::Peer::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
         }
         return stub;
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -44,6 +45,7 @@
     argv.push_back(nullptr);
     m_id = fork();
     if (m_id == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
@@ -483,7 +485,10 @@
 {
     if (!body.contains("session"))
         body["session"] = m_session;
-    auto answer = m_client->post(path, body, milliseconds(65000));
+    // A frozen host never answers: a caller's own patience ends a little after its deadline.
+    auto* deadline = body.if_contains("deadlineMs");
+    auto limit = milliseconds(1500 + (deadline ? deadline->to_number<int>() : 5000));
+    auto answer = m_client->post(path, body, limit);
     auto session = links::getString(answer.body, "session");
     if (!session.empty())
         m_session = session;
--- /dev/null
+++ b/tests/process/callers_test.cpp
@@ -0,0 +1,101 @@
+// What callers can send wrong, and what they get: each a clear error of its own, nothing run, no crash.
+#include "harness/harness.h"
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace harness;
+
+namespace {
+
+std::string makeHttp(const std::string& path, const std::string& body)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}", path, body.size(), body);
+}
+
+std::string getWrite(const std::string& more)
+{
+    return R"({"group":"orders","kind":"write","statement":"SET a 1","requestKey":"k")" + more + "}";
+}
+
+struct BadRequest {
+    std::string path;
+    std::string body;
+    std::string kind;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(callers)
+
+BOOST_AUTO_TEST_CASE(each_bad_request_has_an_error_of_its_own_and_runs_nothing)
+{
+    auto shape = getSmallShape();
+    shape.extraSettings = "[limits]\nbody_limit_kb = 4\nrequest_timeout_ms = 300\n";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    Caller caller(cluster.getCallerAddress(0));
+    auto token = caller.read("orders", "GET a").status == 200 ? caller.getSession() : std::string();
+    const std::vector<BadRequest> cases {
+        { "/v1/statement", "{", "bad-request" },
+        { "/v1/statement", "[]", "bad-request" },
+        { "/v1/statement", "", "bad-request" },
+        { "/v1/statement", getWrite(R"(,"colour":"red")"), "unknown-field" },
+        { "/v1/statement", getWrite(R"(,"deadlineMs":0)"), "bad-deadline" },
+        { "/v1/statement", getWrite(R"(,"deadlineMs":-5)"), "bad-deadline" },
+        { "/v1/statement", getWrite(R"(,"deadlineMs":99999999)"), "bad-deadline" },
+        { "/v1/statement", getWrite(R"(,"deadlineMs":"soon")"), "bad-request" },
+        { "/v1/statement", getWrite(R"(,"session":"forged")"), "bad-token" },
+        { "/v1/statement", getWrite(R"(,"session":")" + token.substr(0, token.size() / 2) + "\""), "bad-token" },
+        { "/v1/statement", getWrite(R"(,"maximumAgeMs":5)"), "bad-request" },
+        { "/v1/statement", R"({"group":"nobody","kind":"read","statement":"GET a"})", "unknown-group" },
+        { "/v1/statement", R"({"group":"orders","kind":"write","statement":"SET a 1"})", "bad-request" },
+        { "/v1/statement", R"({"group":"orders","kind":"read","statement":"GET a","readKind":"none"})", "bad-request" },
+        { "/v1/statement", R"({"group":"orders","kind":"write","statement":"DROP a","requestKey":"d"})", "statement-refused" },
+        { "/v1/transaction/commit", R"({"group":"orders","transaction":"h1.0"})", "transaction-unknown" },
+        { "/v1/transaction/commit", R"({"group":"orders","transaction":"nobody.0"})", "transaction-unknown" },
+        { "/v1/nothing", "{}", "unknown-path" },
+        { "/v1/statement", getWrite(R"(,"statement2":")" + std::string(8000, 'x') + "\""), "body-too-large" },
+    };
+    for (auto& it : cases) {
+        auto answer = Client(cluster.getCallerAddress(0)).sendRaw(makeHttp(it.path, it.body), milliseconds(3000));
+        BOOST_CHECK_MESSAGE(answer.find("\"kind\":\"" + it.kind + "\"") != std::string::npos, (it.kind + " for " + it.body.substr(0, 100) + ", got " + answer));
+        BOOST_TEST(answer.find("\"ran\":\"no\"") != std::string::npos, answer);
+    }
+    // A slow sender: the head of a request and nothing more.
+    auto slow = Client(cluster.getCallerAddress(0)).sendRaw("POST /v1/statement HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\n{", milliseconds(3000));
+    BOOST_TEST(slow.find("\"kind\":\"slow-sender\"") != std::string::npos, slow);
+    auto noHttp = Client(cluster.getCallerAddress(0)).sendRaw("what is this\r\n\r\n", milliseconds(3000));
+    BOOST_TEST(noHttp.find("\"kind\":\"bad-request\"") != std::string::npos, noHttp);
+    BOOST_TEST(cluster.getMemberStats("orders-a")["position"].to_number<int>() == 1);
+    BOOST_TEST(cluster.getHost(0).isRunning());
+}
+
+BOOST_AUTO_TEST_CASE(a_read_with_a_stated_age_is_answered_only_within_it)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    Caller caller(cluster.getCallerAddress(0));
+    BOOST_REQUIRE_EQUAL(caller.write("orders", "SET a 1", "k1").status, 200);
+    auto fresh = caller.read("orders", "GET a", 0);
+    BOOST_TEST(fresh.status == 200u, json::serialize(fresh.body));
+    BOOST_TEST(fresh.body.at("servedBy").at("role").get_string() == "primary");
+    auto portal = caller.send("/v1/statement", { { "group", "orders" }, { "kind", "read" }, { "statement", "GET a" }, { "readKind", "portal" } });
+    BOOST_TEST(portal.status == 200u, json::serialize(portal.body));
+    BOOST_TEST(portal.body.at("servedBy").at("ageMs").to_number<int>() <= 2000);
+}
+
+BOOST_AUTO_TEST_CASE(with_no_platform_and_no_peer_a_host_says_that_it_has_no_records)
+{
+    auto shape = getSmallShape();
+    shape.hosts = 1;
+    Cluster cluster(shape);
+    cluster.beginAll();
+    cluster.getHost(0).kill();
+    cluster.setPlatform({ { "down", true } });
+    cluster.beginHost(0);
+    Caller caller(cluster.getCallerAddress(0));
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return getErrorKind(caller.read("orders", "GET a", std::nullopt, 500)) == "not-configured"; }));
+    BOOST_TEST(Client(cluster.getOperatorAddress(0)).get("/healthz").status == 503u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
