--- a/examples/demo.cpp
+++ b/examples/demo.cpp
@@ -1,1 +1,41 @@
-int main() { }
+// The main job on local stand-ins: Sahyog's ledger (3 groups of 3 members, 2 slots, 16 connections, 10 ms for a new
+// connection), the platform, and 3 hosts. Runs a session that roams, kills a primary, prints the time line, and ends all
+// that it started. With --stay it keeps running until Enter is pressed, for the curl lines of docs/CALLERS.md.
+#include "harness/harness.h"
+#include <fmt/format.h>
+#include <iostream>
+
+using namespace harness;
+
+static void show(const std::string& what, const Answer& answer)
+{
+    fmt::print("{:<46} {} {}\n", what, answer.status, json::serialize(answer.body));
+}
+
+int main(int argc, char** argv)
+{
+    Cluster cluster(getSahyogShape(3));
+    cluster.beginAll();
+    fmt::print("3 hosts serve ledger1, ledger2 and ledger3; callers' address of h1: {}\n\n", cluster.getCallerAddress(0));
+    for (auto& it : cluster.getShape().groups.front().members)
+        cluster.setMember(it, { { "lagMs", 200 } });
+    Caller officer(cluster.getCallerAddress(0));
+    show("write through h1, replicas lag by 200 ms", officer.write("ledger1", "SET loan-17 sanctioned", "sanction-17"));
+    officer.roam(cluster.getCallerAddress(1));
+    show("read through h2 with h1's token", officer.read("ledger1", "GET loan-17"));
+    show("the same sanction again through h2", officer.write("ledger1", "SET loan-17 sanctioned", "sanction-17"));
+    cluster.getMember("ledger1-a").kill();
+    officer.roam(cluster.getCallerAddress(2));
+    show("primary killed; write through h3", officer.write("ledger1", "SET loan-18 sanctioned", "sanction-18"));
+    show("read of the first sanction", officer.read("ledger1", "GET loan-17"));
+    fmt::print("\nalderctl timeline --group ledger1\n{}", cluster.runTool({ "timeline", "--group", "ledger1" }).output);
+    fmt::print("\nalderctl status --group ledger1\n{}", cluster.runTool({ "status", "--group", "ledger1" }).output);
+    if (argc > 1 && std::string(argv[1]) == "--stay") {
+        fmt::print("\nrunning; callers: {}  operators: {}  platform: {}\npress Enter to end\n", cluster.getCallerAddress(0), cluster.getOperatorAddress(0), cluster.getPlatformAddress());
+        std::fflush(stdout);
+        std::cin.get();
+    }
+    auto ok = getResult(officer.read("ledger1", "GET loan-17")) == "sanctioned";
+    fmt::print("\n{}\n", ok ? "demo done" : "demo FAILED: the first sanction is gone");
+    return ok ? 0 : 1;
+}
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -49,6 +49,7 @@
         { "health", "probe_timeout_ms", &Settings::probeTimeoutMs, 10, 10000, "ms", "then a status question has failed" },
         { "peers", "exchange_interval_ms", &Settings::exchangeIntervalMs, 50, 60000, "ms", "between two rounds of exchange" },
         { "peers", "partners", &Settings::partners, 1, 10, "count", "partners in one round of exchange" },
+        { "peers", "homes_most", &Settings::homesMost, 1, 1000, "count", "homes of a group, the same on every host; a data centre with a member has one in any case" },
         { "stop", "drain_limit_ms", &Settings::drainLimitMs, 0, 600000, "ms", "a stop that takes longer reports what it cuts" },
         { "stop", "drain_notice_ms", &Settings::drainNoticeMs, 0, 60000, "ms", "between the balancer's check turning and the closing of the listening socket" },
         { "debug", "allow_faults", &Settings::allowFaults, 0, 1, "true/false", "test aid: the operators' address takes /debug/cut" },
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -36,6 +36,7 @@
     // [peers]
     int exchangeIntervalMs { 500 }; // ms; between two exchanges with one partner
     int partners { 1 }; // partners per exchange interval
+    int homesMost { 3 }; // homes of a group, or one for each data centre with a member if that is more
     // [stop]
     int drainLimitMs { 30000 }; // ms; a stop that is not done by then reports what it cuts
     int drainNoticeMs { 500 }; // ms; between the balancer's check turning and the closing of the listening socket
--- a/src/controllers/group.cpp
+++ b/src/controllers/group.cpp
@@ -100,13 +100,18 @@
         asio::co_spawn(m_strand, probeForever(i, epoch), asio::detached);
         asio::co_spawn(m_strand, confirmForever(i, epoch), asio::detached);
     }
-    asio::co_spawn(m_strand, tickForever(epoch), asio::detached);
+    m_tick = m_node.timers.subscribe(m_strand, kTickInterval, [weak = weak_from_this(), epoch] {
+        auto self = weak.lock();
+        if (self && epoch == self->m_epoch)
+            self->tick();
+    });
 }
 
 void GroupController::endWork()
 {
     m_isWorking = false;
     ++m_epoch;
+    m_tick.stop();
     for (auto& it : m_members) {
         it.probeTimer->cancel();
         it.confirmTimer->cancel();
@@ -116,26 +121,19 @@
 
 // ---- probes ----
 
-asio::awaitable<void> GroupController::tickForever(uint64_t epoch)
+void GroupController::tick()
 {
-    auto self = shared_from_this();
-    auto publishedAt = Clock::now();
-    while (epoch == m_epoch) {
-        // A host that is no home any more finishes what it began: writes may still wait for their confirmation.
-        bool isDone = !m_isActive && m_orders == 0 && m_transactions.empty();
-        if (isDone) {
-            endWork();
-            publishStatus();
-            co_return;
-        }
-        stepFailover(decisions::Tick {});
-        expireTransactions();
-        if (Clock::now() - publishedAt >= kPublishInterval) {
-            publishStatus();
-            publishedAt = Clock::now();
-        }
-        co_await base::sleepFor(kTickInterval);
+    // A host that is no home any more finishes what it began: writes may still wait for their confirmation.
+    bool isDone = !m_isActive && m_orders == 0 && m_transactions.empty();
+    if (isDone) {
+        endWork();
+        publishStatus();
+        return;
     }
+    stepFailover(decisions::Tick {});
+    expireTransactions();
+    if (Clock::now() - m_publishedAt >= kPublishInterval)
+        publishStatus();
 }
 
 asio::awaitable<void> GroupController::probeForever(size_t index, uint64_t epoch)
@@ -192,12 +190,13 @@
 void GroupController::setHealth(decisions::GroupHealth health)
 {
     auto termBefore = m_health.term;
+    bool hadPrimary = m_health.primary.has_value();
     bool isOfNote = health.primary != m_health.primary || health.term != m_health.term;
     for (size_t i = 0; i < health.members.size(); ++i)
         isOfNote = isOfNote || health.members[i].isReachable() != m_health.members[i].isReachable();
     m_health = std::move(health);
     if (isOfNote) {
-        notePrimaryChange(termBefore);
+        notePrimaryChange(termBefore, hadPrimary);
         publishStatus();
     }
     stepFailover(decisions::Tick {});
@@ -258,6 +257,7 @@
 void GroupController::publishStatus()
 {
     auto status = std::make_shared<GroupStatus>();
+    m_publishedAt = Clock::now();
     status->health = m_health;
     status->failover = m_failover;
     status->isActive = m_isActive;
--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -119,7 +119,7 @@
     void rebuildMembers(const GroupRole& role);
     void beginWork();
     void endWork();
-    boost::asio::awaitable<void> tickForever(uint64_t epoch);
+    void tick();
     boost::asio::awaitable<void> probeForever(size_t index, uint64_t epoch);
     boost::asio::awaitable<decisions::GroupHealth> probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index);
     void probeNow();
@@ -143,7 +143,7 @@
     boost::asio::awaitable<void> writeClaimLate(uint64_t term);
     void announce(const decisions::Announce& action);
     void repairFollowers();
-    void notePrimaryChange(uint64_t termBefore);
+    void notePrimaryChange(uint64_t termBefore, bool hadPrimary);
 
     // ---- confirmation ----
     boost::asio::awaitable<decisions::Confirmation> confirm(decisions::PendingWrite write, std::string primary, base::TimePoint deadline);
@@ -185,6 +185,8 @@
     std::map<std::string, std::shared_ptr<Transaction>> m_transactions;
     std::atomic<size_t> m_openTransactions { 0 };
     base::Snapshot<GroupStatus> m_status;
+    base::Subscription m_tick;
+    base::TimePoint m_publishedAt {};
     uint64_t m_epoch { 0 }; // raised when work begins or ends: loops of older epochs stop
     bool m_isActive { false }; // a home: takes new orders
     bool m_isWorking { false }; // loops are running; outlives m_isActive until all orders are done
--- a/src/controllers/group_failover.cpp
+++ b/src/controllers/group_failover.cpp
@@ -138,7 +138,7 @@
 }
 
 // Every home sees the change in its probes; each counts it against the record's bounds.
-void GroupController::notePrimaryChange(uint64_t termBefore)
+void GroupController::notePrimaryChange(uint64_t termBefore, bool hadPrimary)
 {
     if (m_health.primary && m_health.term > m_notedTerm) {
         auto& name = m_members[*m_health.primary].record.name;
@@ -147,7 +147,7 @@
         if (m_notedTerm > 0 && termBefore > 0 && !isOwn)
             m_failover.promotions.push_back(Clock::now());
         m_notedTerm = m_health.term;
-    } else if (!m_health.primary)
+    } else if (!m_health.primary && hadPrimary)
         base::getTimeline().add("primary-lost", m_name, fmt::format("none is known in term {}", m_health.term));
     for (size_t i = 0; i < m_members.size(); ++i) {
         if (!m_health.members[i].isReachable() || m_health.primary != i)
--- a/src/controllers/hosts.cpp
+++ b/src/controllers/hosts.cpp
@@ -72,7 +72,7 @@
 
 void HostsController::begin()
 {
-    asio::co_spawn(m_strand, exchangeForever(), asio::detached);
+    m_rounds = m_node.timers.subscribe(m_strand, milliseconds(m_node.settings.exchangeIntervalMs), [this] { beginRound(); });
 }
 
 bool HostsController::isWatcher() const
@@ -132,30 +132,33 @@
     co_return reply;
 }
 
-asio::awaitable<void> HostsController::exchangeForever()
+// Hosts that only the platform's list knows are worth talking to; what they say of themselves wins over the list.
+void HostsController::takePlatformList()
 {
-    auto seed = decisions::getHash(m_node.settings.name);
-    for (;; ++m_round) {
-        co_await base::sleepFor(milliseconds(m_node.settings.exchangeIntervalMs));
-        auto now = Clock::now();
-        publish(decisions::ageMembership(m_membership, m_timings, now), "no refutation in time");
-        std::vector<decisions::PlatformHost> listed;
-        for (auto& [name, host] : m_configuration.getSnapshot().read()->platformHosts)
-            listed.push_back(host);
-        auto before = m_membership.hosts.size();
-        decisions::takePlatformList(m_membership, listed, now);
-        if (m_membership.hosts.size() != before) {
-            m_snapshot.publish(std::make_shared<const decisions::Membership>(m_membership));
-            if (m_onChange)
-                m_onChange();
-        }
-        for (auto& it : decisions::choosePartners(m_membership, static_cast<size_t>(m_node.settings.partners), seed + m_round))
-            asio::co_spawn(m_strand, exchangeWith(it), asio::detached);
-        if (m_round % kRoundsPerRevival == 0) {
-            if (auto dead = decisions::chooseDead(m_membership, seed + m_round / kRoundsPerRevival))
-                asio::co_spawn(m_strand, synchronise(*dead), asio::detached);
-        }
+    std::vector<decisions::PlatformHost> listed;
+    for (auto& [name, host] : m_configuration.getSnapshot().read()->platformHosts)
+        listed.push_back(host);
+    auto before = m_membership.hosts.size();
+    decisions::takePlatformList(m_membership, listed, Clock::now());
+    if (m_membership.hosts.size() == before)
+        return;
+    m_snapshot.publish(std::make_shared<const decisions::Membership>(m_membership));
+    if (m_onChange)
+        m_onChange();
+}
+
+void HostsController::beginRound()
+{
+    auto seed = decisions::getHash(m_node.settings.name) + m_round;
+    publish(decisions::ageMembership(m_membership, m_timings, Clock::now()), "no refutation in time");
+    takePlatformList();
+    for (auto& it : decisions::choosePartners(m_membership, static_cast<size_t>(m_node.settings.partners), seed))
+        asio::co_spawn(m_strand, exchangeWith(it), asio::detached);
+    if (m_round % kRoundsPerRevival == 0) {
+        if (auto dead = decisions::chooseDead(m_membership, seed))
+            asio::co_spawn(m_strand, synchronise(*dead), asio::detached);
     }
+    ++m_round;
 }
 
 asio::awaitable<void> HostsController::exchangeWith(std::string name)
--- a/src/controllers/hosts.h
+++ b/src/controllers/hosts.h
@@ -34,7 +34,8 @@
     boost::asio::awaitable<peer::ExchangeReply> handleExchange(peer::ExchangeRequest request);
 
 private:
-    boost::asio::awaitable<void> exchangeForever();
+    void beginRound();
+    void takePlatformList();
     boost::asio::awaitable<void> exchangeWith(std::string name);
     boost::asio::awaitable<void> probeThroughOthers(std::string name);
     peer::ExchangeRequest makeRequest();
@@ -53,6 +54,7 @@
     std::function<void()> m_onChange;
     std::function<void(const peer::GroupNews&)> m_onGroupNews;
     unsigned m_hostMismatches { 0 }; // exchanges in a row whose host digests differed
+    base::Subscription m_rounds;
     uint64_t m_round { 0 };
     std::set<std::string> m_checking; // hosts that checkHost() is asking now
 };
--- a/src/decisions/placement.cpp
+++ b/src/decisions/placement.cpp
@@ -14,10 +14,12 @@
     return found;
 }
 
-unsigned getHomeCount(const GroupRecord& record)
+unsigned getHomeCount(const GroupRecord& record, unsigned homesMost)
 {
+    if (homesMost > record.connectionLimit)
+        return homesMost;
     auto worth = std::max(1U, record.connectionLimit / kLeastPool);
-    auto most = std::max(kMostHomes, static_cast<unsigned>(getMemberDataCentres(record).size()));
+    auto most = std::max(homesMost, static_cast<unsigned>(getMemberDataCentres(record).size()));
     return std::min(worth, most);
 }
 
@@ -46,9 +48,9 @@
 }
 
 // Takes hosts round by round: in each round one host of every data centre that has a member, then the others.
-std::vector<std::string> chooseHomes(const GroupRecord& record, const std::vector<PlacedHost>& live)
+std::vector<std::string> chooseHomes(const GroupRecord& record, const std::vector<PlacedHost>& live, unsigned homesMost)
 {
-    auto wanted = getHomeCount(record);
+    auto wanted = getHomeCount(record, homesMost);
     std::vector<std::string> names;
     std::map<std::string, std::string> dataCentres;
     for (auto& it : selectFronting(record, live)) {
--- a/src/decisions/placement.h
+++ b/src/decisions/placement.h
@@ -8,7 +8,7 @@
 namespace alderward::decisions {
 
 inline constexpr unsigned kLeastPool = 4; // connections that make a home's pool to one member worth having
-inline constexpr unsigned kMostHomes = 3; // homes of a group whose members are in three data centres or fewer
+inline constexpr unsigned kMostHomes = 3; // default of homesMost
 
 // A live host as placement sees it.
 struct PlacedHost {
@@ -24,12 +24,13 @@
     friend bool operator==(const Share&, const Share&) = default;
 };
 
-// How many homes a group gets: connectionLimit / kLeastPool, at most kMostHomes or one for each data centre with a member.
-unsigned getHomeCount(const GroupRecord& record);
+// How many homes a group gets: connectionLimit / kLeastPool, at most `homesMost` or one for each data centre with a member.
+// `homesMost` above the number of hosts makes every host a home; that is for measurements.
+unsigned getHomeCount(const GroupRecord& record, unsigned homesMost = kMostHomes);
 
 // The homes, best first: a data centre that has a member gets one before any gets a second; within a data centre,
 // rendezvous hashing decides. `live` holds the live hosts that the record names.
-std::vector<std::string> chooseHomes(const GroupRecord& record, const std::vector<PlacedHost>& live);
+std::vector<std::string> chooseHomes(const GroupRecord& record, const std::vector<PlacedHost>& live, unsigned homesMost = kMostHomes);
 
 // The hosts that may front the group by its record.
 std::vector<PlacedHost> selectFronting(const GroupRecord& record, const std::vector<PlacedHost>& live);
