Requests find the homes while hosts come and go

Cause: the address sanitizer's slower build showed one refused request of some 250 when hosts were stopped in turn: a relay that met a host which had just ceased to be a home was passed on twice and then refused ('no home of the group is reachable'). Ruled out: longer waiting before the listening socket closes, as the refusal came from a host that was not being stopped. Now a host that is no home any more says so by a kind of its own, the sender reads its table again and tries anew, in at most 12 rounds 60 ms apart, four relays at most.

--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -53,7 +53,7 @@
     if (!order.transaction.empty())
         co_return co_await runInTransaction(std::move(order));
     if (!m_isActive)
-        co_return fail(ErrorKind::NoPrimary, "this host is not a home of the group any more", kComeBack);
+        co_return fail(ErrorKind::Draining, "this host is not a home of the group any more", kComeBack);
     if (order.operation == Operation::Begin)
         co_return co_await runBegin(std::move(order));
     bool isWrite = order.isWrite || order.operation == Operation::Settle;
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -13,7 +13,9 @@
 using decisions::Error;
 using decisions::ErrorKind;
 
-static constexpr unsigned kMaximumHops = 2; // to a home, and from a home that cannot reach the primary to one that can
+static constexpr unsigned kMaximumHops = 4; // to a home, on to one that reaches the primary, and both once more while homes move
+static constexpr int kRelayRounds = 12; // times that the homes are tried while none is reachable
+static constexpr milliseconds kRelayPause { 60 }; // between two of these rounds
 static constexpr milliseconds kRelayMargin { 10 }; // kept back from the deadline at each relay
 static constexpr milliseconds kComeBack { 500 };
 
@@ -174,17 +176,18 @@
     auto outcome = co_await context.entry.controller->run(context.order);
     if (outcome)
         co_return replyWithOutcome(services, context, *outcome);
+    // The group has moved to other homes since the table was read; nothing ran here.
+    if (outcome.error().kind == ErrorKind::Draining && !isOwned)
+        co_return std::nullopt;
     co_return replyFor(services, context, outcome.error());
 }
 
 // Tries the homes in turn. A home that was not reached is passed over; one that may have run the request is not, unless
 // the request may be repeated.
-static asio::awaitable<std::optional<Reply>> relayToHome(const Services& services, RequestContext& context)
+static asio::awaitable<std::optional<Reply>> tryHomes(const Services& services, RequestContext& context, bool mayRepeat)
 {
-    bool mayRepeat = context.order.isRepeatable || (!context.order.isWrite && context.order.operation == Operation::Execute);
-    for (auto& home : context.entry.relayOrder) {
-        if (context.hops >= kMaximumHops)
-            break;
+    auto homes = context.entry.relayOrder;
+    for (auto& home : homes) {
         auto result = co_await relayTo(services, context, home);
         if (result.reply)
             co_return result.reply;
@@ -193,6 +196,25 @@
         if (result.mayHaveArrived)
             base::count(base::Counter::Retries);
     }
+    co_return std::nullopt;
+}
+
+// While hosts come and go, the homes that this host knows may all be gone for a moment: the table is read again, and this
+// host may find itself a home. The number of rounds is bounded, so that a caller gets its answer soon.
+static asio::awaitable<std::optional<Reply>> relayToHome(const Services& services, RequestContext& context)
+{
+    bool mayRepeat = context.order.isRepeatable || (!context.order.isWrite && context.order.operation == Operation::Execute);
+    for (int round = 0; round < kRelayRounds && context.hops < kMaximumHops; ++round) {
+        if (auto reply = co_await tryHomes(services, context, mayRepeat))
+            co_return reply;
+        if (Clock::now() + kRelayPause >= context.order.deadline - kRelayMargin)
+            break;
+        co_await base::sleepFor(kRelayPause);
+        if (auto reply = co_await route(services, context))
+            co_return reply;
+        if (auto reply = co_await executeHere(services, context))
+            co_return reply;
+    }
     if (Clock::now() >= context.order.deadline - kRelayMargin)
         co_return replyFor(services, context, { mayRepeat ? ErrorKind::OutcomeUnknown : ErrorKind::DeadlineExceeded, "no home of the group answered in time", kComeBack });
     co_return replyFor(services, context, { ErrorKind::NoPrimary, "no home of the group is reachable from here", kComeBack });
