The randomised run says what the log's member answered

Cause: the two random runs failed in the address sanitizer's build with 'no entries'. Ruled out by a request by hand: it was a stale object, compiled from the source as it stood a minute before (the log with all values, 54 MB). Conclusion: no fault of the program; the check prints the answer now.

--- a/tests/process/random_run_test.cpp
+++ b/tests/process/random_run_test.cpp
@@ -241,7 +241,7 @@
         return !primary.empty();
     }));
     auto answer = Client(cluster.getMemberAddress(primary)).post("/admin/log", {});
-    BOOST_REQUIRE(answer.body.contains("entries"));
+    BOOST_REQUIRE_MESSAGE(answer.body.contains("entries"), fmt::format("{} answered {} {}", primary, answer.status, json::serialize(answer.body).substr(0, 200)));
     std::set<std::string> keys;
     uint64_t term = 0;
     for (auto& it : answer.body.at("entries").get_array()) {
