Hosts that start, stop and die: no host takes itself for the only home, two homes at least, digests kept up

A restarted host knew the groups before it knew other hosts, and probed all of them as their only home for up to 0.5 s. A group with few connections (5 / 4 = 1) had one home: killed, the group was out of reach until the host was found dead. The platform's late list brought a stopped host back as alive once it had been forgotten (unit test).

--- a/src/controllers/group.cpp
+++ b/src/controllers/group.cpp
@@ -16,7 +16,7 @@
 using base::milliseconds;
 using base::TimePoint;
 
-static constexpr milliseconds kTickInterval { 20 };
+static constexpr milliseconds kTickInterval { 50 }; // answers step the decisions, too; ticks only serve limits of time
 static constexpr milliseconds kFailedProbePause { 40 }; // a silent member is asked again sooner than a healthy one
 static constexpr milliseconds kPublishInterval { 200 }; // of the status, when nothing changed of note
 static constexpr milliseconds kPathFaultAfter { 600 }; // a replica's word is older than the fault until then
--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -166,7 +166,7 @@
     boost::asio::awaitable<decisions::Result<Outcome>> runInTransaction(Order order);
     boost::asio::awaitable<links::TargetResult<links::ExecuteAnswer>> sendInTransaction(const Order& order, Transaction& transaction);
     void endTransaction(const std::string& name, bool isLeaseGood);
-    decisions::Result<Outcome> takeTargetFailure(const links::TargetFailure& failure, size_t member, base::TimePoint sentAt);
+    decisions::Result<Outcome> takeTargetFailure(const links::TargetFailure& failure, size_t member);
     boost::asio::awaitable<std::optional<decisions::Error>> holdWrite(const Order& order, const decisions::Route& route);
     bool mayHold() const;
     void notePosition(size_t member, const decisions::Mark& mark);
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -33,6 +33,15 @@
     return fmt::format("{}.{:016x}{:08x}", host, engine(), static_cast<uint32_t>(engine()));
 }
 
+// After a refusal the connection is as good as before; after anything else a late answer could still come on it.
+static void putAway(Lease& lease, const links::TargetFailure& failure)
+{
+    if (failure.refusal)
+        lease.release();
+    else
+        lease.discard();
+}
+
 asio::awaitable<Result<Outcome>> GroupController::run(Order order)
 {
     order.deadline -= kAnswerMargin;
@@ -134,11 +143,8 @@
     auto answer = co_await links::execute(lease->getLink(), m_node.settings.name, request, order.deadline);
     auto latency = Clock::now() - sentAt;
     if (!answer) {
-        if (answer.error().refusal)
-            lease->release();
-        else
-            lease->discard();
-        co_return takeTargetFailure(answer.error(), index, sentAt);
+        putAway(*lease, answer.error());
+        co_return takeTargetFailure(answer.error(), index);
     }
     lease->release();
     pool->noteLatency(latency);
@@ -254,11 +260,8 @@
         answer = co_await links::execute(link, m_node.settings.name, request, order.deadline);
     auto ranAt = Clock::now();
     if (!answer) {
-        if (answer.error().refusal)
-            lease->release();
-        else
-            lease->discard();
-        co_return takeTargetFailure(answer.error(), index, sentAt);
+        putAway(*lease, answer.error());
+        co_return takeTargetFailure(answer.error(), index);
     }
     lease->release();
     pool->noteLatency(ranAt - sentAt);
@@ -293,12 +296,11 @@
 }
 
 // Turns a failure at a member into an answer, and into knowledge about the member.
-Result<Outcome> GroupController::takeTargetFailure(const links::TargetFailure& failure, size_t member, TimePoint sentAt)
+Result<Outcome> GroupController::takeTargetFailure(const links::TargetFailure& failure, size_t member)
 {
     if (!failure.refusal) {
         if (member < m_members.size())
             m_members[member].probeTimer->cancel();
-        (void)sentAt;
         if (!failure.link.mayHaveArrived)
             return fail(ErrorKind::NoPrimary, failure.link.reason, kComeBack);
         return fail(ErrorKind::OutcomeUnknown, "sent, but no answer came: " + failure.link.reason, kComeBack);
@@ -337,11 +339,10 @@
         auto lease = co_await m_members[route.member].pool->acquire(Lane::Write, order.deadline, true);
         if (!lease)
             co_return tl::make_unexpected(lease.error());
-        auto sentAt = Clock::now();
         auto answer = co_await links::beginTransaction(lease->getLink(), m_node.settings.name, term, order.deadline);
         if (!answer) {
             lease->discard();
-            auto failure = takeTargetFailure(answer.error(), route.member, sentAt);
+            auto failure = takeTargetFailure(answer.error(), route.member);
             // A begin without an answer has changed nothing that lasts: its connection is closed, which rolls it back.
             if (isDue(order.deadline))
                 co_return fail(ErrorKind::NoPrimary, failure.error().message, kComeBack);
@@ -392,7 +393,6 @@
         co_return fail(ErrorKind::TransactionUnknown, "another statement of this transaction is running");
     transaction->isBusy = true;
     transaction->lease.endPause();
-    auto sentAt = Clock::now();
     auto answer = co_await sendInTransaction(order, *transaction);
     auto ranAt = Clock::now();
     transaction->isBusy = false;
@@ -403,7 +403,7 @@
     if (isLast || isLost)
         endTransaction(order.transaction, !isLost);
     if (!answer) {
-        auto failure = takeTargetFailure(answer.error(), transaction->member, sentAt);
+        auto failure = takeTargetFailure(answer.error(), transaction->member);
         // Before its commit a transaction has changed nothing; a lost connection rolls it back.
         if (order.operation != Operation::Commit && isLost)
             co_return fail(ErrorKind::TransactionUnknown, "the connection was lost: the transaction is rolled back");
--- a/src/controllers/groups.cpp
+++ b/src/controllers/groups.cpp
@@ -16,8 +16,9 @@
 
 void GroupsController::begin()
 {
-    m_configuration.onChange([this] { asio::post(m_strand, [this] { refresh(); }); });
-    m_hosts.onChange([this] { asio::post(m_strand, [this] { refresh(); }); });
+    auto refreshLater = [this] { asio::post(m_strand, [this] { refresh(); }); };
+    m_configuration.onChange([this, refreshLater] { m_hosts.noteConfiguration(refreshLater); });
+    m_hosts.onChange(refreshLater);
     m_configuration.onNewValues([this](std::vector<peer::RecordBody> bodies) { m_hosts.pushRecords(std::move(bodies)); });
     m_hosts.onGroupNews([this](const peer::GroupNews& news) { takeNews(news); });
 }
@@ -54,12 +55,12 @@
     return order;
 }
 
-GroupEntry GroupsController::makeEntry(const std::string& name, const GroupInForce& group, const Configuration& configuration, const decisions::Membership& membership)
+GroupEntry GroupsController::makeEntry(const std::string& name, const GroupInForce& group, const Configuration& configuration, const decisions::Membership& membership, const std::vector<decisions::PlacedHost>& live)
 {
     GroupEntry entry;
     entry.record = group.record;
     entry.version = group.version;
-    entry.homes = decisions::chooseHomes(*group.record, decisions::getLiveHosts(membership), static_cast<unsigned>(m_node.settings.homesMost));
+    entry.homes = decisions::chooseHomes(*group.record, live, static_cast<unsigned>(m_node.settings.homesMost));
     entry.relayOrder = orderForRelay(entry.homes, membership);
     entry.isHome = std::ranges::find(entry.homes, m_node.settings.name) != entry.homes.end();
     auto& controller = m_controllers[name];
@@ -88,9 +89,10 @@
 {
     auto configuration = m_configuration.getSnapshot().read();
     auto membership = m_hosts.getSnapshot().read();
+    auto live = decisions::getLiveHosts(*membership);
     auto table = std::make_shared<GroupTable>();
     for (auto& [name, group] : configuration->groups)
-        (*table)[name] = makeEntry(name, group, *configuration, *membership);
+        (*table)[name] = makeEntry(name, group, *configuration, *membership, live);
     m_table.publish(std::move(table));
 }
 
--- a/src/controllers/hosts.cpp
+++ b/src/controllers/hosts.cpp
@@ -135,8 +135,13 @@
 // Hosts that only the platform's list knows are worth talking to; what they say of themselves wins over the list.
 void HostsController::takePlatformList()
 {
+    auto configuration = m_configuration.getSnapshot().read();
+    bool isDue = configuration != m_listedConfiguration || m_round % kRoundsPerRevival == 0;
+    if (!isDue)
+        return;
+    m_listedConfiguration = configuration;
     std::vector<decisions::PlatformHost> listed;
-    for (auto& [name, host] : m_configuration.getSnapshot().read()->platformHosts)
+    for (auto& [name, host] : configuration->platformHosts)
         listed.push_back(host);
     auto before = m_membership.hosts.size();
     decisions::takePlatformList(m_membership, listed, Clock::now());
@@ -147,6 +152,14 @@
         m_onChange();
 }
 
+void HostsController::noteConfiguration(std::function<void()> then)
+{
+    asio::post(m_strand, [this, then = std::move(then)] {
+        takePlatformList();
+        then();
+    });
+}
+
 void HostsController::beginRound()
 {
     auto seed = decisions::getHash(m_node.settings.name) + m_round;
@@ -277,8 +290,7 @@
     co_await asio::dispatch(m_strand, asio::use_awaitable);
     auto self = m_membership.hosts[m_node.settings.name].news;
     self.state = HostState::Leaving;
-    m_membership.hosts[m_node.settings.name].news = self;
-    m_membership.hosts[m_node.settings.name].tellLeft = 100;
+    decisions::setOwnNews(m_membership, self, Clock::now());
     publish({ self.name }, "planned stop");
     for (auto& it : decisions::choosePartners(m_membership, kLeavingTold, m_round))
         co_await send(it, makeRequest(), kExchangeTimeout);
--- a/src/controllers/hosts.h
+++ b/src/controllers/hosts.h
@@ -21,6 +21,10 @@
     void onChange(std::function<void()> callback) { m_onChange = std::move(callback); }
     void onGroupNews(std::function<void(const peer::GroupNews&)> callback) { m_onGroupNews = std::move(callback); }
 
+    // Takes in the host list of a new configuration, then calls `then`. A host that has just started would otherwise know
+    // groups before it knows other hosts, and take itself for the only home of all of them.
+    void noteConfiguration(std::function<void()> then);
+
     // Whether this host is one of the watchers of its data centre.
     bool isWatcher() const;
     // Tells some peers at once that we are leaving; the rest hear it from them.
@@ -55,6 +59,7 @@
     std::function<void(const peer::GroupNews&)> m_onGroupNews;
     unsigned m_hostMismatches { 0 }; // exchanges in a row whose host digests differed
     base::Subscription m_rounds;
+    std::shared_ptr<const Configuration> m_listedConfiguration; // whose host list was taken in last
     uint64_t m_round { 0 };
     std::set<std::string> m_checking; // hosts that checkHost() is asking now
 };
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -27,9 +27,17 @@
     return kTellFactor * static_cast<unsigned>(std::ceil(std::log2(static_cast<double>(membership.hosts.size()) + 2)));
 }
 
+// What one host adds to the digest. Computing the whole digest for each exchange grew with the fleet.
+static uint64_t getShare(const HostNews& news)
+{
+    bool isCounted = !news.name.empty() && news.state != HostState::Dead;
+    return isCounted ? getHash(fmt::format("{}\n{}\n{}", news.name, news.incarnation, static_cast<int>(news.state))) : 0;
+}
+
 static void setNews(Membership& membership, const HostNews& news, TimePoint now)
 {
     auto& known = membership.hosts[news.name];
+    membership.digest ^= getShare(known.news) ^ getShare(news);
     known.news = news;
     known.changedAt = now;
     known.tellLeft = getTellCount(membership);
@@ -43,6 +51,11 @@
     return membership;
 }
 
+void setOwnNews(Membership& membership, const HostNews& news, TimePoint now)
+{
+    setNews(membership, news, now);
+}
+
 static bool isNewer(const HostNews& news, const HostNews& known)
 {
     return std::pair(news.incarnation, news.state) > std::pair(known.incarnation, known.state);
@@ -85,6 +98,9 @@
 
 void takePlatformList(Membership& membership, const std::vector<PlatformHost>& hosts, TimePoint now)
 {
+    membership.listed.clear();
+    for (auto& it : hosts)
+        membership.listed.insert(it.name);
     for (auto& it : hosts) {
         if (it.peerAddress.empty() || it.name == membership.self || membership.hosts.contains(it.name))
             continue;
@@ -119,11 +135,13 @@
             news.state = HostState::Dead;
             setNews(membership, news, now);
             changed.push_back(name);
-        } else if (isGone && age >= timings.forgetAfter)
+        } else if (isGone && age >= timings.forgetAfter && !membership.listed.contains(name))
             forgotten.push_back(name);
     }
-    for (auto& it : forgotten)
+    for (auto& it : forgotten) {
+        membership.digest ^= getShare(membership.hosts[it].news);
         membership.hosts.erase(it);
+    }
     return changed;
 }
 
@@ -147,13 +165,7 @@
 
 uint64_t getDigest(const Membership& membership)
 {
-    uint64_t digest = 0;
-    for (auto& [name, known] : membership.hosts) {
-        if (known.news.state == HostState::Dead)
-            continue;
-        digest ^= getHash(fmt::format("{}\n{}\n{}", name, known.news.incarnation, static_cast<int>(known.news.state)));
-    }
-    return digest;
+    return membership.digest;
 }
 
 std::vector<PlacedHost> getLiveHosts(const Membership& membership)
--- a/src/decisions/membership.h
+++ b/src/decisions/membership.h
@@ -6,6 +6,7 @@
 #include "decisions/placement.h"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,15 +47,21 @@
 struct Membership {
     std::string self {};
     std::map<std::string, KnownHost> hosts {}; // self included
+    std::set<std::string> listed {}; // names in the platform's list, which is late
+    uint64_t digest { 0 }; // of the hosts that are not dead, kept up with every change: see getDigest()
     friend bool operator==(const Membership&, const Membership&) = default;
 };
 
 Membership makeMembership(const HostNews& self, TimePoint now);
 
+// Changes what this host says of itself, e.g. that it is leaving.
+void setOwnNews(Membership& membership, const HostNews& news, TimePoint now);
+
 // Takes in news from a peer. Returns the names whose state changed. News that we are suspect or dead is refuted.
 std::vector<std::string> takeNews(Membership& membership, const std::vector<HostNews>& news, TimePoint now);
 
 // Takes in the platform's list: unknown hosts are added as alive with incarnation 0, so that any word of their own wins.
+// Dead and left hosts are remembered as long as the list, which is late, still names them: it must not bring them back.
 void takePlatformList(Membership& membership, const std::vector<PlatformHost>& hosts, TimePoint now);
 
 // Neither we nor `witnesses` others could reach the host. With at least one other witness (or nobody else to ask) it
--- a/src/decisions/placement.cpp
+++ b/src/decisions/placement.cpp
@@ -18,7 +18,7 @@
 {
     if (homesMost > record.connectionLimit)
         return homesMost;
-    auto worth = std::max(1U, record.connectionLimit / kLeastPool);
+    auto worth = std::max(std::min(kLeastHomes, record.connectionLimit), record.connectionLimit / kLeastPool);
     auto most = std::max(homesMost, static_cast<unsigned>(getMemberDataCentres(record).size()));
     return std::min(worth, most);
 }
@@ -41,9 +41,11 @@
     if (record.hosts.empty())
         return live;
     std::vector<PlacedHost> fronting;
-    std::ranges::copy_if(live, std::back_inserter(fronting), [&](const PlacedHost& it) {
-        return std::ranges::find(record.hosts, it.name) != record.hosts.end();
-    });
+    for (auto& name : record.hosts) {
+        auto it = std::ranges::lower_bound(live, name, {}, &PlacedHost::name);
+        if (it != live.end() && it->name == name)
+            fronting.push_back(*it);
+    }
     return fronting;
 }
 
--- a/src/decisions/placement.h
+++ b/src/decisions/placement.h
@@ -8,6 +8,7 @@
 namespace alderward::decisions {
 
 inline constexpr unsigned kLeastPool = 4; // connections that make a home's pool to one member worth having
+inline constexpr unsigned kLeastHomes = 2; // whatever the pool: one of them can die
 inline constexpr unsigned kMostHomes = 3; // default of homesMost
 
 // A live host as placement sees it.
@@ -24,15 +25,16 @@
     friend bool operator==(const Share&, const Share&) = default;
 };
 
-// How many homes a group gets: connectionLimit / kLeastPool, at most `homesMost` or one for each data centre with a member.
+// How many homes a group gets: connectionLimit / kLeastPool, at least kLeastHomes, at most `homesMost` or one for each data centre with a member.
 // `homesMost` above the number of hosts makes every host a home; that is for measurements.
 unsigned getHomeCount(const GroupRecord& record, unsigned homesMost = kMostHomes);
 
 // The homes, best first: a data centre that has a member gets one before any gets a second; within a data centre,
-// rendezvous hashing decides. `live` holds the live hosts that the record names.
+// rendezvous hashing decides. `live` holds the live hosts, sorted by name (as getLiveHosts() gives them).
 std::vector<std::string> chooseHomes(const GroupRecord& record, const std::vector<PlacedHost>& live, unsigned homesMost = kMostHomes);
 
-// The hosts that may front the group by its record.
+// The hosts that may front the group by its record. `live` is sorted by name, so that a record that names its hosts costs
+// its own length, not the fleet's.
 std::vector<PlacedHost> selectFronting(const GroupRecord& record, const std::vector<PlacedHost>& live);
 
 Share getShare(const GroupRecord& record, size_t homes);
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -1,4 +1,5 @@
 #include "base/metrics.h"
+#include "base/timeline.h"
 #include "filters/request.h"
 #include <fmt/format.h>
 
@@ -226,19 +227,30 @@
     return chain;
 }
 
+static asio::awaitable<Reply> runFilters(const Services& services, RequestContext& context)
+{
+    for (auto& filter : getChain()) {
+        if (auto reply = co_await filter(services, context))
+            co_return *reply;
+    }
+    co_return replyFor(services, context, { ErrorKind::Internal, "no filter answered the request" });
+}
+
+// A fault of ours must not take the process with it: the caller is told that the outcome is unknown.
 asio::awaitable<Reply> runChain(const Services& services, RequestContext context)
 {
     base::count(base::Counter::Requests);
     auto began = Clock::now();
     context.receivedAt = began;
-    std::optional<Reply> reply;
-    for (auto& filter : getChain()) {
-        reply = co_await filter(services, context);
-        if (reply)
-            break;
+    Reply reply;
+    try {
+        reply = co_await runFilters(services, context);
+    } catch (const std::exception& error) {
+        base::getTimeline().add("internal-error", context.group, error.what());
+        reply = replyFor(services, context, { ErrorKind::Internal, "a fault of alderward; please report it" });
     }
     base::record(base::Latency::Request, Clock::now() - began);
-    co_return *reply;
+    co_return reply;
 }
 
 }
--- a/src/links/peer.cpp
+++ b/src/links/peer.cpp
@@ -19,6 +19,8 @@
 // A frozen host keeps its connections open: pings find it out, and calls that wait for it end as "may have arrived".
 static constexpr int kPingIntervalMs = 500;
 static constexpr int kPingTimeoutMs = 400;
+static constexpr size_t kKeptChannels = 32; // with more, idle channels are closed: exchanges reach every host in time
+static constexpr base::milliseconds kChannelIdle { 10000 };
 static constexpr int kReconnectLeastMs = 50;
 static constexpr int kReconnectMostMs = 500;
 
@@ -198,7 +200,12 @@
     std::shared_ptr<peer::Peer::Stub> getStub(const std::string& address)
     {
         std::lock_guard lock(m_mutex);
-        auto& stub = m_stubs[address];
+        auto now = base::Clock::now();
+        if (m_channels.size() > kKeptChannels)
+            std::erase_if(m_channels, [now](auto& it) { return now - it.second.usedAt > kChannelIdle; });
+        auto& channel = m_channels[address];
+        channel.usedAt = now;
+        auto& stub = channel.stub;
         if (!stub) {
             grpc::ChannelArguments arguments;
             arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kReconnectLeastMs);
@@ -213,9 +220,15 @@
         return stub;
     }
 
+    // A call keeps its stub, and with it the channel, until it ends.
+    struct Channel {
+        std::shared_ptr<peer::Peer::Stub> stub;
+        base::TimePoint usedAt {};
+    };
+
     const PeerCuts& m_cuts;
     std::mutex m_mutex;
-    std::map<std::string, std::shared_ptr<peer::Peer::Stub>> m_stubs;
+    std::map<std::string, Channel> m_channels; // by address
 };
 
 }
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -1,6 +1,7 @@
 // Measurements: each command starts a system of stand-ins and hosts, loads it for a bounded time and prints figures.
 // Run one by name: bench throughput | memory | reads | gap | records | control | overload | homes | quiet. See docs/MEASUREMENTS.md.
 #include "bench/load.h"
+#include "decisions/placement.h"
 #include <algorithm>
 #include <csignal>
 #include <cstring>
@@ -390,6 +391,39 @@
     }
 }
 
+// ---- placement at the size of the target ----
+
+void measurePlacement()
+{
+    using namespace alderward::decisions;
+    fmt::print("{:>7} {:>22} {:>22}\n", "hosts", "us a group, all front", "us a group, 24 front");
+    for (unsigned hosts : { 9U, 100U, 500U, 2000U }) {
+        std::vector<PlacedHost> live;
+        for (unsigned i = 0; i < hosts; ++i)
+            live.push_back({ fmt::format("h{:04}", i), fmt::format("dc{}", i % 9) });
+        GroupRecord record;
+        record.members = { { "a", "1:1", "dc0" }, { "b", "1:2", "dc1" }, { "c", "1:3", "dc2" } };
+        double times[2] {};
+        for (int named = 0; named < 2; ++named) {
+            if (named) {
+                for (unsigned i = 0; i < 24; ++i)
+                    record.hosts.push_back(live[i * hosts / 24 % hosts].name);
+            }
+            constexpr int kGroups = 300;
+            auto began = Clock::now();
+            size_t homes = 0;
+            for (int i = 0; i < kGroups; ++i) {
+                record.name = fmt::format("g{}", i);
+                homes += chooseHomes(record, live).size();
+            }
+            times[named] = getMs(Clock::now() - began) * 1000 / kGroups;
+            if (homes == 0)
+                return;
+        }
+        fmt::print("{:>7} {:>22.1f} {:>22.1f}\n", hosts, times[0], times[1]);
+    }
+}
+
 // ---- overload ----
 
 void measureOverload()
@@ -515,6 +549,8 @@
         measureControl(n ? std::vector<unsigned> { static_cast<unsigned>(n) } : std::vector<unsigned> { 9, 30, 60, 100 });
     else if (what == "groups")
         measureGroups();
+    else if (what == "placement")
+        measurePlacement();
     else if (what == "overload")
         measureOverload();
     else if (what == "homes")
@@ -522,7 +558,7 @@
     else if (what == "quiet")
         measureQuiet(n ? n : 600);
     else {
-        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs]|records [changes]|control [hosts]|groups|overload|homes|quiet [seconds]\n");
+        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs]|records [changes]|control [hosts]|groups|placement|overload|homes|quiet [seconds]\n");
         return 2;
     }
 }
--- a/tests/standins/member.cpp
+++ b/tests/standins/member.cpp
@@ -4,6 +4,7 @@
 #include "decisions/session.h"
 #include "links/http.h"
 #include "links/json_fields.h"
+#include "standins/answers.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,8 @@
 using links::getString;
 using links::HttpAnswer;
 using links::HttpRequest;
+using standins::answerJson;
+using standins::dropAnswer;
 
 namespace {
 
@@ -64,11 +67,6 @@
     std::optional<Transaction> transaction;
 };
 
-HttpAnswer answerJson(const json::object& body)
-{
-    return { 200, json::serialize(body) };
-}
-
 HttpAnswer refuse(const char* kind, std::string message)
 {
     return { 409, json::serialize(json::object { { "refused", kind }, { "message", std::move(message) } }) };
@@ -98,13 +96,13 @@
         if (request.path.starts_with("/admin/"))
             co_return handleAdmin(request.path, *body);
         if (m_cut.contains(request.from))
-            co_return drop();
+            co_return dropAnswer();
         auto answer = co_await handleMember(request, *body);
         if (m_cut.contains(request.from))
-            co_return drop();
+            co_return dropAnswer();
         if (m_loseAnswers > 0 && (request.path == "/member/execute" || request.path == "/member/commit")) {
             --m_loseAnswers;
-            co_return drop();
+            co_return dropAnswer();
         }
         co_return answer;
     }
@@ -144,13 +142,6 @@
     }
 
 private:
-    static HttpAnswer drop()
-    {
-        HttpAnswer answer;
-        answer.mustDrop = true;
-        return answer;
-    }
-
     // ---- log ----
 
     uint64_t getPosition() const { return m_log.size(); }
@@ -598,11 +589,7 @@
                 m_serviceTime = milliseconds(getNumber(body, "serviceMs"));
             if (body.contains("loseAnswers"))
                 m_loseAnswers = getNumber(body, "loseAnswers");
-            if (body.contains("cut")) {
-                m_cut.clear();
-                for (auto& it : body.at("cut").get_array())
-                    m_cut.insert(std::string(it.get_string()));
-            }
+            standins::readCut(body, m_cut);
             return answerJson({});
         }
         if (path == "/admin/log") {
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -2,6 +2,7 @@
 // platform/hosts/. Counts each call, a waiting watch as one. Tests can make it down, slow, lossy or cut off.
 #include "links/http.h"
 #include "links/json_fields.h"
+#include "standins/answers.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +23,8 @@
 using links::getString;
 using links::HttpAnswer;
 using links::HttpRequest;
+using standins::answerJson;
+using standins::dropAnswer;
 
 namespace {
 
@@ -39,18 +42,6 @@
     bool isDeleted { false };
 };
 
-HttpAnswer answerJson(const json::object& body, unsigned status = 200)
-{
-    return { status, json::serialize(body) };
-}
-
-HttpAnswer drop()
-{
-    HttpAnswer answer;
-    answer.mustDrop = true;
-    return answer;
-}
-
 class Platform {
 public:
     explicit Platform(asio::io_context& context)
@@ -68,15 +59,15 @@
         ++m_calls;
         ++m_callsByPath[request.path];
         if (m_isDown || m_cut.contains(request.from))
-            co_return drop();
+            co_return dropAnswer();
         if (m_delay.count() > 0)
             co_await base::sleepFor(m_delay);
         auto answer = co_await handleStore(request.path, *body);
         if (m_isDown || m_cut.contains(request.from))
-            co_return drop();
+            co_return dropAnswer();
         if (m_loseAnswers > 0 && request.path == "/kv/cas") {
             --m_loseAnswers;
-            co_return drop();
+            co_return dropAnswer();
         }
         co_return answer;
     }
@@ -214,7 +205,7 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
             std::erase(m_waiters, &timer);
             if (m_isDown)
-                co_return drop();
+                co_return dropAnswer();
         }
     }
 
@@ -238,11 +229,7 @@
                 m_delay = milliseconds(getNumber(body, "delayMs"));
             if (body.contains("loseAnswers"))
                 m_loseAnswers = getNumber(body, "loseAnswers");
-            if (body.contains("cut")) {
-                m_cut.clear();
-                for (auto& it : body.at("cut").get_array())
-                    m_cut.insert(std::string(it.get_string()));
-            }
+            standins::readCut(body, m_cut);
             ++m_watchEpoch;
             for (auto* it : m_waiters)
                 it->cancel();
--- a/tests/unit/hosts_test.cpp
+++ b/tests/unit/hosts_test.cpp
@@ -71,6 +71,41 @@
     BOOST_TEST((findHost(other, "h2")->state == HostState::Leaving));
 }
 
+BOOST_AUTO_TEST_CASE(the_platforms_late_list_does_not_bring_a_stopped_host_back)
+{
+    auto it = makeThree();
+    const std::vector<PlatformHost> list { { "h2", "x", "p", "c", "o" }, { "h3", "x", "p", "c", "o" } };
+    takeNews(it, { makeNews("h2", 10, HostState::Leaving) }, at(0));
+    for (int ms = 0; ms < 300000; ms += 5000) {
+        takePlatformList(it, list, at(ms));
+        ageMembership(it, {}, at(ms));
+        BOOST_REQUIRE(getLiveHosts(it).size() == 2u);
+    }
+    // Once the list has caught up it is forgotten.
+    takePlatformList(it, { list[1] }, at(300000));
+    ageMembership(it, {}, at(300000));
+    BOOST_TEST(findHost(it, "h2") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(digest_is_of_what_is_known_and_not_of_the_way_there)
+{
+    auto it = makeThree();
+    takeNews(it, { makeNews("h4", 3, HostState::Alive) }, at(0));
+    suspectHost(it, "h4", 1, 1, at(0));
+    ageMembership(it, {}, at(3000));
+    BOOST_TEST(getDigest(it) == getDigest(makeThree())); // a dead host does not count
+    ageMembership(it, {}, at(70000));
+    BOOST_TEST(findHost(it, "h4") == nullptr);
+    BOOST_TEST(getDigest(it) == getDigest(makeThree()));
+    takeNews(it, { makeNews("h3", 11, HostState::Leaving) }, at(70000));
+    auto other = makeThree();
+    takeNews(other, { makeNews("h3", 11, HostState::Leaving) }, at(0));
+    BOOST_TEST(getDigest(it) == getDigest(other));
+    ageMembership(it, {}, at(200000));
+    BOOST_TEST(findHost(it, "h3") == nullptr);
+    BOOST_TEST(getDigest(it) != getDigest(other));
+}
+
 BOOST_AUTO_TEST_CASE(news_in_one_exchange_is_bounded_and_told_a_bounded_number_of_times)
 {
     auto it = makeMembership(makeNews("h0", 1, HostState::Alive), at(0));
@@ -195,6 +230,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(only_living_hosts_that_the_record_names_are_homes)
+{
+    auto record = makeRecord("g", 16);
+    record.hosts = { "h7", "h2", "gone", "h5" };
+    auto homes = chooseHomes(record, makeHosts(9));
+    std::ranges::sort(homes);
+    BOOST_TEST((homes == std::vector<std::string> { "h2", "h5", "h7" }));
+    record.hosts = { "gone" };
+    BOOST_TEST(chooseHomes(record, makeHosts(9)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(homes_are_spread_over_hosts)
 {
     std::map<std::string, int> load;
