A transaction's owner is not taken for gone because a channel waits between two tries

A gRPC channel that failed to connect refuses at once for up to its backoff (500 ms) without trying; that was read as the owner's death, and the caller was told that its transaction was rolled back while it lived.

--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -149,7 +149,15 @@
         co_return std::nullopt;
     if (context.hops >= kMaximumHops)
         co_return replyFor(services, context, { ErrorKind::TransactionUnknown, "no host knows this transaction" });
+    // A channel that failed to connect a moment ago refuses for up to its backoff without trying; only an owner that stays
+    // out of reach is gone.
     auto result = co_await relayTo(services, context, owner);
+    for (int round = 1; round < kRelayRounds && !result.reply && !result.mayHaveArrived; ++round) {
+        if (Clock::now() + kRelayPause >= context.order.deadline - kRelayMargin)
+            break;
+        co_await base::sleepFor(kRelayPause);
+        result = co_await relayTo(services, context, owner);
+    }
     if (result.reply)
         co_return result.reply;
     if (!result.mayHaveArrived)
--- a/tests/process/transactions_test.cpp
+++ b/tests/process/transactions_test.cpp
@@ -49,6 +49,28 @@
     BOOST_TEST(getErrorKind(endTransaction(caller, name, "commit")) == "transaction-unknown");
 }
 
+BOOST_AUTO_TEST_CASE(owner_that_has_just_started_is_reached_from_hosts_that_found_it_gone)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    for (int round = 0; round < 3; ++round) {
+        cluster.getHost(0).kill();
+        // The others find it gone, and their channels to it wait longer and longer between two tries.
+        std::this_thread::sleep_for(milliseconds(1300));
+        cluster.beginHost(0);
+        BOOST_TEST(waitUntil(milliseconds(8000), [&] { return Client(cluster.getOperatorAddress(0)).get("/healthz").status == 200; }));
+        Caller caller(cluster.getCallerAddress(0));
+        auto name = beginTransaction(caller);
+        BOOST_REQUIRE(!name.empty());
+        for (size_t i = 1; i < 3; ++i) {
+            caller.roam(cluster.getCallerAddress(i));
+            auto written = writeIn(caller, name, "SET a 1");
+            BOOST_TEST(written.status == 200u, json::serialize(written.body));
+        }
+        BOOST_TEST(endTransaction(caller, name, "commit").status == 200u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rollback_and_idle_limit_leave_nothing)
 {
     auto shape = getSmallShape();
