--- a/src/links/target.h
+++ b/src/links/target.h
@@ -66,11 +66,6 @@
     uint64_t position { 0 };
 };
 
-struct PromoteRequest {
-    uint64_t term { 0 };
-    std::string proposer {};
-};
-
 // All of them close the connection when the carrier fails; a refusal leaves it usable.
 TargetAnswer<void> sendHello(HttpConnection& link, const std::string& from, Purpose purpose, base::TimePoint deadline);
 TargetAnswer<decisions::MemberStatus> askStatus(HttpConnection& link, const std::string& from, base::TimePoint deadline);
