A relay to a host that is no home goes back, unrun, to its sender

Seen: drain/each_host_stopped_in_turn_under_load_fails_no_request failed in the last check run, "no home of the group is reachable from here" at h1. Run 24 times, three at a time, it failed 6 times, always just after the first host's restart; twice with "no member that could serve this is reachable" besides.

Cause, first message: a trial build that put hops, time and homes into the message gave "h1 hops 4 took 0 ms, homes h2, relay h4, isHome false" and the mirror image at h4. Around a restart h1 and h4 each took the other for a home; each relayed on at once, so that the four hops were used up in less than a millisecond, and the last host gave the final refusal. The twelve rounds with pauses, made for just this time, were never entered. Ruled out: channels in backoff (0 ms, and the relays did arrive), the number of rounds.

Cause, second message: a host that has just become a home had heard one replica but not yet the other members. mayHold() took "some member is known" for "started", saw no majority and refused the write.

Change: a relayed request at a host that is no home in its own view is declined (not_home in the reply; nothing ran). The sender exchanges views with that host at once, asks the next home, and goes through its rounds. Only a home that does not reach the primary relays on, so two hops are enough. Whether a write may be held is now a decision of its own, mayHoldWrite(), and counts a member as unheard until its first answer or failure.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -15,7 +15,7 @@
 static constexpr size_t kLatencies = static_cast<size_t>(Latency::Count);
 
 static constexpr std::array<const char*, kCounters> kCounterNames {
-    "requests", "requests_relayed", "requests_refused", "requests_unknown", "reads_by_primary", "reads_by_replica",
+    "requests", "requests_relayed", "relays_declined", "requests_refused", "requests_unknown", "reads_by_primary", "reads_by_replica",
     "writes", "writes_replayed", "transactions", "retries", "connections_opened", "connections_closed_late",
     "connections_refused", "probes", "confirmations", "promotions", "promotions_held_back", "exchanges",
     "exchange_bytes", "relay_bytes", "platform_calls", "records_applied", "records_refused", "invariant_violations"
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -11,6 +11,7 @@
 enum class Counter {
     Requests,
     RequestsRelayed,
+    RelaysDeclined,
     RequestsRefused,
     RequestsUnknown,
     ReadsByPrimary,
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -23,7 +23,6 @@
 
 static constexpr milliseconds kChangePause { 50 }; // longest wait before a route is looked up again
 static constexpr milliseconds kStaleWait { 300 }; // how long a read waits for a fresh enough member to appear
-static constexpr milliseconds kHoldLimit { 5000 }; // how long a write is held after the primary was lost
 static constexpr milliseconds kComeBack { 500 }; // retry hint while a primary is being replaced
 static constexpr milliseconds kAnswerMargin { 5 }; // kept back from the deadline for the answer's way home
 
@@ -184,17 +183,16 @@
 // A write may be held while a promotion can still come; otherwise the caller gets its final answer now.
 bool GroupController::mayHold() const
 {
-    if (m_held >= static_cast<size_t>(m_node.settings.heldWrites) || !m_failover.heldBack.empty())
-        return false;
-    if (isPathFault())
-        return false;
-    auto reachable = std::ranges::count_if(m_health.members, &decisions::MemberHealth::isReachable);
-    bool isMajorityReachable = static_cast<size_t>(reachable) >= m_role.record->getMajority();
-    bool isStarting = std::ranges::none_of(m_health.members, &decisions::MemberHealth::isKnown);
-    auto lostAt = m_health.withoutPrimarySince;
+    decisions::HoldView view { m_health };
+    view.majority = m_role.record->getMajority();
+    view.isHeldBack = !m_failover.heldBack.empty();
+    view.isPathFault = isPathFault();
+    view.held = m_held;
+    view.heldMost = static_cast<size_t>(m_node.settings.heldWrites);
+    view.lostAt = m_health.withoutPrimarySince;
     if (m_health.primary)
-        lostAt = m_role.isLeaving[*m_health.primary] ? m_members[*m_health.primary].leavingSince : m_health.members[*m_health.primary].failingSince;
-    return (isMajorityReachable || isStarting) && Clock::now() - lostAt < kHoldLimit;
+        view.lostAt = m_role.isLeaving[*m_health.primary] ? m_members[*m_health.primary].leavingSince : m_health.members[*m_health.primary].failingSince;
+    return decisions::mayHoldWrite(view, Clock::now());
 }
 
 // Waits for a primary. An error ends the order, nothing having been sent.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -76,6 +76,7 @@
     answer.set_status(reply.status);
     answer.set_body(std::move(reply.body));
     answer.set_retry_after_ms(static_cast<uint32_t>(reply.retryAfter.count()));
+    answer.set_not_home(reply.isNotHome);
     co_return answer;
 }
 
--- a/src/decisions/routing.cpp
+++ b/src/decisions/routing.cpp
@@ -140,6 +140,17 @@
     return { RouteKind::Member, *health.primary, {}, {} };
 }
 
+bool mayHoldWrite(const HoldView& view, TimePoint now)
+{
+    if (view.held >= view.heldMost || view.isHeldBack || view.isPathFault)
+        return false;
+    auto reachable = std::ranges::count_if(view.health.members, &MemberHealth::isReachable);
+    bool isMajorityReachable = static_cast<size_t>(reachable) >= view.majority;
+    // A host that has just become a home has not heard from every member yet: the primary may be among the others.
+    bool isStarting = std::ranges::any_of(view.health.members, [](const MemberHealth& it) { return !it.isKnown && it.failures == 0; });
+    return (isMajorityReachable || isStarting) && now - view.lostAt < view.limit;
+}
+
 Confirmation confirmWrite(const PendingWrite& write, const std::vector<Standing>& standings, size_t members)
 {
     size_t confirmed = 1;
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -44,6 +44,21 @@
 // Chooses the member for a write or a transaction: the primary, if it is known, usable and not being replaced.
 Route routeWrite(const GroupHealth& health, const std::vector<TargetLoad>& loads, const Mark& mark);
 
+// What decides whether a write without a primary is kept waiting.
+struct HoldView {
+    const GroupHealth& health;
+    size_t majority { 0 }; // members
+    bool isHeldBack { false }; // the record's bounds forbid the promotion that is due
+    bool isPathFault { false }; // the primary lives, but this host does not reach it
+    size_t held { 0 }; // writes of the group that wait already
+    size_t heldMost { 0 }; // bound of `held`
+    TimePoint lostAt {}; // when the primary was lost; for a host that has just become a home, when it did
+    milliseconds limit { 5000 }; // ms after lostAt; a promotion that takes longer is not waited for
+};
+
+// Whether a write may be held because a primary can still come; otherwise its caller gets its final answer at once.
+bool mayHoldWrite(const HoldView& view, TimePoint now);
+
 // A write that ran and waits for its confirmation.
 struct PendingWrite {
     Mark mark {}; // term and position it got
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -14,7 +14,7 @@
 using decisions::Error;
 using decisions::ErrorKind;
 
-static constexpr unsigned kMaximumHops = 4; // to a home, on to one that reaches the primary, and both once more while homes move
+static constexpr unsigned kMaximumHops = 2; // to a home, and on to one that reaches the primary
 static constexpr int kRelayRounds = 12; // times that the homes are tried while none is reachable
 static constexpr milliseconds kRelayPause { 60 }; // between two of these rounds
 static constexpr milliseconds kRelayMargin { 10 }; // kept back from the deadline at each relay
@@ -112,6 +112,16 @@
     bool mayHaveArrived { false }; // without a reply: whether it may have run
 };
 
+// The far host says that it is no home. Our views of the hosts differ: an exchange brings them together.
+static bool isDeclined(const Services& services, const peer::RelayReply& reply, const std::string& name)
+{
+    if (!reply.not_home())
+        return false;
+    base::count(base::Counter::RelaysDeclined);
+    services.hosts.checkHost(name);
+    return true;
+}
+
 static asio::awaitable<RelayResult> relayTo(const Services& services, const RequestContext& context, const std::string& name)
 {
     auto membership = services.hosts.getSnapshot().read();
@@ -132,6 +142,8 @@
         services.hosts.checkHost(name);
         co_return RelayResult { std::nullopt, reply.error().mayHaveArrived };
     }
+    if (isDeclined(services, *reply, name))
+        co_return RelayResult {};
     co_return RelayResult { Reply { reply->status(), reply->body(), milliseconds(reply->retry_after_ms()) }, true };
 }
 
@@ -165,14 +177,20 @@
     co_return replyFor(services, context, { ErrorKind::OutcomeUnknown, "the host that holds the transaction did not answer", kComeBack });
 }
 
-// Whether this host should serve the request itself.
-static bool isServedHere(const RequestContext& context)
+// Whether this host is a home that does not reach the primary, which another home may reach.
+static bool mustPassOn(const RequestContext& context)
 {
     if (!context.entry.isHome || !context.entry.controller)
         return false;
     bool needsPrimary = context.order.isWrite || context.order.operation != Operation::Execute;
     bool canGoOn = context.hops < kMaximumHops && !context.entry.relayOrder.empty();
-    return !(needsPrimary && canGoOn && context.entry.controller->getStatus().read()->isPathFault);
+    return needsPrimary && canGoOn && context.entry.controller->getStatus().read()->isPathFault;
+}
+
+// Whether this host should serve the request itself.
+static bool isServedHere(const RequestContext& context)
+{
+    return context.entry.isHome && context.entry.controller && !mustPassOn(context);
 }
 
 static asio::awaitable<std::optional<Reply>> executeHere(const Services& services, RequestContext& context)
@@ -191,6 +209,17 @@
     co_return replyFor(services, context, outcome.error());
 }
 
+// A relayed request that reaches a host which is no home goes back to its sender, who knows other homes and may wait. Sent
+// on from here, it could go to and fro between two hosts whose views differ until its hops are used up, within a millisecond.
+static asio::awaitable<std::optional<Reply>> declineRelay(const Services&, RequestContext& context)
+{
+    if (context.hops == 0 || mustPassOn(context))
+        co_return std::nullopt;
+    Reply reply { 503, {}, kComeBack };
+    reply.isNotHome = true;
+    co_return reply;
+}
+
 // Tries the homes in turn. A home that was not reached is passed over; one that may have run the request is not, unless
 // the request may be repeated.
 static asio::awaitable<std::optional<Reply>> tryHomes(const Services& services, RequestContext& context, bool mayRepeat)
@@ -231,7 +260,7 @@
 
 const std::vector<Filter>& getChain()
 {
-    static const std::vector<Filter> chain { decode, setDeadline, admit, route, sendToOwner, executeHere, relayToHome };
+    static const std::vector<Filter> chain { decode, setDeadline, admit, route, sendToOwner, executeHere, declineRelay, relayToHome };
     return chain;
 }
 
--- a/src/filters/request.h
+++ b/src/filters/request.h
@@ -35,6 +35,7 @@
     unsigned status { 200 };
     std::string body {};
     base::milliseconds retryAfter { 0 };
+    bool isNotHome { false }; // to a relay: nothing ran here, ask another home
 };
 
 // What filters may use.
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -91,6 +91,7 @@
     std::string getHostName(size_t index) const { return "h" + std::to_string(index + 1); }
     std::string getCallerAddress(size_t index) const { return getAddress(m_callerPorts.at(index)); }
     std::string getOperatorAddress(size_t index) const { return getAddress(m_operatorPorts.at(index)); }
+    std::string getPeerAddress(size_t index) const { return getAddress(m_peerPorts.at(index)); }
     std::string getPlatformAddress() const { return getAddress(m_platformPort); }
     std::string getMemberAddress(const std::string& name) const { return getAddress(m_memberPorts.at(name)); }
     std::string getSettingsPath(size_t index) const { return m_folder + "/" + getHostName(index) + ".ini"; }
--- a/tests/process/hosts_test.cpp
+++ b/tests/process/hosts_test.cpp
@@ -1,10 +1,16 @@
 // Hosts among themselves: restarts, homes that die, members without room.
 #include "harness/harness.h"
+#include "links/peer.h"
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace harness;
+using namespace alderward;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -24,10 +30,96 @@
     return host;
 }
 
+// Takes part among the hosts as a peer whose view of them differs: it declines every relay.
+class DecliningPeer {
+public:
+    explicit DecliningPeer(const std::string& address)
+        : m_client(links::makePeerClient(m_cuts))
+    {
+        links::PeerHandlers handlers;
+        handlers.exchange = [this, address](peer::ExchangeRequest) -> asio::awaitable<peer::ExchangeReply> {
+            // A newer incarnation each time refutes whatever a slow machine made the others suspect.
+            peer::ExchangeReply reply;
+            auto* self = reply.add_hosts();
+            self->set_name("h9");
+            self->set_incarnation(++m_incarnation);
+            self->set_data_centre("vadodara");
+            self->set_peer_address(address);
+            co_return reply;
+        };
+        handlers.relay = [this](peer::RelayRequest) -> asio::awaitable<peer::RelayReply> {
+            ++m_declined;
+            peer::RelayReply reply;
+            reply.set_status(503);
+            reply.set_not_home(true);
+            co_return reply;
+        };
+        m_server = links::beginPeerServer(m_contexts, address, std::move(handlers), m_cuts).value();
+        m_thread = std::thread([this] { m_contexts.run(); });
+    }
+    DecliningPeer(const DecliningPeer&) = delete;
+    ~DecliningPeer()
+    {
+        m_server->stop();
+        m_contexts.stop();
+        m_thread.join();
+    }
+
+    int getDeclined() const { return m_declined; }
+
+    peer::RelayReply relay(const std::string& name, const std::string& address, const std::string& body)
+    {
+        peer::RelayRequest request;
+        request.set_from("h9");
+        request.set_operation("/v1/statement");
+        request.set_body(body);
+        request.set_remaining_ms(3000);
+        request.set_hops(1);
+        auto reply = asio::co_spawn(m_contexts.getNext(), m_client->relay(name, address, std::move(request), milliseconds(3000)), asio::use_future);
+        return reply.get().value();
+    }
+
+private:
+    base::Contexts m_contexts { 1 };
+    links::PeerCuts m_cuts;
+    std::unique_ptr<links::PeerClient> m_client;
+    std::unique_ptr<links::PeerServer> m_server;
+    std::thread m_thread;
+    std::atomic<int> m_declined { 0 };
+    std::atomic<uint64_t> m_incarnation { 0 };
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(hosts)
 
+// Two hosts that each take the other for the home must not send a request to and fro.
+BOOST_AUTO_TEST_CASE(relay_to_a_host_that_is_no_home_goes_back_unrun_and_its_sender_asks_another)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    // The hosts listen on 127.0.0.1 only, so a port of theirs is free on the next address.
+    auto port = cluster.getPeerAddress(0).substr(cluster.getPeerAddress(0).rfind(':'));
+    DecliningPeer peer("127.0.0.2" + port);
+    cluster.listHost("h9", { { "dataCentre", "vadodara" }, { "peerAddress", "127.0.0.2" + port } });
+    cluster.applyRecord(getSmallShape().groups.front(), [](json::object& record) { record["hosts"] = json::array { "h9", "h1" }; });
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return cluster.getHomes("orders") == std::vector<size_t> { 0 }; }));
+
+    auto body = json::serialize(json::object { { "group", "orders" }, { "kind", "write" }, { "statement", "SET a far" }, { "requestKey", "far" } });
+    auto reply = peer.relay("h2", cluster.getPeerAddress(1), body);
+    BOOST_TEST(reply.not_home());
+    Caller caller(cluster.getCallerAddress(1));
+    BOOST_TEST(getResult(caller.read("orders", "GET a")) == "");
+
+    int n = 0;
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] {
+        auto answer = caller.write("orders", "SET a near", "near" + std::to_string(++n));
+        BOOST_TEST(answer.status == 200u, json::serialize(answer.body));
+        return peer.getDeclined() > 0;
+    }));
+    BOOST_TEST(getResult(caller.read("orders", "GET a")) == "near");
+}
+
 BOOST_AUTO_TEST_CASE(restarted_host_does_not_take_itself_for_the_only_home)
 {
     Cluster cluster(makeSeven());
