Health from ordinary answers: a status is asked only where there was none

Cause: docs/CAPACITY.md had probes as what breaks first.

Change: answers to statements and confirmations carry the member's term, promise and log end; one that agrees with the last status makes it younger (takeGlimpse), one that does not has the status asked. A group without statements for 5 s is watched closely by its first home only.

--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -17,8 +17,8 @@
 static constexpr std::array<const char*, kCounters> kCounterNames {
     "requests", "requests_relayed", "relays_declined", "requests_refused", "requests_unknown", "reads_by_primary", "reads_by_replica",
     "writes", "writes_replayed", "transactions", "retries", "connections_opened", "connections_closed_late",
-    "connections_refused", "probes", "confirmations", "promotions", "promotions_held_back", "exchanges",
-    "exchange_bytes", "relay_bytes", "platform_calls", "records_applied", "records_refused", "invariant_violations"
+    "connections_refused", "probes", "probe_bytes", "confirmations", "confirmation_bytes", "promotions", "promotions_held_back", "exchanges",
+    "exchange_bytes", "exchange_host_bytes", "exchange_record_bytes", "exchange_group_bytes", "relay_bytes", "platform_calls", "platform_bytes", "records_applied", "records_refused", "invariant_violations"
 };
 static constexpr std::array<const char*, kLatencies> kLatencyNames { "request", "read", "write", "connection_wait",
     "confirmation" };
--- a/src/controllers/group.cpp
+++ b/src/controllers/group.cpp
@@ -17,7 +17,6 @@
 using base::TimePoint;
 
 static constexpr milliseconds kTickInterval { 50 }; // answers step the decisions, too; ticks only serve limits of time
-static constexpr milliseconds kFailedProbePause { 40 }; // a silent member is asked again sooner than a healthy one
 static constexpr milliseconds kPublishInterval { 200 }; // of the status, when nothing changed of note
 static constexpr milliseconds kPathFaultAfter { 600 }; // a replica's word is older than the fault until then
 static constexpr milliseconds kLeavingGrace { 2500 }; // a leaving primary takes writes this long, until it is handed over
@@ -61,6 +60,8 @@
     m_isActive = mustWork;
     if ((mustWork || wasWorking) && !m_isWorking)
         beginWork();
+    else
+        probeNow();
     publishStatus();
     wakeHolders();
 }
@@ -146,13 +147,51 @@
         if (epoch != m_epoch)
             co_return;
         setHealth(std::move(health));
-        auto pause = m_health.members[index].failures > 0 ? kFailedProbePause : milliseconds(m_node.settings.probeIntervalMs);
-        auto timer = m_members[index].probeTimer;
-        timer->expires_at(began + pause);
-        co_await timer->async_wait(kUse);
+        co_await waitForProbe(index, began, epoch);
     }
 }
 
+// Until a probe is due, which ordinary answers put off, or until somebody cancels the timer.
+asio::awaitable<void> GroupController::waitForProbe(size_t index, TimePoint sentAt, uint64_t epoch)
+{
+    auto timer = m_members[index].probeTimer;
+    while (epoch == m_epoch) {
+        auto due = decisions::getProbeDue(m_health, index, sentAt, getProbeTimings());
+        if (Clock::now() >= due)
+            co_return;
+        timer->expires_at(due);
+        auto [ec] = co_await timer->async_wait(kUse);
+        if (ec)
+            co_return;
+    }
+}
+
+decisions::ProbeTimings GroupController::getProbeTimings() const
+{
+    decisions::ProbeTimings timings;
+    timings.interval = milliseconds(m_node.settings.probeIntervalMs);
+    timings.fullInterval = std::max(timings.fullInterval, timings.interval);
+    timings.idleInterval = std::max(timings.idleInterval, timings.interval);
+    timings.isFirst = !m_role.homes.empty() && m_role.homes.front() == m_node.settings.name;
+    timings.isIdle = m_orders == 0 && Clock::now() - m_usedAt >= kIdleAfter;
+    return timings;
+}
+
+// Every answer tells something of its member: a status need be asked only where there was none.
+void GroupController::noteAnswer(size_t index, const decisions::MemberGlimpse& glimpse, TimePoint askedAt)
+{
+    if (index >= m_members.size() || glimpse.term == 0)
+        return;
+    auto& it = m_health.members[index];
+    if (it.isReachable() && askedAt >= it.askedAt && !decisions::isInAgreement(it, glimpse)) {
+        m_members[index].probeTimer->cancel();
+        return;
+    }
+    if (askedAt - it.askedAt < decisions::kGlimpseSpacing)
+        return;
+    setHealth(decisions::takeGlimpse(m_health, index, glimpse, askedAt, Clock::now()));
+}
+
 asio::awaitable<decisions::GroupHealth> GroupController::probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index)
 {
     base::count(base::Counter::Probes);
@@ -166,7 +205,9 @@
             co_return decisions::takeFailure(m_health, index, opened.error().wasRefused, askedAt);
         }
     }
+    auto before = link->getTransferred();
     auto status = co_await links::askStatus(*link, m_node.settings.name, deadline);
+    base::count(base::Counter::ProbeBytes, link->getTransferred() - before);
     if (!status)
         co_return decisions::takeFailure(m_health, index, false, askedAt);
     co_return decisions::takeStatus(m_health, index, *status, askedAt, Clock::now());
@@ -191,6 +232,7 @@
 {
     auto termBefore = m_health.term;
     bool hadPrimary = m_health.primary.has_value();
+    bool wasCalm = decisions::isCalm(m_health);
     bool isOfNote = health.primary != m_health.primary || health.term != m_health.term;
     for (size_t i = 0; i < health.members.size(); ++i)
         isOfNote = isOfNote || health.members[i].isReachable() != m_health.members[i].isReachable();
@@ -199,6 +241,8 @@
         notePrimaryChange(termBefore, hadPrimary);
         publishStatus();
     }
+    if (wasCalm && !decisions::isCalm(m_health))
+        probeNow();
     stepFailover(decisions::Tick {});
     repairFollowers();
     wakeHolders();
@@ -232,7 +276,7 @@
     if (Clock::now() - primary.failingSince < kPathFaultAfter)
         return false;
     return std::ranges::any_of(m_health.members, [&](const decisions::MemberHealth& it) {
-        return it.isReachable() && it.askedAt >= primary.failingSince && it.status.term == m_health.term
+        return it.isReachable() && it.probedAt >= primary.failingSince && it.status.term == m_health.term
             && it.status.role == decisions::Role::Replica && it.status.heardPrimaryAgo < decisions::FailoverTimings {}.unheardFor;
     });
 }
--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -18,6 +18,9 @@
 
 namespace alderward::controllers {
 
+// Without statements for so long, a group is probed less often.
+inline constexpr base::milliseconds kIdleAfter { 5000 };
+
 enum class Operation { Execute,
     Begin,
     Commit,
@@ -122,7 +125,10 @@
     void tick();
     boost::asio::awaitable<void> probeForever(size_t index, uint64_t epoch);
     boost::asio::awaitable<decisions::GroupHealth> probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index);
+    boost::asio::awaitable<void> waitForProbe(size_t index, base::TimePoint sentAt, uint64_t epoch);
+    decisions::ProbeTimings getProbeTimings() const;
     void probeNow();
+    void noteAnswer(size_t index, const decisions::MemberGlimpse& glimpse, base::TimePoint askedAt);
     void setHealth(decisions::GroupHealth health);
     void publishStatus();
     void wakeHolders();
@@ -155,6 +161,7 @@
 
     // ---- statements ----
     boost::asio::awaitable<decisions::Result<Outcome>> runHere(Order order);
+    void beginUse();
     boost::asio::awaitable<decisions::Result<Outcome>> dispatch(Order order);
     boost::asio::awaitable<decisions::Result<Outcome>> runRead(Order order);
     boost::asio::awaitable<decisions::Result<Outcome>> runWrite(Order order);
@@ -191,6 +198,7 @@
     bool m_isActive { false }; // a home: takes new orders
     bool m_isWorking { false }; // loops are running; outlives m_isActive until all orders are done
     size_t m_orders { 0 }; // orders being served
+    base::TimePoint m_usedAt {}; // when the last order began
     size_t m_held { 0 }; // writes held while there is no primary
     uint64_t m_notedTerm { 0 };
     uint64_t m_acknowledgedTerm { 0 }; // invariant: never acknowledge in a term below one acknowledged in
--- a/src/controllers/group_confirm.cpp
+++ b/src/controllers/group_confirm.cpp
@@ -90,7 +90,9 @@
         }
     }
     auto askedAt = Clock::now();
+    auto before = link->getTransferred();
     auto answer = co_await links::awaitPosition(*link, m_node.settings.name, wanted, kAwaitLimit, deadline);
+    base::count(base::Counter::ConfirmationBytes, link->getTransferred() - before);
     if (!answer || epoch != m_epoch)
         co_return false;
     takeStanding(index, *answer, askedAt);
@@ -106,6 +108,7 @@
     if (std::max(answer.term, answer.fencedTerm) > m_health.term)
         probeNow();
     settleWaiting();
+    noteAnswer(index, { answer.term, answer.fencedTerm, { answer.logTerm, answer.position } }, askedAt);
 }
 
 void GroupController::settleWaiting()
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -51,11 +51,21 @@
 {
     auto self = shared_from_this();
     ++m_orders;
+    beginUse();
     auto outcome = co_await dispatch(std::move(order));
     --m_orders;
     co_return outcome;
 }
 
+// After an idle time this home knows the group as it was up to a second ago: the members are asked beside the order.
+void GroupController::beginUse()
+{
+    auto now = Clock::now();
+    if (m_isActive && now - m_usedAt >= kIdleAfter)
+        probeNow();
+    m_usedAt = now;
+}
+
 asio::awaitable<Result<Outcome>> GroupController::dispatch(Order order)
 {
     if (!order.transaction.empty())
@@ -151,6 +161,7 @@
     if (index >= m_members.size() || m_members[index].record.name != member)
         co_return fail(ErrorKind::OutcomeUnknown, "the record changed during the read");
     notePosition(index, answer->mark);
+    noteAnswer(index, answer->glimpse, sentAt);
     base::checkInvariant(answer->mark.term >= order.mark.term, "a read was answered from before what its session saw", m_name);
     Outcome outcome;
     outcome.result = std::move(answer->result);
@@ -263,6 +274,8 @@
     }
     lease->release();
     pool->noteLatency(ranAt - sentAt);
+    if (index < m_members.size() && m_members[index].record.name == member)
+        noteAnswer(index, answer->glimpse, sentAt);
     Outcome outcome;
     outcome.result = std::move(answer->result);
     outcome.mark = answer->mark;
--- a/src/controllers/hosts.cpp
+++ b/src/controllers/hosts.cpp
@@ -118,6 +118,19 @@
     return request;
 }
 
+// Payload of one message, in all and by purpose. What is left over are digests, names and clocks.
+template <typename Message>
+static void countBytes(const Message& message)
+{
+    base::count(base::Counter::ExchangeBytes, message.ByteSizeLong());
+    for (auto& it : message.hosts())
+        base::count(base::Counter::ExchangeHostBytes, it.ByteSizeLong());
+    for (auto& it : message.versions())
+        base::count(base::Counter::ExchangeRecordBytes, it.ByteSizeLong());
+    for (auto& it : message.bodies())
+        base::count(base::Counter::ExchangeRecordBytes, it.ByteSizeLong());
+}
+
 asio::awaitable<links::LinkResult<peer::ExchangeReply>> HostsController::send(std::string name, peer::ExchangeRequest request, milliseconds limit)
 {
     auto* host = decisions::findHost(m_membership, name);
@@ -125,10 +138,12 @@
         co_return tl::make_unexpected(links::LinkFailure { false, false, "unknown host" });
     auto address = host->peerAddress;
     base::count(base::Counter::Exchanges);
-    base::count(base::Counter::ExchangeBytes, request.ByteSizeLong());
+    countBytes(request);
+    for (auto& it : request.groups())
+        base::count(base::Counter::ExchangeGroupBytes, it.ByteSizeLong());
     auto reply = co_await m_node.peers.exchange(name, address, std::move(request), limit);
     if (reply)
-        base::count(base::Counter::ExchangeBytes, reply->ByteSizeLong());
+        countBytes(*reply);
     co_return reply;
 }
 
--- a/src/decisions/failover.cpp
+++ b/src/decisions/failover.cpp
@@ -23,7 +23,7 @@
     auto failingSince = view.health.members[primary].failingSince;
     for (size_t i = 0; i < view.health.members.size(); ++i) {
         auto& it = view.health.members[i];
-        bool isFresh = it.askedAt >= failingSince && now - it.askedAt <= view.timings.freshFor;
+        bool isFresh = it.probedAt >= failingSince && now - it.probedAt <= view.timings.freshFor;
         if (i == primary || !it.isReachable() || !isFresh)
             continue;
         // One that follows an older term was cut off by the last promotion, not by this fault.
--- a/src/decisions/health.cpp
+++ b/src/decisions/health.cpp
@@ -69,6 +69,12 @@
     }
 }
 
+// Marks nearer to each other than this would push out the old ones, which lagging replicas are measured by.
+static bool isMarkDue(const GroupHealth& health, TimePoint askedAt)
+{
+    return health.ageMarks.empty() || askedAt - health.ageMarks.back().askedAt >= kAgeMarkSpacing;
+}
+
 // Old marks go first, but the newest confirmed one always stays: dropping it would make a reachable group look ageless.
 static void addAgeMark(GroupHealth& health, const AgeMark& mark)
 {
@@ -90,15 +96,59 @@
     it.isKnown = true;
     it.status = status;
     it.askedAt = askedAt;
+    it.probedAt = askedAt;
     it.failures = 0;
     it.refusals = 0;
     updatePrimary(health, now);
-    if (health.primary == index)
+    if (health.primary == index && isMarkDue(health, askedAt))
         addAgeMark(health, { askedAt, status.log.position, false });
     confirmAgeMarks(health);
     return health;
 }
 
+bool isInAgreement(const MemberHealth& member, const MemberGlimpse& glimpse)
+{
+    auto& status = member.status;
+    return glimpse.term == status.term && glimpse.fencedTerm == status.fencedTerm && glimpse.log.term == status.log.term;
+}
+
+// The bound of an age stays an upper one: a glimpse of the primary shows at least the position it had when it was asked.
+GroupHealth takeGlimpse(GroupHealth health, size_t index, const MemberGlimpse& glimpse, TimePoint askedAt, TimePoint now)
+{
+    auto& it = health.members[index];
+    if (!it.isReachable() || askedAt < it.askedAt || !isInAgreement(it, glimpse))
+        return health;
+    auto probedAt = it.probedAt;
+    auto status = it.status;
+    status.log.position = std::max(status.log.position, glimpse.log.position);
+    health = takeStatus(std::move(health), index, status, askedAt, now);
+    health.members[index].probedAt = probedAt;
+    return health;
+}
+
+bool isCalm(const GroupHealth& health)
+{
+    return health.primary && std::ranges::all_of(health.members, [&](const MemberHealth& it) {
+        return it.isReachable() && it.status.standsIn(health.term);
+    });
+}
+
+TimePoint getProbeDue(const GroupHealth& health, size_t index, TimePoint sentAt, const ProbeTimings& timings)
+{
+    auto& it = health.members[index];
+    if (!it.isReachable())
+        return sentAt + timings.failedPause;
+    if (!isCalm(health))
+        return sentAt + timings.interval;
+    // Of a group that nobody uses, one home watches the primary closely; it tells the others of a new one.
+    bool isWatched = !timings.isIdle || (timings.isFirst && health.primary == index);
+    auto interval = isWatched ? timings.interval : timings.idleInterval;
+    // Steady answers would end just before a fault, and each detection begin a whole interval after it; without them it is
+    // half of one on the mean. So the primary is given no more than that.
+    auto patience = health.primary == index ? interval / 2 : interval;
+    return std::min(std::max(sentAt + interval, it.askedAt + patience), sentAt + timings.fullInterval);
+}
+
 GroupHealth takeFailure(GroupHealth health, size_t index, bool wasRefused, TimePoint askedAt)
 {
     auto& it = health.members[index];
--- a/src/decisions/health.h
+++ b/src/decisions/health.h
@@ -30,6 +30,14 @@
     bool standsIn(uint64_t other) const { return term == other && fencedTerm <= other; }
 };
 
+// What an ordinary answer shows of a member: that of a statement, or of a confirmation.
+struct MemberGlimpse {
+    uint64_t term { 0 }; // the term it works in; 0: the answer did not say
+    uint64_t fencedTerm { 0 };
+    Mark log {}; // last entry of its log
+    friend bool operator==(const MemberGlimpse&, const MemberGlimpse&) = default;
+};
+
 // A probe that a replica's age can be counted from: when it was sent, and how far the primary had come.
 struct AgeMark {
     TimePoint askedAt {}; // send time of the probe to the primary
@@ -41,7 +49,8 @@
 struct MemberHealth {
     bool isKnown { false }; // has answered at least once
     MemberStatus status {}; // newest answer
-    TimePoint askedAt {}; // when the question of the newest answer was sent
+    TimePoint askedAt {}; // when the question of the newest answer of any kind was sent
+    TimePoint probedAt {}; // when the newest answered status question was sent: heardPrimaryAgo is as of then
     unsigned failures { 0 }; // probes failed in a row
     unsigned refusals { 0 }; // of these, in a row: nothing listened
     TimePoint failingSince {}; // send time of the first probe that failed
@@ -59,15 +68,36 @@
     friend bool operator==(const GroupHealth&, const GroupHealth&) = default;
 };
 
-inline constexpr size_t kAgeMarkLimit = 64;
+inline constexpr size_t kAgeMarkLimit = 128;
+inline constexpr milliseconds kAgeMarkSpacing { 50 }; // marks are no nearer to each other
+inline constexpr milliseconds kGlimpseSpacing { 20 }; // answers that follow each other faster need not be taken in
+
+struct ProbeTimings {
+    milliseconds interval { 100 }; // ms; a member that gave no answer of any kind for so long is asked
+    milliseconds fullInterval { 1000 }; // ms; a status is asked this often, whatever ordinary answers say
+    milliseconds failedPause { 40 }; // ms; a member that does not answer is asked sooner
+    milliseconds idleInterval { 1000 }; // ms; in place of `interval` while `isIdle`, but for the primary at the first home
+    bool isIdle { false }; // this home got no statements of the group of late
+    bool isFirst { false }; // this home acts first when the primary fails
+};
 
 GroupHealth makeHealth(const GroupRecord& record, TimePoint now);
 // Keeps what is known of members that stay in the record.
 GroupHealth changeRecord(const GroupHealth& health, const GroupRecord& before, const GroupRecord& after, TimePoint now);
 // Takes in a member's answer to a question sent at `askedAt`. An older answer than the newest is dropped.
 GroupHealth takeStatus(GroupHealth health, size_t index, const MemberStatus& status, TimePoint askedAt, TimePoint now);
+// Whether an ordinary answer shows the member as the last status did, its log being longer at most. If not, only a status
+// can tell what happened.
+bool isInAgreement(const MemberHealth& member, const MemberGlimpse& glimpse);
+// Takes in an ordinary answer in place of a status. One that is not in agreement, or comes from a member that fails its
+// probes, changes nothing.
+GroupHealth takeGlimpse(GroupHealth health, size_t index, const MemberGlimpse& glimpse, TimePoint askedAt, TimePoint now);
 // Takes in that a question sent at `askedAt` got no answer (`wasRefused`: nothing listens there).
 GroupHealth takeFailure(GroupHealth health, size_t index, bool wasRefused, TimePoint askedAt);
+// Whether all is well: every member answers, works in the term of a known primary and is promised to no other.
+bool isCalm(const GroupHealth& health);
+// When the next status question to a member is due. `sentAt` is the send time of the last one, answered or not.
+TimePoint getProbeDue(const GroupHealth& health, size_t index, TimePoint sentAt, const ProbeTimings& timings);
 // The largest term that any member has shown, fenced or worked in.
 uint64_t getHighestTerm(const GroupHealth& health);
 
--- a/src/links/http.h
+++ b/src/links/http.h
@@ -80,6 +80,8 @@
     virtual bool isOpen() = 0;
     // Also ends an exchange in flight: it fails as one that may have arrived.
     virtual void close() = 0;
+    // Bytes of HTTP written and read since the connection was made, for metrics.
+    virtual uint64_t getTransferred() const = 0;
 };
 
 std::unique_ptr<HttpConnection> makeHttpConnection(boost::asio::any_io_executor executor, const std::string& address);
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -52,11 +52,13 @@
         auto message = makeMessage(std::move(request), requestId);
         m_stream.expires_at(deadline);
         auto [writeError, written] = co_await http::async_write(m_stream, message, kUse);
+        m_transferred += written;
         if (writeError)
             co_return failExchange(written > 0, writeError);
         boost::beast::flat_buffer buf;
         http::response<http::string_body> reply;
         auto [readError, n] = co_await http::async_read(m_stream, buf, reply, kUse);
+        m_transferred += n;
         if (readError)
             co_return failExchange(true, readError);
         m_stream.expires_never();
@@ -92,6 +94,8 @@
         m_stream.close();
     }
 
+    uint64_t getTransferred() const override { return m_transferred; }
+
 private:
     static http::request<http::string_body> makeMessage(HttpRequest request, const std::string& requestId)
     {
@@ -114,6 +118,7 @@
 
     boost::beast::tcp_stream m_stream;
     std::string m_address;
+    uint64_t m_transferred { 0 };
     bool m_isOpen { false };
 };
 
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -271,12 +271,14 @@
     return values.empty() ? 0 : values[values.size() / 2];
 }
 
-void measureGap(int runs)
+void measureGap(int runs, const std::string& onlyFault)
 {
     fmt::print("{:<8} {:<10} {:>6} {:>5} {:>10} {:>10} {:>11} {:>10} {:>10}\n", "fault", "platform", "hosts", "runs", "median ms", "worst ms", "detection", "fencing", "promotion");
     for (unsigned hosts : { 7U, 9U }) {
         for (bool isPlatformUp : { true, false }) {
             for (auto* how : { "killed", "frozen", "cut" }) {
+                if (!onlyFault.empty() && onlyFault != how)
+                    continue;
                 std::vector<double> total, detection, fencing, promotion;
                 for (int i = 0; i < runs; ++i) {
                     auto gap = measureOneGap(hosts == 7 ? getSahyogShape(7) : getBatbayarShape(9), how, isPlatformUp);
@@ -321,9 +323,54 @@
 
 // ---- control at several sizes ----
 
+// Sums of the counters of all hosts, to be subtracted from each other.
+struct ControlCounts {
+    static constexpr std::array kNames { "exchange_bytes", "exchange_host_bytes", "exchange_record_bytes", "exchange_group_bytes", "exchanges", "probes", "probe_bytes", "confirmation_bytes", "platform_bytes" };
+    std::map<std::string, uint64_t> counts {};
+    double cpuSeconds { 0 };
+    uint64_t platformCalls { 0 };
+    Clock::time_point at {};
+};
+
+ControlCounts readControl(Cluster& cluster)
+{
+    ControlCounts it;
+    it.at = Clock::now();
+    for (unsigned i = 0; i < cluster.getShape().hosts; ++i) {
+        it.cpuSeconds += getUsage(cluster.getHost(i).getId()).cpuSeconds;
+        for (auto* name : ControlCounts::kNames)
+            it.counts[name] += cluster.getMetric(i, name);
+    }
+    it.platformCalls = cluster.getPlatformStats()["calls"].to_number<uint64_t>();
+    return it;
+}
+
+// Milliseconds from now until every host has this version of the first group's record in force.
+double waitForVersion(Cluster& cluster, uint64_t version)
+{
+    auto began = Clock::now();
+    std::vector<unsigned> missing;
+    for (unsigned i = 0; i < cluster.getShape().hosts; ++i)
+        missing.push_back(i);
+    auto& group = cluster.getShape().groups.front().name;
+    waitUntil(milliseconds(20000), [&] {
+        std::erase_if(missing, [&](unsigned i) { return cluster.getStatus(i)["groups"].at(group).at("version").to_number<uint64_t>() >= version; });
+        return missing.empty();
+    });
+    return getMs(Clock::now() - began);
+}
+
+// Changes the first group's record with the operators' tool; returns the new version.
+uint64_t applyChange(Cluster& cluster, int slots)
+{
+    auto path = cluster.writeRecord(cluster.getShape().groups.front(), [slots](json::object& record) { record["slots"] = slots; });
+    auto run = cluster.runTool({ "config", "apply", path });
+    return std::stoull(run.output.substr(run.output.find("version ") + 8));
+}
+
 void measureControl(const std::vector<unsigned>& sizes)
 {
-    fmt::print("{:>6} {:>10} {:>12} {:>14} {:>14} {:>15} {:>13} {:>16}\n", "hosts", "cpu %", "resident MB", "exchange B/s", "exchanges/s", "platform calls/s", "spread ms", "agree after ms");
+    fmt::print("{:>6} {:>7} {:>12} {:>12} {:>8} {:>10} {:>9} {:>10} {:>9} {:>13} {:>15} {:>11} {:>10}\n", "hosts", "cpu %", "resident MB", "exchange B/s", "of hosts", "of records", "of groups", "probe B/s", "confirm", "platform B/s", "platform calls/s", "spread ms", "agree ms");
     for (unsigned hosts : sizes) {
         auto shape = getSahyogShape(hosts);
         auto began = Clock::now();
@@ -332,47 +379,46 @@
         auto agree = getMs(Clock::now() - began);
         // All hosts joined at once: wait until that news has been told.
         std::this_thread::sleep_for(milliseconds(4000 + 700 * hosts));
-        auto cpu = [&] {
-            double n = 0;
-            for (unsigned i = 0; i < hosts; ++i)
-                n += getUsage(cluster.getHost(i).getId()).cpuSeconds;
-            return n;
-        };
-        auto bytes = cluster.sumMetric("exchange_bytes");
-        auto exchanges = cluster.sumMetric("exchanges");
-        auto calls = cluster.getPlatformStats()["calls"].to_number<uint64_t>();
-        auto cpuBefore = cpu();
-        auto start = Clock::now();
+        auto before = readControl(cluster);
         std::this_thread::sleep_for(milliseconds(10000));
-        auto cpuAfter = cpu();
-        auto seconds = getMs(Clock::now() - start) / 1000;
-        auto callsAfter = cluster.getPlatformStats()["calls"].to_number<uint64_t>();
-        auto bytesAfter = cluster.sumMetric("exchange_bytes");
-        auto exchangesAfter = cluster.sumMetric("exchanges");
+        auto after = readControl(cluster);
+        auto seconds = getMs(after.at - before.at) / 1000;
+        auto perHost = [&](const char* name) { return static_cast<double>(after.counts[name] - before.counts[name]) / seconds / hosts; };
         double resident = 0;
         for (unsigned i = 0; i < hosts; ++i)
             resident = std::max(resident, getUsage(cluster.getHost(i).getId()).residentMb);
-        auto path = cluster.writeRecord(shape.groups.front(), [](json::object& record) { record["slots"] = 3; });
-        auto run = cluster.runTool({ "config", "apply", path });
-        auto applied = Clock::now();
-        auto version = std::stoull(run.output.substr(run.output.find("version ") + 8));
-        std::vector<unsigned> missing;
-        for (unsigned i = 0; i < hosts; ++i)
-            missing.push_back(i);
-        waitUntil(milliseconds(20000), [&] {
-            std::erase_if(missing, [&](unsigned i) { return cluster.getStatus(i)["groups"].at(shape.groups.front().name).at("version").to_number<uint64_t>() >= version; });
-            return missing.empty();
-        });
-        fmt::print("{:>6} {:>10.2f} {:>12.1f} {:>14.0f} {:>14.2f} {:>15.2f} {:>13.0f} {:>16.0f}\n", hosts, 100 * (cpuAfter - cpuBefore) / seconds / hosts, resident, static_cast<double>(bytesAfter - bytes) / seconds / hosts, static_cast<double>(exchangesAfter - exchanges) / seconds / hosts, static_cast<double>(callsAfter - calls) / seconds, getMs(Clock::now() - applied), agree);
+        auto spread = waitForVersion(cluster, applyChange(cluster, 3));
+        fmt::print("{:>6} {:>7.2f} {:>12.1f} {:>12.0f} {:>8.0f} {:>10.0f} {:>9.0f} {:>10.0f} {:>9.0f} {:>13.0f} {:>15.2f} {:>11.0f} {:>10.0f}\n", hosts, 100 * (after.cpuSeconds - before.cpuSeconds) / seconds / hosts, resident, perHost("exchange_bytes"), perHost("exchange_host_bytes"), perHost("exchange_record_bytes"), perHost("exchange_group_bytes"), perHost("probe_bytes"), perHost("confirmation_bytes"), perHost("platform_bytes"), static_cast<double>(after.platformCalls - before.platformCalls) / seconds, spread, agree);
         std::fflush(stdout);
     }
 }
 
 // ---- control by groups for each home ----
 
+// Busy: each group gets about 240 statements a second, a third of them writes, over all hosts.
+LoadResult loadGroups(Cluster& cluster, unsigned groups, milliseconds time)
+{
+    LoadShape load;
+    for (unsigned i = 0; i < 3; ++i)
+        load.addresses.push_back(cluster.getCallerAddress(i));
+    load.callers = 12 * groups;
+    load.pause = milliseconds(50);
+    load.time = time;
+    load.makeBody = [groups](unsigned caller, uint64_t n) {
+        json::object body { { "group", fmt::format("g{}", (caller / 3) % groups) } };
+        bool isWrite = (n + caller) % 3 == 0;
+        body["kind"] = isWrite ? "write" : "read";
+        body["statement"] = isWrite ? fmt::format("SET k{} {}", caller, n) : fmt::format("GET k{}", caller);
+        if (isWrite)
+            body["repeatable"] = true;
+        return body;
+    };
+    return runLoad(load);
+}
+
 void measureGroups()
 {
-    fmt::print("3 hosts, each a home of all groups, no callers\n{:>7} {:>8} {:>12} {:>15}\n", "groups", "cpu %", "resident MB", "probes/s a host");
+    fmt::print("3 hosts, each a home of all groups; figures of the mean host\n{:>7} {:>8} {:>8} {:>12} {:>10} {:>10} {:>12} {:>9}\n", "groups", "callers", "cpu %", "resident MB", "probes/s", "probe B/s", "confirm B/s", "served/s");
     for (unsigned count : { 1U, 4U, 8U, 16U }) {
         Shape shape;
         for (unsigned i = 0; i < count; ++i) {
@@ -381,13 +427,20 @@
         }
         Cluster cluster(shape);
         cluster.beginAll();
-        std::this_thread::sleep_for(milliseconds(8000));
-        auto before = getUsage(cluster.getHost(0).getId());
-        auto probes = cluster.getMetric(0, "probes");
-        std::this_thread::sleep_for(milliseconds(8000));
-        auto after = getUsage(cluster.getHost(0).getId());
-        fmt::print("{:>7} {:>8.2f} {:>12.1f} {:>15.1f}\n", count, 100 * (after.cpuSeconds - before.cpuSeconds) / 8, after.residentMb, static_cast<double>(cluster.getMetric(0, "probes") - probes) / 8);
-        std::fflush(stdout);
+        std::this_thread::sleep_for(milliseconds(12000));
+        for (bool isBusy : { false, true }) {
+            auto before = readControl(cluster);
+            double served = 0;
+            if (isBusy)
+                served = loadGroups(cluster, count, milliseconds(8000)).getRate();
+            else
+                std::this_thread::sleep_for(milliseconds(8000));
+            auto after = readControl(cluster);
+            auto seconds = getMs(after.at - before.at) / 1000;
+            auto perHost = [&](const char* name) { return static_cast<double>(after.counts[name] - before.counts[name]) / seconds / 3; };
+            fmt::print("{:>7} {:>8} {:>8.2f} {:>12.1f} {:>10.1f} {:>10.0f} {:>12.0f} {:>9.0f}\n", count, isBusy ? "busy" : "none", 100 * (after.cpuSeconds - before.cpuSeconds) / seconds / 3, getUsage(cluster.getHost(0).getId()).residentMb, perHost("probes"), perHost("probe_bytes"), perHost("confirmation_bytes"), served);
+            std::fflush(stdout);
+        }
     }
 }
 
@@ -542,7 +595,7 @@
     else if (what == "reads")
         measureReadShare();
     else if (what == "gap")
-        measureGap(n ? n : 20);
+        measureGap(n ? n : 20, argc > 3 ? argv[3] : "");
     else if (what == "records")
         measureRecords(n ? n : 100);
     else if (what == "control")
@@ -558,7 +611,7 @@
     else if (what == "quiet")
         measureQuiet(n ? n : 600);
     else {
-        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs]|records [changes]|control [hosts]|groups|placement|overload|homes|quiet [seconds]\n");
+        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs] [fault]|records [changes]|control [hosts]|groups|placement|overload|homes|quiet [seconds]\n");
         return 2;
     }
 }
--- a/tests/standins/member.cpp
+++ b/tests/standins/member.cpp
@@ -435,7 +435,7 @@
 
     HttpAnswer answerRun(const std::string& result, bool wasReplayed, uint64_t position) const
     {
-        return answerJson({ { "result", json::parse(result) }, { "term", getLogTerm() }, { "position", position }, { "replayed", wasReplayed } });
+        return answerJson({ { "result", json::parse(result) }, { "term", getLogTerm() }, { "position", position }, { "replayed", wasReplayed }, { "memberTerm", m_term }, { "fencedTerm", m_fencedTerm } });
     }
 
     std::optional<HttpAnswer> replay(const std::string& requestKey) const
--- /dev/null
+++ b/tests/unit/health_test.cpp
@@ -0,0 +1,131 @@
+// What ordinary answers tell of a member, and when a status must be asked all the same.
+#include "decisions/failover.h"
+#include "decisions/health.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace alderward::decisions;
+using std::chrono::milliseconds;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint {} + std::chrono::hours(1) + milliseconds(ms);
+}
+
+GroupRecord makeRecord()
+{
+    GroupRecord record;
+    record.name = "orders";
+    record.members = { { "a", "127.0.0.1:1", "x" }, { "b", "127.0.0.1:2", "y" }, { "c", "127.0.0.1:3", "z" } };
+    return record;
+}
+
+MemberStatus makeStatus(Role role, uint64_t position, milliseconds heardAgo)
+{
+    MemberStatus status;
+    status.term = 1;
+    status.role = role;
+    status.log = { 1, position, { { 1, 1 } } };
+    status.heardPrimaryAgo = heardAgo;
+    return status;
+}
+
+// Primary a and replicas b and c, all at 100 and asked at `ms`.
+GroupHealth makeGroup(int ms)
+{
+    auto health = makeHealth(makeRecord(), at(0));
+    health = takeStatus(health, 0, makeStatus(Role::Primary, 100, milliseconds(0)), at(ms), at(ms));
+    for (size_t i = 1; i < 3; ++i)
+        health = takeStatus(health, i, makeStatus(Role::Replica, 100, milliseconds(5)), at(ms), at(ms));
+    return health;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(health)
+
+BOOST_AUTO_TEST_CASE(ordinary_answers_keep_ages_young_without_a_status)
+{
+    auto health = makeGroup(0);
+    health = takeGlimpse(health, 0, { 1, 0, { 1, 150 } }, at(200), at(201));
+    BOOST_TEST(getAgeBound(health, 1, 150, at(210))->count() == 210); // nobody else stood in the term since
+    health = takeGlimpse(health, 1, { 1, 0, { 1, 150 } }, at(205), at(206));
+    BOOST_TEST(getAgeBound(health, 1, 150, at(210))->count() == 10);
+    BOOST_TEST(getAgeBound(health, 1, 149, at(210))->count() == 210);
+    BOOST_TEST(health.members[1].status.log.position == 150u);
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_shows_a_change_changes_nothing_until_a_status_explains_it)
+{
+    auto health = makeGroup(0);
+    for (auto& it : { MemberGlimpse { 2, 2, { 1, 200 } }, MemberGlimpse { 1, 2, { 1, 200 } }, MemberGlimpse { 1, 0, { 2, 200 } } }) {
+        BOOST_TEST(!isInAgreement(health.members[1], it));
+        BOOST_TEST((takeGlimpse(health, 1, it, at(200), at(201)) == health));
+    }
+    auto failing = takeFailure(health, 1, false, at(100));
+    BOOST_TEST((takeGlimpse(failing, 1, { 1, 0, { 1, 200 } }, at(200), at(201)) == failing));
+    BOOST_TEST((takeGlimpse(health, 1, { 1, 0, { 1, 200 } }, at(-1), at(201)) == health)); // asked before the newest
+}
+
+// An answer to a statement does not say when the replica last heard its primary: that stays as old as the last status.
+BOOST_AUTO_TEST_CASE(ordinary_answer_is_no_word_on_the_primary)
+{
+    auto health = makeGroup(0);
+    for (int ms = 100; ms <= 900; ms += 100)
+        health = takeFailure(health, 0, false, at(ms));
+    for (size_t i = 1; i < 3; ++i)
+        health = takeGlimpse(health, i, { 1, 0, { 1, 100 } }, at(890), at(891));
+    auto record = makeRecord();
+    FailoverView view { record, health, std::vector<bool>(3), 0, {} };
+    BOOST_TEST(getDownReason(view, at(900)).empty()); // neither yes nor no is known
+    for (size_t i = 1; i < 3; ++i)
+        health = takeStatus(health, i, makeStatus(Role::Replica, 100, milliseconds(880)), at(895), at(896));
+    BOOST_TEST(!getDownReason(view, at(900)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(status_is_asked_where_no_ordinary_answer_came)
+{
+    ProbeTimings timings;
+    auto health = makeGroup(0);
+    BOOST_TEST((getProbeDue(health, 1, at(0), timings) == at(100)));
+    health = takeGlimpse(health, 1, { 1, 0, { 1, 120 } }, at(80), at(81));
+    BOOST_TEST((getProbeDue(health, 1, at(0), timings) == at(180)));
+    BOOST_TEST((getProbeDue(health, 2, at(0), timings) == at(100)));
+    health = takeGlimpse(health, 0, { 1, 0, { 1, 120 } }, at(80), at(81));
+    BOOST_TEST((getProbeDue(health, 0, at(0), timings) == at(130))); // the primary's silence is noticed sooner
+    health = takeGlimpse(health, 1, { 1, 0, { 1, 130 } }, at(950), at(951));
+    BOOST_TEST((getProbeDue(health, 1, at(0), timings) == at(1000))); // a status now and then, whatever comes
+}
+
+BOOST_AUTO_TEST_CASE(idle_group_is_watched_by_its_first_home_and_a_sick_one_by_all)
+{
+    ProbeTimings timings;
+    timings.isIdle = true;
+    auto health = makeGroup(0);
+    BOOST_TEST((getProbeDue(health, 0, at(0), timings) == at(1000)));
+    timings.isFirst = true;
+    BOOST_TEST((getProbeDue(health, 0, at(0), timings) == at(100)));
+    BOOST_TEST((getProbeDue(health, 1, at(0), timings) == at(1000)));
+    auto sick = takeFailure(health, 0, true, at(100));
+    BOOST_TEST(!isCalm(sick));
+    BOOST_TEST((getProbeDue(sick, 0, at(100), timings) == at(140)));
+    BOOST_TEST((getProbeDue(sick, 1, at(0), timings) == at(100)));
+}
+
+BOOST_AUTO_TEST_CASE(marks_of_frequent_answers_do_not_push_out_those_that_a_lagging_replica_needs)
+{
+    auto health = makeGroup(0);
+    for (int ms = 1; ms <= 5000; ++ms) {
+        auto position = 100U + static_cast<unsigned>(ms);
+        health = takeGlimpse(health, 0, { 1, 0, { 1, position } }, at(ms), at(ms));
+        health = takeGlimpse(health, 1, { 1, 0, { 1, position } }, at(ms), at(ms));
+    }
+    // A replica that lags by 4 s still has a bound, within the spacing of the marks.
+    auto age = getAgeBound(health, 1, 1100, at(5000));
+    BOOST_REQUIRE(age.has_value());
+    BOOST_TEST(age->count() >= 4000);
+    BOOST_TEST(age->count() <= 4000 + kAgeMarkSpacing.count());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
