One function changes a group's state; its events can be recorded and replayed

Cause: the users ask for proof "by replay of recorded traces against stated outcomes", and there was none. What a home knew of a group was changed in five places of the controller: health by two, failover by one, the promotions counted against the record's bounds by a rule of its own ("less than a second ago, so it was ours"), the record by another. Such a thing cannot be recorded.

Change: GroupState holds record, health and failover; stepGroup(state, event, now) is the one function that changes it and GroupController::takeEvent() the one place that calls it. With [debug] trace_events a home keeps its events and what was decided on them; GET /debug/trace?group=NAME shows them and `alderctl replay` replays them. Times are rounded down to microseconds before they are used, so that a replay compares the same numbers. A promotion is "ours" now if its term is one that this host promoted.

That a replay can fail is shown by a trace whose grants are taken out (trace/changed_trace_is_found_out).

Not recorded: requests; a trace holds health and failover only.

--- a/src/alderward.h
+++ b/src/alderward.h
@@ -28,6 +28,7 @@
 //   [SECTION] Health       what a home knows of a group's members; ages
 //   [SECTION] Routing      where a statement goes; whether a write is confirmed
 //   [SECTION] Failover     detection, fencing, promotion, hand-over
+//   [SECTION] Group        record, health and failover in one value; recorded traces and their replay
 //   [SECTION] Placement    homes and shares
 //   [SECTION] Limits       admission, adaptive limit, retry budget
 //   [SECTION] Membership   which hosts are alive
@@ -50,12 +51,12 @@
 #include "decisions/records.h"
 
 //-----------------------------------------------------------------------------
-// [SECTION] Health: MemberStatus, GroupHealth, takeStatus(), takeFailure(), getAgeBound()
+// [SECTION] Health: MemberStatus, GroupHealth, takeStatus(), takeFailure(), takeGlimpse(), getProbeDue(), getAgeBound()
 //-----------------------------------------------------------------------------
 #include "decisions/health.h"
 
 //-----------------------------------------------------------------------------
-// [SECTION] Routing: routeRead(), routeWrite(), confirmWrite()
+// [SECTION] Routing: routeRead(), routeWrite(), mayHoldWrite(), confirmWrite()
 //-----------------------------------------------------------------------------
 #include "decisions/routing.h"
 
@@ -64,6 +65,13 @@
 //-----------------------------------------------------------------------------
 #include "decisions/failover.h"
 
+//-----------------------------------------------------------------------------
+// [SECTION] Group: GroupState, GroupEvent, stepGroup(), parseTrace(), replayTrace()
+// If you want to drive one whole group, feed stepGroup(); stepFailover() alone knows nothing of probes.
+//-----------------------------------------------------------------------------
+#include "decisions/group_state.h"
+#include "decisions/trace.h"
+
 //-----------------------------------------------------------------------------
 // [SECTION] Placement: chooseHomes(), getShare(), rankHosts()
 //-----------------------------------------------------------------------------
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -53,6 +53,7 @@
         { "stop", "drain_limit_ms", &Settings::drainLimitMs, 0, 600000, "ms", "a stop that takes longer reports what it cuts" },
         { "stop", "drain_notice_ms", &Settings::drainNoticeMs, 0, 60000, "ms", "between the balancer's check turning and the closing of the listening socket" },
         { "debug", "allow_faults", &Settings::allowFaults, 0, 1, "true/false", "test aid: the operators' address takes /debug/cut" },
+        { "debug", "trace_events", &Settings::traceEvents, 0, 1000000, "count", "events of each group kept for /debug/trace, from the host's becoming a home on; about 0.3 KB each" },
     };
     return table;
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -42,6 +42,7 @@
     int drainNoticeMs { 500 }; // ms; between the balancer's check turning and the closing of the listening socket
     // [debug]
     bool allowFaults { false }; // test aid: operators' address takes /debug/cut
+    int traceEvents { 0 }; // events of each group kept for /debug/trace, from the host's becoming a home on; 0: none
 };
 
 // One row of the table of settings.
--- a/src/controllers/group.cpp
+++ b/src/controllers/group.cpp
@@ -26,6 +26,7 @@
     : m_node(node)
     , m_name(std::move(name))
     , m_strand(asio::make_strand(node.contexts.getNext()))
+    , m_trace(static_cast<size_t>(node.settings.traceEvents))
 {
 }
 
@@ -48,6 +49,8 @@
             m_members[i].leavingSince = Clock::now();
     }
     m_role = std::move(role);
+    auto rank = std::ranges::find(m_role.homes, m_node.settings.name) - m_role.homes.begin();
+    takeEvent(decisions::RoleChanged { *m_role.record, m_role.isLeaving, static_cast<size_t>(rank) });
     auto share = decisions::getShare(*m_role.record, m_role.homes.size());
     for (size_t i = 0; i < m_members.size(); ++i) {
         m_members[i].pool->setLimits({ share, static_cast<size_t>(m_node.settings.queueLimit) });
@@ -68,8 +71,6 @@
 
 void GroupController::rebuildMembers(const GroupRole& role)
 {
-    auto now = Clock::now();
-    m_health = m_role.record ? decisions::changeRecord(m_health, *m_role.record, *role.record, now) : decisions::makeHealth(*role.record, now);
     std::vector<Member> members;
     for (auto& it : role.record->members) {
         auto same = std::ranges::find_if(m_members, [&](const Member& old) { return old.record.name == it.name && old.record.address == it.address; });
@@ -87,16 +88,13 @@
     for (auto& it : m_members)
         it.pool->wakeAll();
     m_members = std::move(members);
-    m_failover.phase = decisions::FailoverPhase::Idle;
-    m_failover.grants.clear();
-    m_failover.refusals.clear();
 }
 
 void GroupController::beginWork()
 {
     m_isWorking = true;
     auto epoch = ++m_epoch;
-    m_health.withoutPrimarySince = Clock::now();
+    takeEvent(decisions::WorkBegan {});
     for (size_t i = 0; i < m_members.size(); ++i) {
         asio::co_spawn(m_strand, probeForever(i, epoch), asio::detached);
         asio::co_spawn(m_strand, confirmForever(i, epoch), asio::detached);
@@ -131,7 +129,7 @@
         publishStatus();
         return;
     }
-    stepFailover(decisions::Tick {});
+    takeEvent(decisions::FailoverEvent { decisions::Tick {} });
     expireTransactions();
     if (Clock::now() - m_publishedAt >= kPublishInterval)
         publishStatus();
@@ -143,10 +141,10 @@
     std::unique_ptr<links::HttpConnection> link;
     while (epoch == m_epoch) {
         auto began = Clock::now();
-        auto health = co_await probeOnce(link, index);
+        auto event = co_await probeOnce(link, index);
         if (epoch != m_epoch)
             co_return;
-        setHealth(std::move(health));
+        takeEvent(event);
         co_await waitForProbe(index, began, epoch);
     }
 }
@@ -156,7 +154,7 @@
 {
     auto timer = m_members[index].probeTimer;
     while (epoch == m_epoch) {
-        auto due = decisions::getProbeDue(m_health, index, sentAt, getProbeTimings());
+        auto due = decisions::getProbeDue(m_state.health, index, sentAt, getProbeTimings());
         if (Clock::now() >= due)
             co_return;
         timer->expires_at(due);
@@ -182,35 +180,35 @@
 {
     if (index >= m_members.size() || glimpse.term == 0)
         return;
-    auto& it = m_health.members[index];
+    auto& it = m_state.health.members[index];
     if (it.isReachable() && askedAt >= it.askedAt && !decisions::isInAgreement(it, glimpse)) {
         m_members[index].probeTimer->cancel();
         return;
     }
     if (askedAt - it.askedAt < decisions::kGlimpseSpacing)
         return;
-    setHealth(decisions::takeGlimpse(m_health, index, glimpse, askedAt, Clock::now()));
+    takeEvent(decisions::GlimpseAnswered { index, glimpse, decisions::roundDown(askedAt) });
 }
 
-asio::awaitable<decisions::GroupHealth> GroupController::probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index)
+asio::awaitable<decisions::GroupEvent> GroupController::probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index)
 {
     base::count(base::Counter::Probes);
-    auto askedAt = Clock::now();
+    auto askedAt = decisions::roundDown(Clock::now());
     auto deadline = askedAt + milliseconds(m_node.settings.probeTimeoutMs);
     if (!link || !link->isOpen()) {
         link = links::makeHttpConnection(m_strand, m_members[index].record.address);
         auto opened = co_await link->open(deadline);
         if (!opened) {
             link.reset();
-            co_return decisions::takeFailure(m_health, index, opened.error().wasRefused, askedAt);
+            co_return decisions::ProbeFailed { index, opened.error().wasRefused, askedAt };
         }
     }
     auto before = link->getTransferred();
     auto status = co_await links::askStatus(*link, m_node.settings.name, deadline);
     base::count(base::Counter::ProbeBytes, link->getTransferred() - before);
     if (!status)
-        co_return decisions::takeFailure(m_health, index, false, askedAt);
-    co_return decisions::takeStatus(m_health, index, *status, askedAt, Clock::now());
+        co_return decisions::ProbeFailed { index, false, askedAt };
+    co_return decisions::StatusAnswered { index, std::move(*status), askedAt };
 }
 
 void GroupController::probeNow()
@@ -222,32 +220,49 @@
 void GroupController::takeNews(const peer::GroupNews& news)
 {
     asio::post(m_strand, [self = shared_from_this(), term = news.term()] {
-        if (self->m_isActive && term > self->m_health.term)
+        if (self->m_isActive && term > self->m_state.health.term)
             self->probeNow();
     });
 }
 
-// Health changed: statements that wait may go on, and failover may have to begin.
-void GroupController::setHealth(decisions::GroupHealth health)
+// The one place where the group's state changes. What comes of it is carried out here; after news of members, statements
+// that wait may go on.
+void GroupController::takeEvent(const decisions::GroupEvent& event)
 {
-    auto termBefore = m_health.term;
-    bool hadPrimary = m_health.primary.has_value();
-    bool wasCalm = decisions::isCalm(m_health);
-    bool isOfNote = health.primary != m_health.primary || health.term != m_health.term;
-    for (size_t i = 0; i < health.members.size(); ++i)
-        isOfNote = isOfNote || health.members[i].isReachable() != m_health.members[i].isReachable();
-    m_health = std::move(health);
-    if (isOfNote) {
-        notePrimaryChange(termBefore, hadPrimary);
+    auto termBefore = m_state.health.term;
+    bool wasCalm = decisions::isCalm(m_state.health);
+    auto now = decisions::roundDown(Clock::now());
+    auto step = decisions::stepGroup(std::move(m_state), event, now);
+    m_state = std::move(step.state);
+    m_trace.record(now, event, step.actions, m_state.record);
+    if (step.isOfNote) {
+        releaseWaiting(termBefore);
         publishStatus();
     }
-    if (wasCalm && !decisions::isCalm(m_health))
+    for (auto& it : step.actions)
+        perform(it);
+    if (std::holds_alternative<decisions::FailoverEvent>(event))
+        return;
+    if (wasCalm && !decisions::isCalm(m_state.health))
         probeNow();
-    stepFailover(decisions::Tick {});
     repairFollowers();
     wakeHolders();
 }
 
+// Statements that wait at a member that is gone or lost its role look for another.
+void GroupController::releaseWaiting(uint64_t termBefore)
+{
+    auto& health = m_state.health;
+    for (size_t i = 0; i < m_members.size(); ++i) {
+        if (!health.members[i].isReachable() || health.primary != i)
+            m_members[i].pool->wakeAll();
+        // A superseded primary that does not answer will not be waited for: its callers get their answer now.
+        bool isSuperseded = health.primary && health.primary != i && health.members[i].failures > 0 && health.term > termBefore;
+        if (isSuperseded)
+            m_members[i].pool->abortRunning();
+    }
+}
+
 // ---- waiting for a change of health ----
 
 void GroupController::wakeHolders()
@@ -270,13 +285,13 @@
 // We do not reach the primary, but a replica still hears it: another home may reach it.
 bool GroupController::isPathFault() const
 {
-    if (!m_health.primary || m_health.members[*m_health.primary].failures == 0)
+    if (!m_state.health.primary || m_state.health.members[*m_state.health.primary].failures == 0)
         return false;
-    auto& primary = m_health.members[*m_health.primary];
+    auto& primary = m_state.health.members[*m_state.health.primary];
     if (Clock::now() - primary.failingSince < kPathFaultAfter)
         return false;
-    return std::ranges::any_of(m_health.members, [&](const decisions::MemberHealth& it) {
-        return it.isReachable() && it.probedAt >= primary.failingSince && it.status.term == m_health.term
+    return std::ranges::any_of(m_state.health.members, [&](const decisions::MemberHealth& it) {
+        return it.isReachable() && it.probedAt >= primary.failingSince && it.status.term == m_state.health.term
             && it.status.role == decisions::Role::Replica && it.status.heardPrimaryAgo < decisions::FailoverTimings {}.unheardFor;
     });
 }
@@ -287,12 +302,12 @@
     for (size_t i = 0; i < m_members.size(); ++i) {
         auto& it = m_members[i];
         decisions::TargetLoad load;
-        bool isInGrace = m_health.primary == i && Clock::now() - it.leavingSince < kLeavingGrace;
-        load.isUsable = m_health.members[i].isReachable() && (!m_role.isLeaving[i] || isInGrace);
+        bool isInGrace = m_state.health.primary == i && Clock::now() - it.leavingSince < kLeavingGrace;
+        load.isUsable = m_state.health.members[i].isReachable() && (!m_role.isLeaving[i] || isInGrace);
         load.isNear = it.record.dataCentre == m_node.settings.dataCentre;
         load.waiting = it.pool->getWaiting();
         load.running = it.pool->getRunning();
-        load.knownPosition = it.knownTerm == m_health.term ? it.knownPosition : 0;
+        load.knownPosition = it.knownTerm == m_state.health.term ? it.knownPosition : 0;
         loads.push_back(load);
     }
     return loads;
@@ -302,8 +317,8 @@
 {
     auto status = std::make_shared<GroupStatus>();
     m_publishedAt = Clock::now();
-    status->health = m_health;
-    status->failover = m_failover;
+    status->health = m_state.health;
+    status->failover = m_state.failover;
     status->isActive = m_isActive;
     status->isPathFault = isPathFault();
     status->transactions = m_transactions.size();
--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -6,7 +6,8 @@
 #include "base/snapshot.h"
 #include "controllers/node.h"
 #include "controllers/pool.h"
-#include "decisions/failover.h"
+#include "controllers/trace_recorder.h"
+#include "decisions/group_state.h"
 #include "decisions/limits.h"
 #include "decisions/routing.h"
 #include <boost/asio/strand.hpp>
@@ -88,6 +89,8 @@
     boost::asio::awaitable<decisions::Result<Outcome>> run(Order order);
     const base::Snapshot<GroupStatus>& getStatus() const { return m_status; }
     size_t getOpenTransactions() const { return m_openTransactions.load(); }
+    // Events and decisions since this host became a home, if [debug] trace_events asks for them.
+    std::string getTrace() const { return m_trace.getText(); }
 
 private:
     // ---- members ----
@@ -124,12 +127,13 @@
     void endWork();
     void tick();
     boost::asio::awaitable<void> probeForever(size_t index, uint64_t epoch);
-    boost::asio::awaitable<decisions::GroupHealth> probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index);
+    boost::asio::awaitable<decisions::GroupEvent> probeOnce(std::unique_ptr<links::HttpConnection>& link, size_t index);
     boost::asio::awaitable<void> waitForProbe(size_t index, base::TimePoint sentAt, uint64_t epoch);
     decisions::ProbeTimings getProbeTimings() const;
     void probeNow();
     void noteAnswer(size_t index, const decisions::MemberGlimpse& glimpse, base::TimePoint askedAt);
-    void setHealth(decisions::GroupHealth health);
+    void takeEvent(const decisions::GroupEvent& event);
+    void releaseWaiting(uint64_t termBefore);
     void publishStatus();
     void wakeHolders();
     boost::asio::awaitable<void> waitForChange(base::TimePoint until);
@@ -138,8 +142,6 @@
     void expireTransactions();
 
     // ---- failover ----
-    decisions::FailoverView getFailoverView() const;
-    void stepFailover(const decisions::FailoverEvent& event);
     void perform(const decisions::FailoverAction& action);
     boost::asio::awaitable<void> sendFence(decisions::SendFence action);
     boost::asio::awaitable<void> sendPromote(decisions::SendPromote action);
@@ -149,7 +151,6 @@
     boost::asio::awaitable<void> writeClaimLate(uint64_t term);
     void announce(const decisions::Announce& action);
     void repairFollowers();
-    void notePrimaryChange(uint64_t termBefore, bool hadPrimary);
 
     // ---- confirmation ----
     boost::asio::awaitable<decisions::Confirmation> confirm(decisions::PendingWrite write, std::string primary, base::TimePoint deadline);
@@ -184,8 +185,8 @@
     std::function<void(const peer::GroupNews&)> m_announce;
     GroupRole m_role;
     std::vector<Member> m_members;
-    decisions::GroupHealth m_health;
-    decisions::FailoverState m_failover;
+    decisions::GroupState m_state; // changed by takeEvent() only
+    TraceRecorder m_trace;
     decisions::RetryBudget m_retryBudget;
     std::list<Waiting*> m_waiting; // writes that wait for confirmation
     std::list<boost::asio::steady_timer*> m_holders; // requests that wait for a change of health
@@ -200,7 +201,6 @@
     size_t m_orders { 0 }; // orders being served
     base::TimePoint m_usedAt {}; // when the last order began
     size_t m_held { 0 }; // writes held while there is no primary
-    uint64_t m_notedTerm { 0 };
     uint64_t m_acknowledgedTerm { 0 }; // invariant: never acknowledge in a term below one acknowledged in
 };
 
--- a/src/controllers/group_confirm.cpp
+++ b/src/controllers/group_confirm.cpp
@@ -105,7 +105,7 @@
     m_members[index].standing = { answer.term, answer.fencedTerm, holdsTerm ? answer.position : 0, askedAt };
     if (holdsTerm)
         notePosition(index, { answer.logTerm, answer.position });
-    if (std::max(answer.term, answer.fencedTerm) > m_health.term)
+    if (std::max(answer.term, answer.fencedTerm) > m_state.health.term)
         probeNow();
     settleWaiting();
     noteAnswer(index, { answer.term, answer.fencedTerm, { answer.logTerm, answer.position } }, askedAt);
--- a/src/controllers/group_failover.cpp
+++ b/src/controllers/group_failover.cpp
@@ -21,20 +21,6 @@
 static constexpr milliseconds kLateClaimPause { 1000 };
 static constexpr unsigned kLateClaimTries = 600; // ten minutes of outage; then the next promotion's claim shows the term
 
-decisions::FailoverView GroupController::getFailoverView() const
-{
-    auto rank = std::find(m_role.homes.begin(), m_role.homes.end(), m_node.settings.name) - m_role.homes.begin();
-    return { *m_role.record, m_health, m_role.isLeaving, static_cast<size_t>(rank), {} };
-}
-
-void GroupController::stepFailover(const decisions::FailoverEvent& event)
-{
-    auto step = decisions::stepFailover(getFailoverView(), m_failover, event, Clock::now());
-    m_failover = std::move(step.state);
-    for (auto& it : step.actions)
-        perform(it);
-}
-
 void GroupController::perform(const decisions::FailoverAction& action)
 {
     if (auto* claim = std::get_if<decisions::WriteClaim>(&action))
@@ -77,7 +63,7 @@
             event.answer = *answer;
     }
     if (epoch == m_epoch)
-        stepFailover(event);
+        takeEvent(decisions::FailoverEvent { event });
 }
 
 asio::awaitable<void> GroupController::sendPromote(decisions::SendPromote action)
@@ -92,7 +78,7 @@
     if (event.isDone)
         base::count(base::Counter::Promotions);
     if (epoch == m_epoch)
-        stepFailover(event);
+        takeEvent(decisions::FailoverEvent { event });
 }
 
 asio::awaitable<void> GroupController::sendFollow(decisions::SendFollow action)
@@ -112,10 +98,10 @@
 // A member that was away during a promotion is told when it comes back. This finishes the promotion; it is no new one.
 void GroupController::repairFollowers()
 {
-    if (m_failover.phase != decisions::FailoverPhase::Idle)
+    if (m_state.failover.phase != decisions::FailoverPhase::Idle)
         return;
     auto now = Clock::now();
-    for (auto& it : decisions::getFollowers(*m_role.record, m_health)) {
+    for (auto& it : decisions::getFollowers(*m_role.record, m_state.health)) {
         auto& member = m_members[it.member];
         if (now - member.followedAt < kFollowPause)
             continue;
@@ -137,28 +123,6 @@
     asio::co_spawn(m_strand, writeClaimLate(action.term), asio::detached);
 }
 
-// Every home sees the change in its probes; each counts it against the record's bounds.
-void GroupController::notePrimaryChange(uint64_t termBefore, bool hadPrimary)
-{
-    if (m_health.primary && m_health.term > m_notedTerm) {
-        auto& name = m_members[*m_health.primary].record.name;
-        base::getTimeline().add("primary-seen", m_name, fmt::format("{} in term {}", name, m_health.term));
-        bool isOwn = !m_failover.promotions.empty() && Clock::now() - m_failover.promotions.back() < milliseconds(1000);
-        if (m_notedTerm > 0 && termBefore > 0 && !isOwn)
-            m_failover.promotions.push_back(Clock::now());
-        m_notedTerm = m_health.term;
-    } else if (!m_health.primary && hadPrimary)
-        base::getTimeline().add("primary-lost", m_name, fmt::format("none is known in term {}", m_health.term));
-    for (size_t i = 0; i < m_members.size(); ++i) {
-        if (!m_health.members[i].isReachable() || m_health.primary != i)
-            m_members[i].pool->wakeAll();
-        // A superseded primary that does not answer will not be waited for: its callers get their answer now.
-        bool isSuperseded = m_health.primary && m_health.primary != i && m_health.members[i].failures > 0 && m_health.term > termBefore;
-        if (isSuperseded)
-            m_members[i].pool->abortRunning();
-    }
-}
-
 // ---- the claim in the platform's store ----
 
 static std::string formatClaim(uint64_t term, const std::string& host)
@@ -174,7 +138,7 @@
     auto deadline = Clock::now() + decisions::FailoverTimings {}.claimLimit;
     auto answer = co_await tryClaim(term, deadline);
     if (epoch == m_epoch)
-        stepFailover(answer);
+        takeEvent(decisions::FailoverEvent { answer });
 }
 
 // Reads before it writes, so an answer lost after the swap took effect is found out at the next try.
@@ -205,7 +169,7 @@
 asio::awaitable<void> GroupController::writeClaimLate(uint64_t term)
 {
     auto self = shared_from_this();
-    for (unsigned i = 0; i < kLateClaimTries && m_health.term <= term; ++i) {
+    for (unsigned i = 0; i < kLateClaimTries && m_state.health.term <= term; ++i) {
         auto answer = co_await tryClaim(term, Clock::now() + kLateClaimPause);
         if (answer.outcome != decisions::ClaimOutcome::Unavailable)
             co_return;
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -106,7 +106,7 @@
     auto giveUpAt = std::min(order.deadline, Clock::now() + kStaleWait);
     decisions::ReadNeed need { order.mark, order.maximumAge, {} };
     for (;;) {
-        auto route = decisions::routeRead(m_health, getLoads(), need, Clock::now());
+        auto route = decisions::routeRead(m_state.health, getLoads(), need, Clock::now());
         if (route.kind == RouteKind::Refuse)
             co_return fail(route.reason, describeWait(route.reason));
         bool mayCatchUp = route.reason == ErrorKind::NotCaughtUp;
@@ -139,7 +139,7 @@
     auto index = route.member;
     auto member = m_members[index].record.name;
     auto pool = m_members[index].pool;
-    bool isPrimary = m_health.primary == index;
+    bool isPrimary = m_state.health.primary == index;
     auto lease = co_await pool->acquire(Lane::Read, order.deadline, false);
     if (!lease)
         co_return tl::make_unexpected(lease.error());
@@ -168,7 +168,7 @@
     outcome.mark = std::max(order.mark, answer->mark);
     outcome.member = member;
     outcome.role = isPrimary ? decisions::Role::Primary : decisions::Role::Replica;
-    outcome.age = decisions::getAgeBound(m_health, answer->mark.term, answer->mark.position, Clock::now());
+    outcome.age = decisions::getAgeBound(m_state.health, answer->mark.term, answer->mark.position, Clock::now());
     base::count(isPrimary ? Counter::ReadsByPrimary : Counter::ReadsByReplica);
     co_return co_await checkAge(order, std::move(outcome), index, sentAt);
 }
@@ -181,7 +181,7 @@
         co_return outcome;
     if (outcome.role != decisions::Role::Primary)
         co_return fail(ErrorKind::NotCaughtUp, "the member fell behind during the read", kComeBack);
-    decisions::PendingWrite question { { m_health.members[member].status.term, 0 }, sentAt, false };
+    decisions::PendingWrite question { { m_state.health.members[member].status.term, 0 }, sentAt, false };
     auto answer = co_await confirm(question, outcome.member, order.deadline);
     if (answer != Confirmation::Confirmed)
         co_return fail(ErrorKind::TooStale, "the primary could not be confirmed in time", kComeBack);
@@ -194,15 +194,15 @@
 // A write may be held while a promotion can still come; otherwise the caller gets its final answer now.
 bool GroupController::mayHold() const
 {
-    decisions::HoldView view { m_health };
+    decisions::HoldView view { m_state.health };
     view.majority = m_role.record->getMajority();
-    view.isHeldBack = !m_failover.heldBack.empty();
+    view.isHeldBack = !m_state.failover.heldBack.empty();
     view.isPathFault = isPathFault();
     view.held = m_held;
     view.heldMost = static_cast<size_t>(m_node.settings.heldWrites);
-    view.lostAt = m_health.withoutPrimarySince;
-    if (m_health.primary)
-        view.lostAt = m_role.isLeaving[*m_health.primary] ? m_members[*m_health.primary].leavingSince : m_health.members[*m_health.primary].failingSince;
+    view.lostAt = m_state.health.withoutPrimarySince;
+    if (m_state.health.primary)
+        view.lostAt = m_role.isLeaving[*m_state.health.primary] ? m_members[*m_state.health.primary].leavingSince : m_state.health.members[*m_state.health.primary].failingSince;
     return decisions::mayHoldWrite(view, Clock::now());
 }
 
@@ -214,7 +214,7 @@
     if (isDue(order.deadline))
         co_return decisions::Error { route.reason, describeWait(route.reason), kComeBack };
     if (!mayHold()) {
-        auto why = m_failover.heldBack.empty() ? std::string(describeWait(route.reason)) : "no promotion: " + m_failover.heldBack;
+        auto why = m_state.failover.heldBack.empty() ? std::string(describeWait(route.reason)) : "no promotion: " + m_state.failover.heldBack;
         co_return decisions::Error { route.reason, why, kComeBack * 4 };
     }
     ++m_held;
@@ -226,13 +226,13 @@
 asio::awaitable<Result<Outcome>> GroupController::runWrite(Order order)
 {
     for (;;) {
-        auto route = decisions::routeWrite(m_health, getLoads(), order.mark);
+        auto route = decisions::routeWrite(m_state.health, getLoads(), order.mark);
         if (route.kind != RouteKind::Member) {
             if (auto error = co_await holdWrite(order, route))
                 co_return tl::make_unexpected(*error);
             continue;
         }
-        auto outcome = co_await tryWrite(order, route.member, m_health.term);
+        auto outcome = co_await tryWrite(order, route.member, m_state.health.term);
         if (outcome) {
             m_retryBudget = decisions::earnRetry(m_retryBudget);
             co_return outcome;
@@ -340,13 +340,13 @@
 asio::awaitable<Result<Outcome>> GroupController::runBegin(Order order)
 {
     for (;;) {
-        auto route = decisions::routeWrite(m_health, getLoads(), order.mark);
+        auto route = decisions::routeWrite(m_state.health, getLoads(), order.mark);
         if (route.kind != RouteKind::Member) {
             if (auto error = co_await holdWrite(order, route))
                 co_return tl::make_unexpected(*error);
             continue;
         }
-        auto term = m_health.term;
+        auto term = m_state.health.term;
         auto lease = co_await m_members[route.member].pool->acquire(Lane::Write, order.deadline, true);
         if (!lease)
             co_return tl::make_unexpected(lease.error());
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -33,5 +33,7 @@
 boost::asio::awaitable<int> runConfig(Options options);
 boost::asio::awaitable<int> showStatus(Options options);
 boost::asio::awaitable<int> showTimeline(Options options);
+// Replays a trace; kExitFailed if this version decides otherwise than the one that recorded it.
+int replayFile(const std::string& path);
 
 }
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -1,13 +1,15 @@
-// alderctl status and timeline.
+// alderctl status, timeline and replay.
 #include "base/timeline.h"
 #include "ctl/commands.h"
 #include "ctl/fetch.h"
 #include "decisions/records.h"
+#include "decisions/trace.h"
 #include "links/http.h"
 #include "links/json_fields.h"
 #include <boost/asio/this_coro.hpp>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <fstream>
 
 namespace alderward::ctl {
 
@@ -137,6 +139,28 @@
     co_return hosts.empty() ? kExitFailed : kExitDone;
 }
 
+int replayFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        fmt::print(stderr, "cannot read {}\n", path);
+        return kExitFailed;
+    }
+    std::string text(std::istreambuf_iterator<char>(file), {});
+    auto trace = decisions::parseTrace(text);
+    if (!trace) {
+        fmt::print(stderr, "{}: {}\n", path, trace.error());
+        return kExitBad;
+    }
+    auto replay = decisions::replayTrace(*trace);
+    for (auto& it : replay.actions)
+        fmt::print("{}\n", it);
+    if (replay.difference.empty())
+        return kExitDone;
+    fmt::print(stderr, "this version decides otherwise than the one that recorded the trace: {}\n", replay.difference);
+    return kExitFailed;
+}
+
 asio::awaitable<int> runCommand(Options options)
 {
     auto& command = options.words.front();
@@ -146,6 +170,8 @@
         co_return co_await showStatus(std::move(options));
     if (command == "timeline" && options.words.size() == 1)
         co_return co_await showTimeline(std::move(options));
+    if (command == "replay" && options.words.size() == 2)
+        co_return replayFile(options.words[1]);
     co_return kExitUsage;
 }
 
--- a/src/daemon/operators.cpp
+++ b/src/daemon/operators.cpp
@@ -11,6 +11,8 @@
 using base::milliseconds;
 using links::HttpAnswer;
 
+static constexpr std::string_view kTracePath = "/debug/trace?group=";
+
 static HttpAnswer answerJson(const json::value& body, unsigned status = 200)
 {
     return { status, json::serialize(body) };
@@ -131,6 +133,15 @@
     return answerJson(json::object {});
 }
 
+static HttpAnswer answerTrace(const OperatorServices& services, const std::string& path)
+{
+    auto table = services.groups.getTable().read();
+    auto it = table->find(path.substr(kTracePath.size()));
+    if (it == table->end() || !it->second.controller)
+        return answerJson(json::object { { "error", "this host is no home of such a group" } }, 404);
+    return { 200, it->second.controller->getTrace(), "text/plain" };
+}
+
 HttpAnswer answerOperator(const OperatorServices& services, const links::HttpRequest& request)
 {
     if (request.path == "/healthz") {
@@ -143,6 +154,8 @@
         return answerTimeline();
     if (request.path == "/metrics")
         return { 200, base::formatMetrics(), "text/plain; version=0.0.4" };
+    if (request.path.starts_with(kTracePath))
+        return answerTrace(services, request.path);
     if (request.path == "/debug/cut")
         return setCuts(services, request.body);
     return answerJson(json::object { { "error", "paths are /healthz, /status, /timeline and /metrics" } }, 404);
--- a/src/decisions/failover.cpp
+++ b/src/decisions/failover.cpp
@@ -348,6 +348,7 @@
     if (!event.isDone)
         return endAttempt(step, view, now, "the chosen member refused or did not answer");
     auto primary = *state.chosen;
+    state.promotedTerm = state.term;
     step.actions.emplace_back(Note { "promoted", fmt::format("{} in term {}: {}", view.record.members[primary].name, state.term, state.cause) });
     for (size_t i = 0; i < view.record.members.size(); ++i) {
         if (i != primary)
--- a/src/decisions/failover.h
+++ b/src/decisions/failover.h
@@ -57,6 +57,7 @@
     std::set<size_t> refusals {}; // members that refused or did not answer
     TimePoint majorityAt {}; // when a majority had granted
     std::optional<size_t> chosen {};
+    uint64_t promotedTerm { 0 }; // of the last promotion that this host carried out
     uint64_t highestTerm { 0 }; // largest term heard of in any answer
     std::deque<TimePoint> promotions {}; // automatic ones seen in the last hour, oldest first
     std::string heldBack {}; // why an automatic promotion that is due is not done; empty: none is
@@ -66,7 +67,10 @@
 
 // ---- events ----
 
-struct Tick { }; // the timer, or news about health
+// The timer, or news about health.
+struct Tick {
+    friend bool operator==(const Tick&, const Tick&) = default;
+};
 
 enum class ClaimOutcome { Taken, // the store holds our claim
     Lost, // the store holds another claim for this term or a later one
@@ -76,17 +80,20 @@
     uint64_t term { 0 };
     ClaimOutcome outcome { ClaimOutcome::Unavailable };
     uint64_t storedTerm { 0 };
+    friend bool operator==(const ClaimAnswered&, const ClaimAnswered&) = default;
 };
 
 struct FenceAnswered {
     uint64_t term { 0 };
     size_t member { 0 };
     std::optional<FenceAnswer> answer {}; // empty: no answer
+    friend bool operator==(const FenceAnswered&, const FenceAnswered&) = default;
 };
 
 struct PromoteAnswered {
     uint64_t term { 0 };
     bool isDone { false };
+    friend bool operator==(const PromoteAnswered&, const PromoteAnswered&) = default;
 };
 
 using FailoverEvent = std::variant<Tick, ClaimAnswered, FenceAnswered, PromoteAnswered>;
--- /dev/null
+++ b/src/decisions/group_state.cpp
@@ -0,0 +1,85 @@
+#include "decisions/group_state.h"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace alderward::decisions {
+
+FailoverView getFailoverView(const GroupState& state)
+{
+    return { state.record, state.health, state.isLeaving, state.rank, {} };
+}
+
+static void takeRole(GroupState& state, const RoleChanged& event, TimePoint now)
+{
+    if (!(state.record == event.record)) {
+        bool isFirst = state.record.members.empty();
+        state.health = isFirst ? makeHealth(event.record, now) : changeRecord(state.health, state.record, event.record, now);
+        state.failover.phase = FailoverPhase::Idle;
+        state.failover.grants.clear();
+        state.failover.refusals.clear();
+        state.record = event.record;
+    }
+    state.isLeaving = event.isLeaving;
+    state.rank = event.rank;
+}
+
+static bool isOfNote(const GroupHealth& before, const GroupHealth& after)
+{
+    if (before.primary != after.primary || before.term != after.term)
+        return true;
+    return !std::ranges::equal(before.members, after.members, {}, &MemberHealth::isReachable, &MemberHealth::isReachable);
+}
+
+// Every home sees a new primary in its probes. One that another home promoted counts against the record's bounds here, too.
+static void notePrimary(GroupStep& step, const GroupHealth& before, TimePoint now)
+{
+    auto& state = step.state;
+    auto& health = state.health;
+    if (health.primary && health.term > state.notedTerm) {
+        auto& name = state.record.members[*health.primary].name;
+        step.actions.emplace_back(Note { "primary-seen", fmt::format("{} in term {}", name, health.term) });
+        bool isFirst = state.notedTerm == 0 || before.term == 0;
+        if (!isFirst && health.term != state.failover.promotedTerm)
+            state.failover.promotions.push_back(now);
+        state.notedTerm = health.term;
+    } else if (!health.primary && before.primary)
+        step.actions.emplace_back(Note { "primary-lost", fmt::format("none is known in term {}", health.term) });
+}
+
+static void runFailover(GroupStep& step, const FailoverEvent& event, TimePoint now)
+{
+    auto failover = stepFailover(getFailoverView(step.state), std::move(step.state.failover), event, now);
+    step.state.failover = std::move(failover.state);
+    std::ranges::move(failover.actions, std::back_inserter(step.actions));
+}
+
+static void takeHealth(GroupStep& step, GroupHealth health, TimePoint now)
+{
+    auto before = std::move(step.state.health);
+    step.state.health = std::move(health);
+    step.isOfNote = isOfNote(before, step.state.health);
+    if (step.isOfNote)
+        notePrimary(step, before, now);
+    runFailover(step, Tick {}, now);
+}
+
+GroupStep stepGroup(GroupState state, const GroupEvent& event, TimePoint now)
+{
+    GroupStep step { std::move(state), {}, false };
+    auto& health = step.state.health;
+    if (auto* role = std::get_if<RoleChanged>(&event))
+        takeRole(step.state, *role, now);
+    else if (std::holds_alternative<WorkBegan>(event))
+        health.withoutPrimarySince = now;
+    else if (auto* status = std::get_if<StatusAnswered>(&event))
+        takeHealth(step, takeStatus(health, status->member, status->status, status->askedAt, now), now);
+    else if (auto* glimpse = std::get_if<GlimpseAnswered>(&event))
+        takeHealth(step, takeGlimpse(health, glimpse->member, glimpse->glimpse, glimpse->askedAt, now), now);
+    else if (auto* failure = std::get_if<ProbeFailed>(&event))
+        takeHealth(step, takeFailure(health, failure->member, failure->wasRefused, failure->askedAt), now);
+    else
+        runFailover(step, std::get<FailoverEvent>(event), now);
+    return step;
+}
+
+}
--- /dev/null
+++ b/src/decisions/trace.cpp
@@ -0,0 +1,283 @@
+#include "decisions/trace.h"
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace alderward::decisions {
+
+namespace json = boost::json;
+using std::chrono::microseconds;
+
+TimePoint roundDown(TimePoint time)
+{
+    return std::chrono::floor<microseconds>(time);
+}
+
+// ---- actions ----
+
+static const std::string& getName(const GroupRecord& record, size_t member)
+{
+    static const std::string unknown = "?";
+    return member < record.members.size() ? record.members[member].name : unknown;
+}
+
+std::string formatAction(const FailoverAction& action, const GroupRecord& record)
+{
+    if (auto* claim = std::get_if<WriteClaim>(&action))
+        return fmt::format("claim term {}", claim->term);
+    if (auto* fence = std::get_if<SendFence>(&action))
+        return fmt::format("fence {} in term {}", getName(record, fence->member), fence->term);
+    if (auto* promote = std::get_if<SendPromote>(&action))
+        return fmt::format("promote {} in term {}", getName(record, promote->member), promote->term);
+    if (auto* follow = std::get_if<SendFollow>(&action))
+        return fmt::format("{} follow {} in term {}", getName(record, follow->member), getName(record, follow->primary), follow->term);
+    if (auto* announce = std::get_if<Announce>(&action))
+        return fmt::format("announce {} in term {}", getName(record, announce->primary), announce->term);
+    auto& note = std::get<Note>(action);
+    return fmt::format("note {}: {}", note.kind, note.cause);
+}
+
+// ---- writing ----
+
+static json::object formatRecord(const GroupRecord& record)
+{
+    json::array members;
+    for (auto& it : record.members)
+        members.push_back({ { "name", it.name }, { "address", it.address }, { "dataCentre", it.dataCentre }, { "fence", it.canFence }, { "leaving", it.isLeaving } });
+    json::object reads;
+    for (auto& [name, age] : record.readKinds)
+        reads[name] = { { "maximumAgeMs", age.count() } };
+    json::array hosts(record.hosts.begin(), record.hosts.end());
+    json::object promotion { { "mode", record.promotion.mode == PromotionMode::Off ? "off" : "automatic" }, { "leastIntervalMs", record.promotion.leastInterval.count() }, { "mostPerHour", record.promotion.mostPerHour } };
+    return { { "schema", 2 }, { "members", std::move(members) }, { "hosts", std::move(hosts) }, { "connectionLimit", record.connectionLimit }, { "slots", record.slots }, { "reads", std::move(reads) }, { "acknowledge", record.acknowledge == Acknowledge::Primary ? "primary" : "replicated" }, { "promotion", std::move(promotion) }, { "retired", record.isRetired } };
+}
+
+static json::object formatLog(const LogState& log)
+{
+    json::array history;
+    for (auto& it : log.history)
+        history.push_back(json::array { it.term, it.position });
+    return { { "term", log.term }, { "position", log.position }, { "history", std::move(history) } };
+}
+
+static int64_t getOffset(TimePoint time, TimePoint origin)
+{
+    return std::chrono::duration_cast<microseconds>(time - origin).count();
+}
+
+namespace {
+
+// Writes the fields of one event; the name of the event is field "event".
+struct EventWriter {
+    json::object& line;
+    TimePoint origin;
+
+    void operator()(const RoleChanged& it) const
+    {
+        json::array leaving;
+        for (bool isLeaving : it.isLeaving)
+            leaving.emplace_back(isLeaving);
+        line["event"] = "role";
+        line["group"] = it.record.name;
+        line["record"] = formatRecord(it.record);
+        line["leaving"] = std::move(leaving);
+        line["rank"] = it.rank;
+    }
+    void operator()(const WorkBegan&) const { line["event"] = "began"; }
+    void operator()(const StatusAnswered& it) const
+    {
+        auto& status = it.status;
+        line["event"] = "status";
+        line["member"] = it.member;
+        line["askedUs"] = getOffset(it.askedAt, origin);
+        line["status"] = { { "member", status.member }, { "term", status.term }, { "fencedTerm", status.fencedTerm }, { "primary", status.primary }, { "isPrimary", status.role == Role::Primary }, { "log", formatLog(status.log) }, { "heardAgoMs", status.heardPrimaryAgo.count() }, { "fence", status.canFence } };
+    }
+    void operator()(const GlimpseAnswered& it) const
+    {
+        line["event"] = "glimpse";
+        line["member"] = it.member;
+        line["askedUs"] = getOffset(it.askedAt, origin);
+        line["term"] = it.glimpse.term;
+        line["fencedTerm"] = it.glimpse.fencedTerm;
+        line["logTerm"] = it.glimpse.log.term;
+        line["position"] = it.glimpse.log.position;
+    }
+    void operator()(const ProbeFailed& it) const
+    {
+        line["event"] = "failed";
+        line["member"] = it.member;
+        line["askedUs"] = getOffset(it.askedAt, origin);
+        line["refused"] = it.wasRefused;
+    }
+    void operator()(const FailoverEvent& event) const { std::visit(*this, event); }
+    void operator()(const Tick&) const { line["event"] = "tick"; }
+    void operator()(const ClaimAnswered& it) const
+    {
+        line["event"] = "claim";
+        line["term"] = it.term;
+        line["outcome"] = static_cast<unsigned>(it.outcome);
+        line["storedTerm"] = it.storedTerm;
+    }
+    void operator()(const FenceAnswered& it) const
+    {
+        line["event"] = "fence";
+        line["term"] = it.term;
+        line["member"] = it.member;
+        if (it.answer)
+            line["answer"] = { { "granted", it.answer->isGranted }, { "fencedTerm", it.answer->fencedTerm }, { "log", formatLog(it.answer->log) } };
+    }
+    void operator()(const PromoteAnswered& it) const
+    {
+        line["event"] = "promote";
+        line["term"] = it.term;
+        line["done"] = it.isDone;
+    }
+};
+
+}
+
+std::string formatTraceEntry(const TraceEntry& entry, TimePoint origin)
+{
+    json::object line { { "atUs", getOffset(entry.now, origin) } };
+    std::visit(EventWriter { line, origin }, entry.event);
+    if (!entry.actions.empty())
+        line["actions"] = json::array(entry.actions.begin(), entry.actions.end());
+    return json::serialize(line);
+}
+
+// ---- reading: any fault throws and is reported with its line by parseTrace() ----
+
+static TimePoint readTime(const json::value& value)
+{
+    // Any origin will do, as long as times before it stay above the clock's zero, which means "never".
+    return TimePoint {} + std::chrono::hours(1) + microseconds(value.to_number<int64_t>());
+}
+
+static std::string readText(const json::value& value)
+{
+    return std::string(value.as_string());
+}
+
+static LogState readLog(const json::value& value)
+{
+    LogState log { value.at("term").to_number<uint64_t>(), value.at("position").to_number<uint64_t>(), {} };
+    for (auto& it : value.at("history").as_array())
+        log.history.push_back({ it.at(0).to_number<uint64_t>(), it.at(1).to_number<uint64_t>() });
+    return log;
+}
+
+static RoleChanged readRole(const json::object& line)
+{
+    auto record = parseGroupRecord(readText(line.at("group")), json::serialize(line.at("record")));
+    if (!record)
+        throw std::runtime_error(formatProblem(record.error()));
+    RoleChanged event { std::move(*record), {}, line.at("rank").to_number<size_t>() };
+    for (auto& it : line.at("leaving").as_array())
+        event.isLeaving.push_back(it.as_bool());
+    return event;
+}
+
+static StatusAnswered readStatus(const json::object& line)
+{
+    auto& object = line.at("status");
+    MemberStatus status;
+    status.member = readText(object.at("member"));
+    status.term = object.at("term").to_number<uint64_t>();
+    status.fencedTerm = object.at("fencedTerm").to_number<uint64_t>();
+    status.role = object.at("isPrimary").as_bool() ? Role::Primary : Role::Replica;
+    status.log = readLog(object.at("log"));
+    status.primary = readText(object.at("primary"));
+    status.heardPrimaryAgo = milliseconds(object.at("heardAgoMs").to_number<int64_t>());
+    status.canFence = object.at("fence").as_bool();
+    return { line.at("member").to_number<size_t>(), std::move(status), readTime(line.at("askedUs")) };
+}
+
+static GlimpseAnswered readGlimpse(const json::object& line)
+{
+    MemberGlimpse glimpse { line.at("term").to_number<uint64_t>(), line.at("fencedTerm").to_number<uint64_t>(), { line.at("logTerm").to_number<uint64_t>(), line.at("position").to_number<uint64_t>() } };
+    return { line.at("member").to_number<size_t>(), glimpse, readTime(line.at("askedUs")) };
+}
+
+static FenceAnswered readFence(const json::object& line)
+{
+    FenceAnswered event { line.at("term").to_number<uint64_t>(), line.at("member").to_number<size_t>(), {} };
+    if (auto* answer = line.if_contains("answer"))
+        event.answer = FenceAnswer { answer->at("granted").as_bool(), answer->at("fencedTerm").to_number<uint64_t>(), readLog(answer->at("log")) };
+    return event;
+}
+
+static GroupEvent readEvent(const json::object& line)
+{
+    auto name = readText(line.at("event"));
+    if (name == "role")
+        return readRole(line);
+    if (name == "began")
+        return WorkBegan {};
+    if (name == "status")
+        return readStatus(line);
+    if (name == "glimpse")
+        return readGlimpse(line);
+    if (name == "failed")
+        return ProbeFailed { line.at("member").to_number<size_t>(), line.at("refused").as_bool(), readTime(line.at("askedUs")) };
+    if (name == "tick")
+        return FailoverEvent { Tick {} };
+    if (name == "claim")
+        return FailoverEvent { ClaimAnswered { line.at("term").to_number<uint64_t>(), static_cast<ClaimOutcome>(line.at("outcome").to_number<unsigned>()), line.at("storedTerm").to_number<uint64_t>() } };
+    if (name == "fence")
+        return FailoverEvent { readFence(line) };
+    if (name == "promote")
+        return FailoverEvent { PromoteAnswered { line.at("term").to_number<uint64_t>(), line.at("done").as_bool() } };
+    throw std::runtime_error("no event is called " + name);
+}
+
+static TraceEntry readEntry(const std::string& text)
+{
+    auto value = json::parse(text);
+    auto& line = value.as_object();
+    TraceEntry entry { readTime(line.at("atUs")), readEvent(line), {} };
+    if (auto* actions = line.if_contains("actions")) {
+        for (auto& it : actions->as_array())
+            entry.actions.push_back(readText(it));
+    }
+    return entry;
+}
+
+tl::expected<std::vector<TraceEntry>, std::string> parseTrace(const std::string& text)
+{
+    std::vector<TraceEntry> entries;
+    size_t number = 0;
+    for (size_t at = 0; at < text.size();) {
+        auto end = std::min(text.find('\n', at), text.size());
+        auto line = text.substr(at, end - at);
+        at = end + 1;
+        ++number;
+        if (line.empty())
+            continue;
+        try {
+            entries.push_back(readEntry(line));
+        } catch (const std::exception& error) {
+            return tl::make_unexpected(fmt::format("line {}: {}", number, error.what()));
+        }
+    }
+    return entries;
+}
+
+// ---- replay ----
+
+Replay replayTrace(const std::vector<TraceEntry>& entries)
+{
+    Replay replay;
+    for (size_t i = 0; i < entries.size(); ++i) {
+        auto step = stepGroup(std::move(replay.state), entries[i].event, entries[i].now);
+        replay.state = std::move(step.state);
+        std::vector<std::string> actions;
+        for (auto& it : step.actions)
+            actions.push_back(formatAction(it, replay.state.record));
+        if (replay.difference.empty() && actions != entries[i].actions)
+            replay.difference = fmt::format("entry {}: recorded [{}], now [{}]", i + 1, fmt::join(entries[i].actions, "; "), fmt::join(actions, "; "));
+        std::ranges::move(actions, std::back_inserter(replay.actions));
+    }
+    return replay;
+}
+
+}
--- /dev/null
+++ b/tests/unit/trace_test.cpp
@@ -0,0 +1,117 @@
+// Recorded traces against stated outcomes: what each fault must lead to, whoever changes the decisions later.
+#include "decisions/trace.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+
+using namespace alderward::decisions;
+
+namespace {
+
+std::vector<TraceEntry> readTrace(const std::string& name)
+{
+    std::ifstream file(std::string(ALDERWARD_SOURCE_DIR) + "/tests/traces/" + name + ".jsonl");
+    std::string text(std::istreambuf_iterator<char>(file), {});
+    auto trace = parseTrace(text);
+    BOOST_REQUIRE_MESSAGE(trace.has_value(), (trace ? std::string() : trace.error()));
+    BOOST_REQUIRE(!trace->empty());
+    return *trace;
+}
+
+size_t countActions(const Replay& replay, const std::string& beginning)
+{
+    return static_cast<size_t>(std::ranges::count_if(replay.actions, [&](const std::string& it) { return it.starts_with(beginning); }));
+}
+
+std::string getPrimary(const Replay& replay)
+{
+    auto& health = replay.state.health;
+    return health.primary ? replay.state.record.members[*health.primary].name : std::string();
+}
+
+// One promotion in term 2 by a fenced majority, begun once, for the stated cause.
+void checkPromotion(const Replay& replay, const std::string& cause)
+{
+    BOOST_TEST(replay.difference == "");
+    BOOST_TEST(countActions(replay, "promote ") == 1u);
+    BOOST_TEST(countActions(replay, "note promotion-began: term 2: " + cause) == 1u);
+    BOOST_TEST(countActions(replay, "fence ") == 3u);
+    BOOST_TEST(countActions(replay, "announce ") == 1u);
+    BOOST_TEST(getPrimary(replay) != "orders-a");
+    BOOST_TEST(getPrimary(replay) != "");
+    BOOST_TEST(replay.state.health.term == 2u);
+    BOOST_TEST((replay.state.failover.phase == FailoverPhase::Idle));
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(trace)
+
+BOOST_AUTO_TEST_CASE(killed_primary_is_replaced_once)
+{
+    auto replay = replayTrace(readTrace("killed"));
+    checkPromotion(replay, "primary orders-a refuses connections");
+    BOOST_TEST(replay.state.failover.promotions.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(frozen_primary_is_replaced_once_and_follows_when_it_wakes)
+{
+    auto replay = replayTrace(readTrace("frozen"));
+    checkPromotion(replay, "primary orders-a does not answer");
+    BOOST_TEST(countActions(replay, "note primary-seen: orders-a in term 1") == 1u);
+}
+
+// The leaving primary alone is fenced first, and the two others only when one of them has caught up.
+BOOST_AUTO_TEST_CASE(leaving_primary_is_handed_over_and_counts_against_no_bound)
+{
+    auto replay = replayTrace(readTrace("leaving"));
+    checkPromotion(replay, "primary orders-a is leaving");
+    auto first = std::ranges::find_if(replay.actions, [](const std::string& it) { return it.starts_with("fence "); });
+    BOOST_TEST(*first == "fence orders-a in term 2");
+    BOOST_TEST(replay.state.failover.promotions.empty());
+}
+
+BOOST_AUTO_TEST_CASE(slow_and_lagging_members_lead_to_nothing)
+{
+    auto replay = replayTrace(readTrace("slow"));
+    BOOST_TEST(replay.difference == "");
+    BOOST_TEST(replay.actions == std::vector<std::string> { "note primary-seen: orders-a in term 1" }, boost::test_tools::per_element());
+}
+
+// A trace is held to what was recorded: with one event less, or another answer, the replay says where it differs.
+BOOST_AUTO_TEST_CASE(changed_trace_is_found_out)
+{
+    auto trace = readTrace("killed");
+    auto fence = std::ranges::find_if(trace, [](const TraceEntry& it) {
+        auto* event = std::get_if<FailoverEvent>(&it.event);
+        return event && std::holds_alternative<FenceAnswered>(*event);
+    });
+    BOOST_REQUIRE((fence != trace.end()));
+    auto without = trace;
+    for (auto& it : without) {
+        if (auto* event = std::get_if<FailoverEvent>(&it.event); event && std::holds_alternative<FenceAnswered>(*event))
+            std::get<FenceAnswered>(*event).answer.reset();
+    }
+    BOOST_TEST(replayTrace(without).difference.starts_with("entry "));
+}
+
+BOOST_AUTO_TEST_CASE(entries_come_back_as_they_went)
+{
+    for (auto* name : { "killed", "frozen", "leaving", "slow" }) {
+        auto trace = readTrace(name);
+        std::string text;
+        for (auto& it : trace)
+            text += formatTraceEntry(it, trace.front().now) + "\n";
+        auto again = parseTrace(text);
+        BOOST_REQUIRE(again.has_value());
+        BOOST_TEST((*again == trace));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(bad_line_is_named)
+{
+    BOOST_TEST(parseTrace("{\"atUs\":1,\"event\":\"tick\"}\n{\"atUs\":2,\"event\":\"wish\"}\n").error() == "line 2: no event is called wish");
+    BOOST_TEST(parseTrace("{\"atUs\":1,\"event\":\"tick\"}\n\nnonsense\n").error().starts_with("line 3: "));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
