Callers that were refused together come back apart

No storm of retries, but 60 requests in every second second and none between. Cause: times to come back that are not the queue's were constants (500 or 2,000 ms), so that callers refused in one moment returned in one moment; after the outage the first second served 224 of 494.

Change: such a time is spread over half to one and a half of itself where the reply is made, once; relays pass a reply on as it is. The queue's own times were spread already and stay as they are.

Ruled out: retries inside alderward (44 in the second of the fault, none later, both times).

Run: unit tests, process tests failover, callers and hosts.

--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -1,5 +1,6 @@
 // What callers asked for: reads, writes, settlements and transactions, on the group's strand.
 #include "base/metrics.h"
+#include "base/random.h"
 #include "base/timeline.h"
 #include "controllers/group.h"
 #include <algorithm>
@@ -327,7 +328,7 @@
     case links::RefusalKind::KeyClosed:
         return fail(ErrorKind::KeyClosed, "the request key was settled as not run");
     case links::RefusalKind::Connections:
-        return fail(ErrorKind::Overloaded, "the member takes no more connections", kComeBack);
+        return fail(ErrorKind::Overloaded, "the member takes no more connections", decisions::spreadRetryAfter(kComeBack, base::getRandom()));
     case links::RefusalKind::Transaction:
         return fail(ErrorKind::TransactionUnknown, refusal.message);
     default:
--- a/src/controllers/pool.cpp
+++ b/src/controllers/pool.cpp
@@ -1,8 +1,8 @@
 #include "controllers/pool.h"
 #include "base/metrics.h"
+#include "base/random.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 
 namespace alderward::controllers {
 
@@ -16,12 +16,6 @@
 static constexpr double kSmoothing = 0.1;
 static constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
 
-static double getRandom()
-{
-    thread_local std::mt19937 engine { std::random_device {}() };
-    return std::uniform_real_distribution<double>(0, 1)(engine);
-}
-
 // ---- lease ----
 
 Lease& Lease::operator=(Lease&& other) noexcept
@@ -130,7 +124,7 @@
     auto state = getQueueState();
     auto remaining = std::chrono::duration_cast<milliseconds>(deadline - began);
     if (!decisions::isAdmitted(state, remaining) || getWaiting() >= m_limits.queueLimit)
-        co_return fail(ErrorKind::Overloaded, "the queue for this member is longer than the deadline allows", decisions::getRetryAfter(state, getRandom()));
+        co_return fail(ErrorKind::Overloaded, "the queue for this member is longer than the deadline allows", decisions::getRetryAfter(state, base::getRandom()));
     auto waiter = std::make_shared<Waiter>(m_executor);
     waiter->isTransaction = isTransaction;
     waiter->timer.expires_at(deadline);
@@ -141,7 +135,7 @@
         co_return co_await take(std::move(waiter->link), deadline, isTransaction);
     std::erase(queue, waiter);
     if (Clock::now() >= deadline)
-        co_return fail(ErrorKind::Overloaded, "no connection to the member became free in time", decisions::getRetryAfter(getQueueState(), getRandom()));
+        co_return fail(ErrorKind::Overloaded, "no connection to the member became free in time", decisions::getRetryAfter(getQueueState(), base::getRandom()));
     co_return fail(ErrorKind::NoPrimary, "the member is gone");
 }
 
@@ -165,7 +159,7 @@
     auto remaining = std::chrono::duration_cast<milliseconds>(deadline - Clock::now());
     if (!decisions::isWorthSending(getQueueState(), remaining)) {
         putBack(std::move(link), isTransaction);
-        co_return fail(ErrorKind::Overloaded, "too little of the deadline is left to run it", decisions::getRetryAfter(getQueueState(), getRandom()));
+        co_return fail(ErrorKind::Overloaded, "too little of the deadline is left to run it", decisions::getRetryAfter(getQueueState(), base::getRandom()));
     }
     bool isNew = !link || !link->isOpen();
     if (isNew)
@@ -195,7 +189,7 @@
         co_return fail(ErrorKind::NoPrimary, "the member does not answer");
     base::count(base::Counter::ConnectionsRefused);
     m_noNewBefore = Clock::now() + kRefusedPause;
-    co_return fail(ErrorKind::Overloaded, "the member takes no more connections", decisions::getRetryAfter(getQueueState(), getRandom()));
+    co_return fail(ErrorKind::Overloaded, "the member takes no more connections", decisions::getRetryAfter(getQueueState(), base::getRandom()));
 }
 
 void Pool::giveBack(std::unique_ptr<links::HttpConnection> link, bool holdsSlot, bool isTransaction)
--- a/src/decisions/limits.cpp
+++ b/src/decisions/limits.cpp
@@ -49,6 +49,11 @@
     return milliseconds(static_cast<int64_t>(std::clamp(wait * (0.5 + random) + kLeastRetryMs * (1 + random), kLeastRetryMs, kMostRetryMs)));
 }
 
+milliseconds spreadRetryAfter(milliseconds mean, double random)
+{
+    return milliseconds(static_cast<int64_t>(std::ceil(static_cast<double>(mean.count()) * (0.5 + random))));
+}
+
 RetryBudget earnRetry(RetryBudget budget)
 {
     budget.tokens = std::min(kRetryMost, budget.tokens + kRetryShare);
--- a/src/decisions/limits.h
+++ b/src/decisions/limits.h
@@ -45,6 +45,10 @@
 // return together.
 milliseconds getRetryAfter(const QueueState& queue, double random);
 
+// A time to come back that is not the queue's, spread over half to one and a half of itself by `random` in [0, 1): callers
+// that were refused in one moment would return in one moment. 0 stays 0.
+milliseconds spreadRetryAfter(milliseconds mean, double random);
+
 // ---- retry budget ----
 
 // Retries as a share of recent successes.
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -1,4 +1,5 @@
 #include "base/metrics.h"
+#include "base/random.h"
 #include "base/timeline.h"
 #include "filters/request.h"
 #include <fmt/format.h>
@@ -22,13 +23,20 @@
 
 // ---- replies ----
 
+// The queue's own times are spread where they are made; all others are here, once: relays pass the reply on as it is.
+static milliseconds getRetryAfter(const Error& error)
+{
+    return error.kind == ErrorKind::Overloaded ? error.retryAfter : decisions::spreadRetryAfter(error.retryAfter, base::getRandom());
+}
+
 Reply replyWithError(const Error& error, const std::string& session)
 {
     auto& row = decisions::getErrorRow(error.kind);
+    auto retryAfter = getRetryAfter(error);
     base::count(row.ran == decisions::Ran::Unknown ? base::Counter::RequestsUnknown : base::Counter::RequestsRefused);
-    json::object body { { "kind", row.name }, { "ran", decisions::getRanName(row.ran) }, { "retryAfterMs", error.retryAfter.count() }, { "message", error.message } };
+    json::object body { { "kind", row.name }, { "ran", decisions::getRanName(row.ran) }, { "retryAfterMs", retryAfter.count() }, { "message", error.message } };
     json::object answer { { "error", std::move(body) }, { "session", session } };
-    return { row.status, json::serialize(answer), error.retryAfter };
+    return { row.status, json::serialize(answer), retryAfter };
 }
 
 // A session that lost writes goes on from what the group holds now, once it has been told.
--- a/tests/unit/hosts_test.cpp
+++ b/tests/unit/hosts_test.cpp
@@ -294,6 +294,15 @@
     BOOST_TEST((getRetryAfter({ 1000, 4.0, 2 }, 0.5) > getRetryAfter(queue, 0.5)));
 }
 
+BOOST_AUTO_TEST_CASE(callers_refused_together_come_back_apart)
+{
+    BOOST_TEST(spreadRetryAfter(milliseconds(2000), 0).count() == 1000);
+    BOOST_TEST(spreadRetryAfter(milliseconds(2000), 0.5).count() == 2000);
+    BOOST_TEST(spreadRetryAfter(milliseconds(2000), 0.999).count() == 2998);
+    BOOST_TEST(spreadRetryAfter(milliseconds(0), 0.7).count() == 0);
+    BOOST_TEST(spreadRetryAfter(milliseconds(1), 0).count() == 1); // never "at once"
+}
+
 BOOST_AUTO_TEST_CASE(retries_are_a_share_of_successes)
 {
     RetryBudget budget;
