Hosts that differ tell each other the parts that differ, not everything

Cause: docs/CAPACITY.md had full versions after a digest differed as the second thing to break: 0.36 MB each time at the target's size, 1.1 KB/s a host of the 3 KB/s allowed. synchronise() sent all hosts and all versions, and got all of them back.

Change: digests of 64 parts of the keys and of the host names first, then the versions and hosts of the parts that differ, then the bodies that either side lacks, named by key.

Run: unit tests (one_key_differs_in_one_bucket_only is new), process tests hosts, configuration and drain.

--- a/src/controllers/configuration.cpp
+++ b/src/controllers/configuration.cpp
@@ -44,11 +44,19 @@
     return body;
 }
 
-std::vector<peer::RecordVersion> ConfigurationController::getVersions() const
+decisions::BucketDigests ConfigurationController::getBucketDigests() const
+{
+    std::lock_guard lock(m_mutex);
+    return decisions::getBucketDigests(m_values);
+}
+
+std::vector<peer::RecordVersion> ConfigurationController::getVersions(const decisions::BucketMask& buckets) const
 {
     std::lock_guard lock(m_mutex);
     std::vector<peer::RecordVersion> versions;
     for (auto& [key, value] : m_values) {
+        if (!buckets[decisions::getBucket(key)])
+            continue;
         peer::RecordVersion it;
         it.set_key(key);
         it.set_version(value.version);
@@ -57,24 +65,64 @@
     return versions;
 }
 
-std::vector<peer::RecordBody> ConfigurationController::getNewerBodies(const std::vector<peer::RecordVersion>& versions, size_t limit) const
+namespace {
+
+// Collects bodies up to a number of bytes; the first one always fits.
+struct BodyList {
+    size_t limit { 0 };
+    size_t size { 0 };
+    std::vector<peer::RecordBody> bodies {};
+
+    bool tryAdd(const std::string& key, const decisions::VersionedValue& value)
+    {
+        if (size > 0 && size + value.value.size() > limit)
+            return false;
+        size += value.value.size();
+        bodies.push_back(makeBody(key, value));
+        return true;
+    }
+};
+
+}
+
+std::vector<peer::RecordBody> ConfigurationController::getNewerBodies(const std::vector<peer::RecordVersion>& versions, const decisions::BucketMask& buckets, size_t limit) const
 {
     std::map<std::string, uint64_t> theirs;
     for (auto& it : versions)
         theirs[it.key()] = it.version();
-    std::vector<peer::RecordBody> bodies;
-    size_t n = 0;
+    BodyList list { limit };
     std::lock_guard lock(m_mutex);
     for (auto& [key, value] : m_values) {
         auto it = theirs.find(key);
-        if (it != theirs.end() && it->second >= value.version)
-            continue;
-        if (n > 0 && n + value.value.size() > limit)
+        bool isNewer = buckets[decisions::getBucket(key)] && (it == theirs.end() || it->second < value.version);
+        if (isNewer && !list.tryAdd(key, value))
             break;
-        n += value.value.size();
-        bodies.push_back(makeBody(key, value));
     }
-    return bodies;
+    return std::move(list.bodies);
+}
+
+std::vector<peer::RecordBody> ConfigurationController::getBodies(const std::vector<std::string>& keys, size_t limit) const
+{
+    BodyList list { limit };
+    std::lock_guard lock(m_mutex);
+    for (auto& key : keys) {
+        auto it = m_values.find(key);
+        if (it != m_values.end() && !list.tryAdd(key, it->second))
+            break;
+    }
+    return std::move(list.bodies);
+}
+
+std::vector<std::string> ConfigurationController::getLacking(const std::vector<peer::RecordVersion>& versions) const
+{
+    std::vector<std::string> keys;
+    std::lock_guard lock(m_mutex);
+    for (auto& it : versions) {
+        auto mine = m_values.find(it.key());
+        if (mine == m_values.end() || mine->second.version < it.version())
+            keys.push_back(it.key());
+    }
+    return keys;
 }
 
 void ConfigurationController::takeBodies(const std::vector<peer::RecordBody>& bodies)
--- a/src/controllers/configuration.h
+++ b/src/controllers/configuration.h
@@ -49,9 +49,15 @@
 
     // ---- exchange with peers; any thread ----
     uint64_t getDigest() const { return m_digest.load(); }
-    std::vector<peer::RecordVersion> getVersions() const;
-    // Bodies of what we know newer than `versions`, at most `limit` bytes; a key that they lack counts as version 0.
-    std::vector<peer::RecordBody> getNewerBodies(const std::vector<peer::RecordVersion>& versions, size_t limit) const;
+    decisions::BucketDigests getBucketDigests() const;
+    std::vector<peer::RecordVersion> getVersions(const decisions::BucketMask& buckets) const;
+    // Bodies in these buckets of what we know newer than `versions`, at most `limit` bytes; a key that they lack counts as
+    // version 0.
+    std::vector<peer::RecordBody> getNewerBodies(const std::vector<peer::RecordVersion>& versions, const decisions::BucketMask& buckets, size_t limit) const;
+    // Bodies of these keys, at most `limit` bytes.
+    std::vector<peer::RecordBody> getBodies(const std::vector<std::string>& keys, size_t limit) const;
+    // Keys that a peer knows in a newer version.
+    std::vector<std::string> getLacking(const std::vector<peer::RecordVersion>& versions) const;
     void takeBodies(const std::vector<peer::RecordBody>& bodies);
 
 private:
--- a/src/controllers/hosts.cpp
+++ b/src/controllers/hosts.cpp
@@ -23,6 +23,11 @@
 static constexpr size_t kPushPartners = 4; // hosts that a new record is passed on to at once
 static constexpr size_t kPushBytes = 64 * 1024; // more than this is left to the exchanges
 static constexpr uint64_t kRoundsPerRevival = 10; // a dead host is tried again every so many rounds
+static constexpr decisions::BucketMask kAllBuckets = [] {
+    decisions::BucketMask all {};
+    all.fill(true);
+    return all;
+}();
 static constexpr size_t kLeavingTold = 4; // peers told at once of our leaving
 
 static peer::HostNews toMessage(const HostNews& news)
@@ -55,6 +60,11 @@
     return std::vector<std::decay_t<decltype(*messages.begin())>>(messages.begin(), messages.end());
 }
 
+static std::span<const uint64_t> toSpan(const google::protobuf::RepeatedField<uint64_t>& field)
+{
+    return { field.data(), static_cast<size_t>(field.size()) };
+}
+
 static HostNews describeSelf(const base::Settings& settings, uint64_t incarnation)
 {
     return { settings.name, incarnation, HostState::Alive, settings.dataCentre, settings.peerAddress, settings.callerAddress, settings.operatorAddress };
@@ -133,8 +143,6 @@
     base::count(base::Counter::ExchangeBytes, message.ByteSizeLong());
     for (auto& it : message.hosts())
         base::count(base::Counter::ExchangeHostBytes, it.ByteSizeLong());
-    for (auto& it : message.versions())
-        base::count(base::Counter::ExchangeRecordBytes, it.ByteSizeLong());
     for (auto& it : message.bodies())
         base::count(base::Counter::ExchangeRecordBytes, it.ByteSizeLong());
 }
@@ -152,6 +160,10 @@
     auto reply = co_await m_node.peers.exchange(name, address, std::move(request), limit);
     if (reply)
         countBytes(*reply);
+    if (reply) {
+        for (auto& it : reply->versions())
+            base::count(base::Counter::ExchangeRecordBytes, it.ByteSizeLong());
+    }
     co_return reply;
 }
 
@@ -221,26 +233,48 @@
     m_configuration.takeBodies(toVector(reply.bodies()));
 }
 
-// Sends all that we know by version, takes in what we lack, then sends what they lack.
+static void addHosts(auto& message, const decisions::Membership& membership, const decisions::BucketMask& buckets)
+{
+    message.clear_hosts();
+    for (auto& [name, known] : membership.hosts) {
+        if (buckets[decisions::getBucket(name)])
+            *message.add_hosts() = toMessage(known.news);
+    }
+}
+
+// Adds the digests by parts of what this host knows.
+void HostsController::addBuckets(auto& message) const
+{
+    for (auto it : decisions::getBucketDigests(m_membership))
+        message.add_host_buckets(it);
+    for (auto it : m_configuration.getBucketDigests())
+        message.add_record_buckets(it);
+}
+
+// Two exchanges: the first finds the parts that differ and brings the other's side of them, the second brings ours, and the
+// bodies that either lacks. So a difference in a few keys costs a few KB, whatever the number of records and hosts.
 asio::awaitable<void> HostsController::synchronise(std::string name)
 {
-    auto request = makeRequest();
-    request.clear_hosts();
-    for (auto& [known, host] : m_membership.hosts)
-        *request.add_hosts() = toMessage(host.news);
-    for (auto& it : m_configuration.getVersions())
-        *request.add_versions() = it;
-    auto reply = co_await send(name, std::move(request), kExchangeTimeout * 2);
+    auto question = makeRequest();
+    addBuckets(question);
+    auto reply = co_await send(name, std::move(question), kExchangeTimeout * 2);
     if (!reply)
         co_return;
+    auto hostBuckets = decisions::getDifferences(decisions::getBucketDigests(m_membership), toSpan(reply->host_buckets()));
+    auto recordBuckets = decisions::getDifferences(m_configuration.getBucketDigests(), toSpan(reply->record_buckets()));
     takeReply(*reply, name);
-    auto bodies = m_configuration.getNewerBodies(toVector(reply->versions()), kBodyBytes);
-    if (bodies.empty() || reply->versions().empty())
-        co_return;
     auto answer = makeRequest();
-    for (auto& it : bodies)
+    addHosts(answer, m_membership, hostBuckets);
+    auto versions = toVector(reply->versions());
+    for (auto& it : m_configuration.getLacking(versions))
+        answer.add_wanted(it);
+    for (auto& it : m_configuration.getNewerBodies(versions, recordBuckets, kBodyBytes))
         *answer.add_bodies() = it;
-    co_await send(name, std::move(answer), kExchangeTimeout * 2);
+    if (answer.hosts().empty() && answer.wanted().empty() && answer.bodies().empty())
+        co_return;
+    auto last = co_await send(name, std::move(answer), kExchangeTimeout * 2);
+    if (last)
+        takeReply(*last, name);
 }
 
 asio::awaitable<void> HostsController::probeThroughOthers(std::string name)
@@ -293,24 +327,21 @@
     auto mine = decisions::getDigest(m_membership);
     reply.set_hosts_digest(mine);
     reply.set_records_digest(m_configuration.getDigest());
-    bool isSynchronising = !request.versions().empty() || request.hosts_size() > static_cast<int>(m_timings.newsPerExchange);
-    if (isSynchronising && mine != request.hosts_digest()) {
-        for (auto& [name, host] : m_membership.hosts)
-            *reply.add_hosts() = toMessage(host.news);
+    bool isSynchronising = !request.record_buckets().empty();
+    if (isSynchronising) {
+        addBuckets(reply);
+        addHosts(reply, m_membership, decisions::getDifferences(decisions::getBucketDigests(m_membership), toSpan(request.host_buckets())));
+        for (auto& it : m_configuration.getVersions(decisions::getDifferences(m_configuration.getBucketDigests(), toSpan(request.record_buckets()))))
+            *reply.add_versions() = it;
     } else {
         for (auto& it : decisions::takeNewsToTell(m_membership, m_timings))
             *reply.add_hosts() = toMessage(it);
     }
-    if (!request.versions().empty() || (isSynchronising && request.records_digest() == 0)) {
-        for (auto& it : m_configuration.getVersions())
-            *reply.add_versions() = it;
-        for (auto& it : m_configuration.getNewerBodies(toVector(request.versions()), kBodyBytes))
-            *reply.add_bodies() = it;
-    } else if (request.records_digest() == 0 && m_configuration.getDigest() != 0) {
-        // The sender is new and knows nothing: it gets everything with its first exchange.
-        for (auto& it : m_configuration.getNewerBodies({}, kBodyBytes))
-            *reply.add_bodies() = it;
-    }
+    // A sender that is new and knows nothing gets everything with its first exchange.
+    bool isNew = !isSynchronising && request.records_digest() == 0 && m_configuration.getDigest() != 0;
+    auto bodies = isNew ? m_configuration.getNewerBodies({}, kAllBuckets, kBodyBytes) : m_configuration.getBodies(toVector(request.wanted()), kBodyBytes);
+    for (auto& it : bodies)
+        *reply.add_bodies() = it;
     co_return reply;
 }
 
--- a/src/controllers/hosts.h
+++ b/src/controllers/hosts.h
@@ -47,6 +47,7 @@
     boost::asio::awaitable<void> exchangeWith(std::string name);
     boost::asio::awaitable<void> probeThroughOthers(std::string name);
     peer::ExchangeRequest makeRequest();
+    void addBuckets(auto& message) const;
     void takeReply(const peer::ExchangeReply& reply, const std::string& from);
     boost::asio::awaitable<void> synchronise(std::string name);
     void takeNews(const std::vector<decisions::HostNews>& news, const std::string& from);
--- a/src/decisions/hashing.cpp
+++ b/src/decisions/hashing.cpp
@@ -8,4 +8,17 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+size_t getBucket(std::string_view key)
+{
+    return getHash(key) % kBuckets;
+}
+
+BucketMask getDifferences(const BucketDigests& mine, std::span<const uint64_t> theirs)
+{
+    BucketMask mask {};
+    for (size_t i = 0; i < kBuckets; ++i)
+        mask[i] = theirs.size() != kBuckets || theirs[i] != mine[i];
+    return mask;
+}
+
 }
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -168,6 +168,14 @@
     return membership.digest;
 }
 
+BucketDigests getBucketDigests(const Membership& membership)
+{
+    BucketDigests digests {};
+    for (auto& [name, known] : membership.hosts)
+        digests[getBucket(name)] ^= getShare(known.news);
+    return digests;
+}
+
 std::vector<PlacedHost> getLiveHosts(const Membership& membership)
 {
     std::vector<PlacedHost> live;
--- a/src/decisions/membership.h
+++ b/src/decisions/membership.h
@@ -77,6 +77,8 @@
 // One number that is equal for equal views (name, incarnation, state) of the hosts that are not dead. Hosts forget dead
 // ones at different times.
 uint64_t getDigest(const Membership& membership);
+// The same by parts of the names.
+BucketDigests getBucketDigests(const Membership& membership);
 
 // Hosts that may be homes: alive or only suspect. Leaving and dead ones are not.
 std::vector<PlacedHost> getLiveHosts(const Membership& membership);
--- a/src/decisions/records.cpp
+++ b/src/decisions/records.cpp
@@ -1,5 +1,4 @@
 #include "decisions/records.h"
-#include "decisions/hashing.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -353,11 +352,19 @@
 uint64_t getDigest(const ValueMap& values)
 {
     uint64_t digest = 0;
-    for (auto& [key, value] : values)
-        digest ^= getHash(fmt::format("{}\n{}", key, value.version));
+    for (auto it : getBucketDigests(values))
+        digest ^= it;
     return digest;
 }
 
+BucketDigests getBucketDigests(const ValueMap& values)
+{
+    BucketDigests digests {};
+    for (auto& [key, value] : values)
+        digests[getBucket(key)] ^= getHash(fmt::format("{}\n{}", key, value.version));
+    return digests;
+}
+
 tl::expected<PlatformHost, RecordProblem> parsePlatformHost(const std::string& name, const std::string& text)
 {
     auto value = parseJson(text);
--- a/src/decisions/records.h
+++ b/src/decisions/records.h
@@ -2,6 +2,7 @@
 // The store keeps an envelope around each record, so that changes carry an id and a short history.
 #pragma once
 #include "decisions/errors.h"
+#include "decisions/hashing.h"
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -103,6 +104,8 @@
 
 // One number that is equal for equal (key, version) sets, whatever their order.
 uint64_t getDigest(const ValueMap& values);
+// The same by parts of the keys.
+BucketDigests getBucketDigests(const ValueMap& values);
 
 // The platform's entry for one host or target, as far as we read it.
 struct PlatformHost {
--- a/tests/bench/bench.cpp
+++ b/tests/bench/bench.cpp
@@ -1,5 +1,5 @@
 // Measurements: each command starts a system of stand-ins and hosts, loads it for a bounded time and prints figures.
-// Run one by name: bench throughput | memory | reads | gap | records | control | groups | placement | overload | storm | fairness | homes | quiet. See docs/MEASUREMENTS.md.
+// Run one by name: bench throughput | memory | reads | gap | records | control | groups | placement | overload | sync | storm | fairness | homes | quiet. See docs/MEASUREMENTS.md.
 #include "bench/load.h"
 #include "decisions/placement.h"
 #include <algorithm>
@@ -508,6 +508,51 @@
     }
 }
 
+// ---- a host that missed one change ----
+
+// Retired records cost nothing but their place in the configuration.
+void putRecords(Cluster& cluster, unsigned count, unsigned version)
+{
+    Client platform(cluster.getPlatformAddress());
+    for (unsigned i = 0; i < count; ++i) {
+        auto record = fmt::format(R"({{"schema":2,"members":[{{"name":"m","address":"127.0.0.1:9","dataCentre":"x"}}],"slots":{},"retired":true}})", version);
+        auto value = alderward::decisions::formatEnvelope({ record, {} });
+        platform.post("/admin/put", { { "key", fmt::format("alderward/groups/filler{}", i) }, { "value", value } });
+    }
+}
+
+// Bytes that the fleet exchanges until a host that was cut off during one change has it.
+void measureSync()
+{
+    fmt::print("9 hosts; one is cut off for 1.5 s while one record of many changes; all bytes of exchanges in the 6 s after that\n");
+    fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10}\n", "records", "of records", "of hosts", "in all", "quiet");
+    for (unsigned count : { 100U, 1000U, 3000U }) {
+        Cluster cluster(getSahyogShape(9));
+        cluster.beginAll();
+        putRecords(cluster, count, 1);
+        std::this_thread::sleep_for(milliseconds(12000));
+        auto quietBefore = readControl(cluster);
+        std::this_thread::sleep_for(milliseconds(6000));
+        auto quietAfter = readControl(cluster);
+        unsigned host = 0;
+        while (cluster.getStatus(host)["isWatcher"].as_bool())
+            ++host;
+        std::vector<std::string> all;
+        for (unsigned i = 0; i < 9; ++i)
+            all.push_back(cluster.getHostName(i));
+        cluster.cutPeers(host, all);
+        putRecords(cluster, 1, 2);
+        std::this_thread::sleep_for(milliseconds(1500));
+        cluster.cutPeers(host, {});
+        auto before = readControl(cluster);
+        std::this_thread::sleep_for(milliseconds(6000));
+        auto after = readControl(cluster);
+        auto n = [&](const char* name) { return after.counts[name] - before.counts[name]; };
+        fmt::print("{:>8} {:>12} {:>12} {:>12} {:>10}\n", count, n("exchange_record_bytes"), n("exchange_host_bytes"), n("exchange_bytes"), quietAfter.counts["exchange_bytes"] - quietBefore.counts["exchange_bytes"]);
+        std::fflush(stdout);
+    }
+}
+
 // ---- an outage of the primary that nothing replaces ----
 
 // Counters of all hosts once a second; the primary is frozen for ten seconds with promotions off, then wakes.
@@ -705,6 +750,8 @@
         measurePlacement();
     else if (what == "overload")
         measureOverload();
+    else if (what == "sync")
+        measureSync();
     else if (what == "storm")
         measureStorm();
     else if (what == "fairness")
@@ -714,7 +761,7 @@
     else if (what == "quiet")
         measureQuiet(n ? n : 600);
     else {
-        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs] [fault]|records [changes]|control [hosts]|groups|placement|overload|storm|fairness|homes|quiet [seconds]\n");
+        fmt::print(stderr, "usage: bench throughput [threads]|memory|reads|gap [runs] [fault]|records [changes]|control [hosts]|groups|placement|overload|sync|storm|fairness|homes|quiet [seconds]\n");
         return 2;
     }
 }
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -1,6 +1,7 @@
 // Records and settings: every bad one is refused with its place.
 #include "base/settings.h"
 #include "decisions/records.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <fstream>
@@ -92,6 +93,26 @@
 
 BOOST_AUTO_TEST_SUITE(settings)
 
+// Two hosts that differ in one key tell each other one part of 64.
+BOOST_AUTO_TEST_CASE(one_key_differs_in_one_bucket_only)
+{
+    using namespace decisions;
+    ValueMap mine;
+    for (int i = 0; i < 1000; ++i)
+        takeValue(mine, "alderward/groups/g" + std::to_string(i), { 1, "{}" });
+    auto theirs = mine;
+    BOOST_TEST(std::ranges::count(getDifferences(getBucketDigests(mine), getBucketDigests(theirs)), true) == 0);
+    takeValue(theirs, "alderward/groups/g7", { 2, "{}" });
+    auto differences = getDifferences(getBucketDigests(mine), getBucketDigests(theirs));
+    BOOST_TEST(std::ranges::count(differences, true) == 1);
+    BOOST_TEST(differences[getBucket("alderward/groups/g7")]);
+    uint64_t sum = 0;
+    for (auto it : getBucketDigests(theirs))
+        sum ^= it;
+    BOOST_TEST(sum == getDigest(theirs));
+    BOOST_TEST(std::ranges::count(getDifferences(getBucketDigests(mine), {}), true) == static_cast<int>(kBuckets)); // not comparable
+}
+
 BOOST_AUTO_TEST_CASE(bad_settings_are_refused_with_file_and_line)
 {
     BOOST_TEST(getProblem(kSettings) == "good");
