--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -1,7 +1,7 @@
 // One database group at one of its homes: probes, failover, confirmation of writes, connections, transactions.
 // Everything runs on the group's strand; run() may be called from any coroutine.
 // The parts live in group.cpp (life, status), group_failover.cpp (arbitration), group_confirm.cpp (confirmation) and
-// group_statements.cpp (what callers asked for).
+// group_statements.cpp and group_transactions.cpp (what callers asked for).
 #pragma once
 #include "base/snapshot.h"
 #include "controllers/node.h"
@@ -22,6 +22,8 @@
 // Without statements for so long, a group is probed less often.
 inline constexpr base::milliseconds kIdleAfter { 5000 };
 
+inline constexpr base::milliseconds kComeBack { 500 }; // told to callers while a primary is being replaced
+
 enum class Operation { Execute,
     Begin,
     Commit,
@@ -42,6 +44,8 @@
     base::TimePoint deadline {};
 };
 
+inline bool isDue(base::TimePoint deadline) { return base::Clock::now() >= deadline; }
+
 // What came of it.
 struct Outcome {
     std::string result { "null" }; // JSON
@@ -175,6 +179,7 @@
     boost::asio::awaitable<links::TargetResult<links::ExecuteAnswer>> sendInTransaction(const Order& order, Transaction& transaction);
     void endTransaction(const std::string& name, bool isLeaseGood);
     decisions::Result<Outcome> takeTargetFailure(const links::TargetFailure& failure, size_t member);
+    boost::asio::awaitable<decisions::Result<size_t>> findPrimary(const Order& order);
     boost::asio::awaitable<std::optional<decisions::Error>> holdWrite(const Order& order, const decisions::Route& route);
     bool mayHold() const;
     void notePosition(size_t member, const decisions::Mark& mark);
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -1,4 +1,4 @@
-// What callers asked for: reads, writes, settlements and transactions, on the group's strand.
+// What callers asked for: reads, writes and settlements, on the group's strand. Transactions: group_transactions.cpp.
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/timeline.h"
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
-#include <random>
 
 namespace alderward::controllers {
 
@@ -24,15 +23,8 @@
 
 static constexpr milliseconds kChangePause { 50 }; // longest wait before a route is looked up again
 static constexpr milliseconds kStaleWait { 300 }; // how long a read waits for a fresh enough member to appear
-static constexpr milliseconds kComeBack { 500 }; // retry hint while a primary is being replaced
 static constexpr milliseconds kAnswerMargin { 5 }; // kept back from the deadline for the answer's way home
 
-static std::string makeTransactionName(const std::string& host)
-{
-    thread_local std::mt19937_64 engine { std::random_device {}() };
-    return fmt::format("{}.{:016x}{:08x}", host, engine(), static_cast<uint32_t>(engine()));
-}
-
 // After a refusal the connection is as good as before; after anything else a late answer could still come on it.
 static void putAway(Lease& lease, const links::TargetFailure& failure)
 {
@@ -83,11 +75,6 @@
 
 // ---- reads ----
 
-static bool isDue(TimePoint deadline)
-{
-    return Clock::now() >= deadline;
-}
-
 static const char* describeWait(ErrorKind reason)
 {
     switch (reason) {
@@ -224,16 +211,25 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<Result<Outcome>> GroupController::runWrite(Order order)
+// The primary as it is known now, waited for as long as one can come.
+asio::awaitable<Result<size_t>> GroupController::findPrimary(const Order& order)
 {
     for (;;) {
         auto route = decisions::routeWrite(m_state.health, getLoads(), order.mark);
-        if (route.kind != RouteKind::Member) {
-            if (auto error = co_await holdWrite(order, route))
-                co_return tl::make_unexpected(*error);
-            continue;
-        }
-        auto outcome = co_await tryWrite(order, route.member, m_state.health.term);
+        if (route.kind == RouteKind::Member)
+            co_return route.member;
+        if (auto error = co_await holdWrite(order, route))
+            co_return tl::make_unexpected(*error);
+    }
+}
+
+asio::awaitable<Result<Outcome>> GroupController::runWrite(Order order)
+{
+    for (;;) {
+        auto primary = co_await findPrimary(order);
+        if (!primary)
+            co_return tl::make_unexpected(primary.error());
+        auto outcome = co_await tryWrite(order, *primary, m_state.health.term);
         if (outcome) {
             m_retryBudget = decisions::earnRetry(m_retryBudget);
             co_return outcome;
@@ -336,128 +332,4 @@
     }
 }
 
-// ---- transactions ----
-
-asio::awaitable<Result<Outcome>> GroupController::runBegin(Order order)
-{
-    for (;;) {
-        auto route = decisions::routeWrite(m_state.health, getLoads(), order.mark);
-        if (route.kind != RouteKind::Member) {
-            if (auto error = co_await holdWrite(order, route))
-                co_return tl::make_unexpected(*error);
-            continue;
-        }
-        auto term = m_state.health.term;
-        auto lease = co_await m_members[route.member].pool->acquire(Lane::Write, order.deadline, true);
-        if (!lease)
-            co_return tl::make_unexpected(lease.error());
-        auto answer = co_await links::beginTransaction(lease->getLink(), m_node.settings.name, term, order.deadline);
-        if (!answer) {
-            lease->discard();
-            auto failure = takeTargetFailure(answer.error(), route.member);
-            // A begin without an answer has changed nothing that lasts: its connection is closed, which rolls it back.
-            if (isDue(order.deadline))
-                co_return fail(ErrorKind::NoPrimary, failure.error().message, kComeBack);
-            co_await waitForChange(std::min(order.deadline, Clock::now() + milliseconds(10)));
-            continue;
-        }
-        lease->beginPause();
-        auto name = makeTransactionName(m_node.settings.name);
-        auto transaction = std::make_shared<Transaction>();
-        transaction->lease = std::move(*lease);
-        transaction->term = term;
-        transaction->member = route.member;
-        transaction->usedAt = Clock::now();
-        m_transactions[name] = std::move(transaction);
-        ++m_openTransactions;
-        base::count(Counter::Transactions);
-        Outcome outcome;
-        outcome.transaction = name;
-        outcome.member = m_members[route.member].record.name;
-        outcome.mark = order.mark;
-        co_return outcome;
-    }
-}
-
-asio::awaitable<links::TargetResult<links::ExecuteAnswer>> GroupController::sendInTransaction(const Order& order, Transaction& transaction)
-{
-    auto& link = transaction.lease.getLink();
-    auto& from = m_node.settings.name;
-    if (order.operation == Operation::Commit)
-        co_return co_await links::commitTransaction(link, from, order.requestKey, order.deadline);
-    if (order.operation == Operation::Rollback) {
-        auto answer = co_await links::rollbackTransaction(link, from, order.deadline);
-        if (!answer)
-            co_return tl::make_unexpected(answer.error());
-        co_return links::ExecuteAnswer {};
-    }
-    links::ExecuteRequest request { transaction.term, order.isWrite, order.statement, order.parameters, {}, {}, {} };
-    co_return co_await links::execute(link, from, request, order.deadline);
-}
-
-asio::awaitable<Result<Outcome>> GroupController::runInTransaction(Order order)
-{
-    auto it = m_transactions.find(order.transaction);
-    if (it == m_transactions.end())
-        co_return fail(ErrorKind::TransactionUnknown, "the transaction ended, or the host that held it is gone: it was rolled back");
-    auto transaction = it->second;
-    if (transaction->isBusy)
-        co_return fail(ErrorKind::TransactionUnknown, "another statement of this transaction is running");
-    transaction->isBusy = true;
-    transaction->lease.endPause();
-    auto answer = co_await sendInTransaction(order, *transaction);
-    auto ranAt = Clock::now();
-    transaction->isBusy = false;
-    transaction->usedAt = ranAt;
-    transaction->lease.beginPause();
-    bool isLast = order.operation == Operation::Commit || order.operation == Operation::Rollback;
-    bool isLost = !answer && !answer.error().refusal;
-    if (isLast || isLost)
-        endTransaction(order.transaction, !isLost);
-    if (!answer) {
-        auto failure = takeTargetFailure(answer.error(), transaction->member);
-        // Before its commit a transaction has changed nothing; a lost connection rolls it back.
-        if (order.operation != Operation::Commit && isLost)
-            co_return fail(ErrorKind::TransactionUnknown, "the connection was lost: the transaction is rolled back");
-        if (failure.error().kind == ErrorKind::NoPrimary)
-            co_return fail(ErrorKind::TransactionUnknown, "the primary was superseded: the transaction is rolled back");
-        co_return failure;
-    }
-    Outcome outcome;
-    outcome.result = std::move(answer->result);
-    outcome.member = m_members.size() > transaction->member ? m_members[transaction->member].record.name : std::string();
-    outcome.mark = order.mark;
-    outcome.wasReplayed = answer->wasReplayed;
-    if (order.operation != Operation::Commit)
-        co_return outcome;
-    outcome.mark = answer->mark;
-    co_return co_await acknowledge(order, std::move(outcome), ranAt);
-}
-
-void GroupController::endTransaction(const std::string& name, bool isLeaseGood)
-{
-    auto it = m_transactions.find(name);
-    if (it == m_transactions.end())
-        return;
-    if (isLeaseGood)
-        it->second->lease.release();
-    else
-        it->second->lease.discard();
-    m_transactions.erase(it);
-    --m_openTransactions;
-}
-
-// An idle transaction holds a scarce connection: closing it rolls it back at the member.
-void GroupController::expireTransactions()
-{
-    auto limit = milliseconds(m_node.settings.transactionIdleMs);
-    std::vector<std::string> expired;
-    for (auto& [name, transaction] : m_transactions) {
-        if (!transaction->isBusy && Clock::now() - transaction->usedAt > limit)
-            expired.push_back(name);
-    }
-    for (auto& it : expired)
-        endTransaction(it, false);
-}
-
 }
--- /dev/null
+++ b/src/controllers/group_transactions.cpp
@@ -0,0 +1,143 @@
+// Transactions of callers: each keeps a connection until it ends, on the group's strand.
+#include "base/metrics.h"
+#include "controllers/group.h"
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <random>
+
+namespace alderward::controllers {
+
+namespace asio = boost::asio;
+using base::Clock;
+using base::Counter;
+using base::milliseconds;
+using decisions::ErrorKind;
+using decisions::fail;
+using decisions::Result;
+
+static std::string makeTransactionName(const std::string& host)
+{
+    thread_local std::mt19937_64 engine { std::random_device {}() };
+    return fmt::format("{}.{:016x}{:08x}", host, engine(), static_cast<uint32_t>(engine()));
+}
+
+asio::awaitable<Result<Outcome>> GroupController::runBegin(Order order)
+{
+    for (;;) {
+        auto primary = co_await findPrimary(order);
+        if (!primary)
+            co_return tl::make_unexpected(primary.error());
+        auto term = m_state.health.term;
+        auto lease = co_await m_members[*primary].pool->acquire(Lane::Write, order.deadline, true);
+        if (!lease)
+            co_return tl::make_unexpected(lease.error());
+        auto answer = co_await links::beginTransaction(lease->getLink(), m_node.settings.name, term, order.deadline);
+        if (!answer) {
+            lease->discard();
+            auto failure = takeTargetFailure(answer.error(), *primary);
+            // A begin without an answer has changed nothing that lasts: its connection is closed, which rolls it back.
+            if (isDue(order.deadline))
+                co_return fail(ErrorKind::NoPrimary, failure.error().message, kComeBack);
+            co_await waitForChange(std::min(order.deadline, Clock::now() + milliseconds(10)));
+            continue;
+        }
+        lease->beginPause();
+        auto name = makeTransactionName(m_node.settings.name);
+        auto transaction = std::make_shared<Transaction>();
+        transaction->lease = std::move(*lease);
+        transaction->term = term;
+        transaction->member = *primary;
+        transaction->usedAt = Clock::now();
+        m_transactions[name] = std::move(transaction);
+        ++m_openTransactions;
+        base::count(Counter::Transactions);
+        Outcome outcome;
+        outcome.transaction = name;
+        outcome.member = m_members[*primary].record.name;
+        outcome.mark = order.mark;
+        co_return outcome;
+    }
+}
+
+asio::awaitable<links::TargetResult<links::ExecuteAnswer>> GroupController::sendInTransaction(const Order& order, Transaction& transaction)
+{
+    auto& link = transaction.lease.getLink();
+    auto& from = m_node.settings.name;
+    if (order.operation == Operation::Commit)
+        co_return co_await links::commitTransaction(link, from, order.requestKey, order.deadline);
+    if (order.operation == Operation::Rollback) {
+        auto answer = co_await links::rollbackTransaction(link, from, order.deadline);
+        if (!answer)
+            co_return tl::make_unexpected(answer.error());
+        co_return links::ExecuteAnswer {};
+    }
+    links::ExecuteRequest request { transaction.term, order.isWrite, order.statement, order.parameters, {}, {}, {} };
+    co_return co_await links::execute(link, from, request, order.deadline);
+}
+
+asio::awaitable<Result<Outcome>> GroupController::runInTransaction(Order order)
+{
+    auto it = m_transactions.find(order.transaction);
+    if (it == m_transactions.end())
+        co_return fail(ErrorKind::TransactionUnknown, "the transaction ended, or the host that held it is gone: it was rolled back");
+    auto transaction = it->second;
+    if (transaction->isBusy)
+        co_return fail(ErrorKind::TransactionUnknown, "another statement of this transaction is running");
+    transaction->isBusy = true;
+    transaction->lease.endPause();
+    auto answer = co_await sendInTransaction(order, *transaction);
+    auto ranAt = Clock::now();
+    transaction->isBusy = false;
+    transaction->usedAt = ranAt;
+    transaction->lease.beginPause();
+    bool isLast = order.operation == Operation::Commit || order.operation == Operation::Rollback;
+    bool isLost = !answer && !answer.error().refusal;
+    if (isLast || isLost)
+        endTransaction(order.transaction, !isLost);
+    if (!answer) {
+        auto failure = takeTargetFailure(answer.error(), transaction->member);
+        // Before its commit a transaction has changed nothing; a lost connection rolls it back.
+        if (order.operation != Operation::Commit && isLost)
+            co_return fail(ErrorKind::TransactionUnknown, "the connection was lost: the transaction is rolled back");
+        if (failure.error().kind == ErrorKind::NoPrimary)
+            co_return fail(ErrorKind::TransactionUnknown, "the primary was superseded: the transaction is rolled back");
+        co_return failure;
+    }
+    Outcome outcome;
+    outcome.result = std::move(answer->result);
+    outcome.member = m_members.size() > transaction->member ? m_members[transaction->member].record.name : std::string();
+    outcome.mark = order.mark;
+    outcome.wasReplayed = answer->wasReplayed;
+    if (order.operation != Operation::Commit)
+        co_return outcome;
+    outcome.mark = answer->mark;
+    co_return co_await acknowledge(order, std::move(outcome), ranAt);
+}
+
+void GroupController::endTransaction(const std::string& name, bool isLeaseGood)
+{
+    auto it = m_transactions.find(name);
+    if (it == m_transactions.end())
+        return;
+    if (isLeaseGood)
+        it->second->lease.release();
+    else
+        it->second->lease.discard();
+    m_transactions.erase(it);
+    --m_openTransactions;
+}
+
+// An idle transaction holds a scarce connection: closing it rolls it back at the member.
+void GroupController::expireTransactions()
+{
+    auto limit = milliseconds(m_node.settings.transactionIdleMs);
+    std::vector<std::string> expired;
+    for (auto& [name, transaction] : m_transactions) {
+        if (!transaction->isBusy && Clock::now() - transaction->usedAt > limit)
+            expired.push_back(name);
+    }
+    for (auto& it : expired)
+        endTransaction(it, false);
+}
+
+}
--- /dev/null
+++ b/tests/bench/faults.cpp
@@ -0,0 +1,214 @@
+// Measurements of members that fail, or only look like it.
+#include "bench/measure.h"
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace bench {
+
+using namespace harness;
+
+// ---- failover gap ----
+
+namespace {
+
+struct Gap {
+    double total { 0 };
+    double detection { 0 };
+    double fencing { 0 };
+    double promotion { 0 };
+};
+
+}
+
+// Times of the first events of the newest promotion, from the time line of all hosts, relative to `hitMs`.
+static void readParts(Cluster& cluster, uint64_t hitMs, Gap& gap)
+{
+    double began = 0;
+    double promoted = 0;
+    for (unsigned i = 0; i < cluster.getShape().hosts; ++i) {
+        for (auto& it : cluster.getEvents(i)) {
+            auto kind = std::string(it.at("kind").get_string());
+            auto ms = static_cast<double>((it.at("stamp").to_number<uint64_t>() >> 16)) - static_cast<double>(hitMs);
+            if (ms < 0)
+                continue;
+            if (kind == "promotion-began" && (began == 0 || ms < began))
+                began = ms;
+            if (kind == "promoted" && (promoted == 0 || ms < promoted))
+                promoted = ms;
+        }
+    }
+    gap.detection = began;
+    gap.fencing = promoted - began;
+    gap.promotion = gap.total - promoted;
+}
+
+static Gap measureOneGap(Shape shape, const std::string& how, bool isPlatformUp)
+{
+    shape.groups.resize(1);
+    auto group = shape.groups.front();
+    Cluster cluster(shape);
+    cluster.beginAll();
+    if (!isPlatformUp)
+        cluster.setPlatform({ { "down", true } });
+    std::atomic<bool> mustStop { false };
+    std::mutex mutex;
+    std::vector<std::pair<Clock::time_point, Clock::time_point>> landed; // sent, answered
+    std::vector<std::jthread> writers;
+    for (unsigned n = 0; n < shape.hosts; ++n) {
+        writers.emplace_back([&, n] {
+            Caller caller(cluster.getCallerAddress(n));
+            for (int i = 0; !mustStop; ++i) {
+                auto sent = Clock::now();
+                auto answer = caller.write(group.name, "SET k v", fmt::format("w{}-{}", n, i), 400);
+                std::lock_guard lock(mutex);
+                if (answer.status == 200)
+                    landed.emplace_back(sent, Clock::now());
+                else
+                    std::this_thread::sleep_for(milliseconds(5));
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(400));
+    auto primary = group.members.front();
+    auto hitMs = static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    auto hit = Clock::now();
+    if (how == "killed")
+        cluster.getMember(primary).signal(SIGKILL);
+    else if (how == "frozen")
+        cluster.getMember(primary).signal(SIGSTOP);
+    else {
+        json::array all;
+        for (unsigned i = 0; i < shape.hosts; ++i)
+            all.emplace_back(cluster.getHostName(i));
+        for (auto& it : group.members)
+            all.emplace_back(it);
+        cluster.setMember(primary, { { "cut", all } });
+        for (size_t i = 1; i < group.members.size(); ++i)
+            cluster.setMember(group.members[i], { { "cut", json::array { json::string(primary) } } });
+        hit = Clock::now();
+    }
+    waitUntil(milliseconds(12000), [&] {
+        std::lock_guard lock(mutex);
+        return !landed.empty() && landed.back().first > hit;
+    });
+    std::this_thread::sleep_for(milliseconds(200));
+    mustStop = true;
+    writers.clear();
+    Gap gap;
+    auto first = Clock::time_point::max();
+    for (auto& [sent, answered] : landed) {
+        if (answered > hit + milliseconds(30))
+            first = std::min(first, answered);
+    }
+    gap.total = first == Clock::time_point::max() ? 99999 : getMs(first - hit);
+    readParts(cluster, hitMs, gap);
+    return gap;
+}
+
+void measureGap(int runs, const std::string& onlyFault)
+{
+    fmt::print("{:<8} {:<10} {:>6} {:>5} {:>10} {:>10} {:>11} {:>10} {:>10}\n", "fault", "platform", "hosts", "runs", "median ms", "worst ms", "detection", "fencing", "promotion");
+    for (unsigned hosts : { 7U, 9U }) {
+        for (bool isPlatformUp : { true, false }) {
+            for (auto* how : { "killed", "frozen", "cut" }) {
+                if (!onlyFault.empty() && onlyFault != how)
+                    continue;
+                std::vector<double> total, detection, fencing, promotion;
+                for (int i = 0; i < runs; ++i) {
+                    auto gap = measureOneGap(hosts == 7 ? getSahyogShape(7) : getBatbayarShape(9), how, isPlatformUp);
+                    total.push_back(gap.total);
+                    detection.push_back(gap.detection);
+                    fencing.push_back(gap.fencing);
+                    promotion.push_back(gap.promotion);
+                }
+                fmt::print("{:<8} {:<10} {:>6} {:>5} {:>10.0f} {:>10.0f} {:>11.0f} {:>10.0f} {:>10.0f}\n", how, isPlatformUp ? "up" : "down", hosts, runs, getMedian(total), *std::ranges::max_element(total), getMedian(detection), getMedian(fencing), getMedian(promotion));
+                std::fflush(stdout);
+            }
+        }
+    }
+}
+
+// ---- an outage of the primary that nothing replaces ----
+
+// Counters of all hosts once a second; the primary is frozen for ten seconds with promotions off, then wakes.
+void measureStorm()
+{
+    auto shape = getSmallShape();
+    shape.groups.front().promotion = R"({"mode":"off"})";
+    Cluster cluster(shape);
+    cluster.beginAll();
+    for (auto& it : shape.groups.front().members)
+        cluster.setMember(it, { { "serviceMs", 4 } });
+    LoadShape load { {}, 60, milliseconds(30000) };
+    for (unsigned i = 0; i < shape.hosts; ++i)
+        load.addresses.push_back(cluster.getCallerAddress(i));
+    load.obeysRetryAfter = true;
+    load.makeBody = [](unsigned caller, uint64_t) {
+        auto body = makeWrite("orders", fmt::format("c{}", caller));
+        body["deadlineMs"] = 500;
+        return body;
+    };
+    LoadResult result;
+    std::jthread callers([&] { result = runLoad(load); });
+    fmt::print("60 callers, writes of 4 ms on 2 slots, deadline 500 ms; primary frozen from second 8 to second 18, promotions off\n");
+    fmt::print("{:>7} {:>11} {:>9} {:>10} {:>10} {:>9}\n", "second", "requests/s", "served/s", "refused/s", "unknown/s", "retries/s");
+    auto read = [&] {
+        std::vector<uint64_t> counts;
+        for (auto* it : { "requests", "requests_relayed", "writes", "requests_refused", "requests_unknown", "retries" })
+            counts.push_back(cluster.sumMetric(it));
+        return counts;
+    };
+    auto before = read();
+    for (int second = 1; second <= 28; ++second) {
+        std::this_thread::sleep_for(milliseconds(1000));
+        if (second == 8)
+            cluster.getMember("orders-a").signal(SIGSTOP);
+        if (second == 18)
+            cluster.getMember("orders-a").signal(SIGCONT);
+        auto after = read();
+        auto n = [&](size_t i) { return after[i] - before[i]; };
+        fmt::print("{:>7} {:>11} {:>9} {:>10} {:>10} {:>9}\n", second, n(0) - n(1), n(2), n(3), n(4), n(5));
+        std::fflush(stdout);
+        before = after;
+    }
+}
+
+// ---- no promotion without need ----
+
+void measureQuiet(int seconds)
+{
+    auto shape = getSahyogShape(7);
+    Cluster cluster(shape);
+    cluster.beginAll();
+    std::vector<std::string> addresses;
+    for (unsigned i = 0; i < shape.hosts; ++i)
+        addresses.push_back(cluster.getCallerAddress(i));
+    std::jthread changer([&](std::stop_token token) {
+        std::mt19937 random(3);
+        while (!token.stop_requested()) {
+            for (auto& group : shape.groups) {
+                for (auto& it : group.members)
+                    cluster.setMember(it, { { "lagMs", random() % 800 }, { "serviceMs", random() % 60 } });
+            }
+            std::this_thread::sleep_for(milliseconds(700));
+        }
+    });
+    LoadShape load { addresses, 40, milliseconds(seconds * 1000) };
+    load.pause = milliseconds(5);
+    load.makeBody = [&](unsigned caller, uint64_t n) {
+        auto group = shape.groups[caller % shape.groups.size()].name;
+        return n % 3 == 0 ? makeWrite(group, "k") : makeRead(group, "k");
+    };
+    auto result = runLoad(load);
+    fmt::print("{} s of load with members slowed to 0..60 ms and lagging 0..800 ms: {} statements served, {} promotions\n", seconds, result.latencies.size(), cluster.sumMetric("promotions"));
+}
+
+}
--- a/tests/unit/health_test.cpp
+++ b/tests/unit/health_test.cpp
@@ -1,26 +1,16 @@
 // What ordinary answers tell of a member, and when a status must be asked all the same.
 #include "decisions/failover.h"
 #include "decisions/health.h"
+#include "fixtures.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace alderward::decisions;
+using fixtures::at;
+using fixtures::makeRecord;
 using std::chrono::milliseconds;
 
 namespace {
 
-TimePoint at(int ms)
-{
-    return TimePoint {} + std::chrono::hours(1) + milliseconds(ms);
-}
-
-GroupRecord makeRecord()
-{
-    GroupRecord record;
-    record.name = "orders";
-    record.members = { { "a", "127.0.0.1:1", "x" }, { "b", "127.0.0.1:2", "y" }, { "c", "127.0.0.1:3", "z" } };
-    return record;
-}
-
 MemberStatus makeStatus(Role role, uint64_t position, milliseconds heardAgo)
 {
     MemberStatus status;
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -1,25 +1,15 @@
 // Ages, routes and confirmation: the decisions that read-your-writes and acknowledgement rest on.
 #include "decisions/routing.h"
+#include "fixtures.h"
 #include <boost/test/unit_test.hpp>
 
 using namespace alderward::decisions;
+using fixtures::at;
+using fixtures::makeRecord;
 using std::chrono::milliseconds;
 
 namespace {
 
-TimePoint at(int ms)
-{
-    return TimePoint {} + std::chrono::hours(1) + milliseconds(ms);
-}
-
-GroupRecord makeRecord()
-{
-    GroupRecord record;
-    record.name = "orders";
-    record.members = { { "a", "127.0.0.1:1", "x" }, { "b", "127.0.0.1:2", "y" }, { "c", "127.0.0.1:3", "z" } };
-    return record;
-}
-
 MemberStatus makeStatus(Role role, uint64_t position, uint64_t term = 1, uint64_t fenced = 0)
 {
     MemberStatus status;
