--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -176,11 +176,16 @@
     return digests;
 }
 
+static bool isLive(const KnownHost& known)
+{
+    return known.news.state == HostState::Alive || known.news.state == HostState::Suspect;
+}
+
 std::vector<PlacedHost> getLiveHosts(const Membership& membership)
 {
     std::vector<PlacedHost> live;
     for (auto& [name, known] : membership.hosts) {
-        if (known.news.state == HostState::Alive || known.news.state == HostState::Suspect)
+        if (isLive(known))
             live.push_back({ name, known.news.dataCentre });
     }
     return live;
@@ -188,15 +193,20 @@
 
 std::vector<std::string> choosePartners(const Membership& membership, size_t count, uint64_t seed)
 {
-    std::vector<std::string> names;
-    for (auto& it : getLiveHosts(membership)) {
-        if (it.name != membership.self)
-            names.push_back(it.name);
+    std::vector<const std::string*> names;
+    names.reserve(membership.hosts.size());
+    for (auto& [name, known] : membership.hosts) {
+        if (isLive(known) && name != membership.self)
+            names.push_back(&name);
+    }
+    // A shuffle that stops after `count` places: ranking all hosts for one partner grew with the fleet.
+    std::vector<std::string> partners;
+    for (size_t i = 0; i < std::min(count, names.size()); ++i) {
+        auto j = i + getHash(fmt::format("{}", i), seed) % (names.size() - i);
+        std::swap(names[i], names[j]);
+        partners.push_back(*names[i]);
     }
-    auto ranked = rankHosts(fmt::format("{}", seed), names);
-    if (ranked.size() > count)
-        ranked.resize(count);
-    return ranked;
+    return partners;
 }
 
 std::optional<std::string> chooseDead(const Membership& membership, uint64_t seed)
