--- a/tests/bench/control.cpp
+++ b/tests/bench/control.cpp
@@ -21,11 +21,12 @@
 
 // ---- spread of records ----
 
-void measureRecords(int changes)
+void measureRecords(int changes, int delayMs)
 {
     auto shape = getBatbayarShape(9);
     Cluster cluster(shape);
     cluster.beginAll();
+    cluster.setPlatform({ { "delayMs", delayMs } });
     std::vector<double> times;
     for (int i = 0; i < changes; ++i) {
         auto path = cluster.writeRecord(shape.groups.front(), [i](json::object& record) { record["slots"] = 5 + i % 2; });
@@ -43,7 +44,7 @@
         times.push_back(isEverywhere ? getMs(Clock::now() - applied) : 99999);
     }
     std::ranges::sort(times);
-    fmt::print("{} changes, 9 hosts: median {:.0f} ms, p90 {:.0f} ms, worst {:.0f} ms until in force everywhere\n", changes, getMedian(times), times[times.size() * 9 / 10], times.back());
+    fmt::print("{} changes, 9 hosts, each call of the platform {} ms later: median {:.0f} ms, p90 {:.0f} ms, worst {:.0f} ms until in force everywhere\n", changes, delayMs, getMedian(times), times[times.size() * 9 / 10], times.back());
 }
 
 // ---- control at several sizes ----
--- a/tests/bench/measure.h
+++ b/tests/bench/measure.h
@@ -27,7 +27,7 @@
 void measureFairness();
 
 // ---- control.cpp: what hosts spend on each other, on members and on the platform ----
-void measureRecords(int changes);
+void measureRecords(int changes, int delayMs); // delayMs: by which the platform answers each call later
 void measureControl(const std::vector<unsigned>& sizes); // sizes: hosts
 void measureGroups();
 void measurePlacement();
