--- a/tests/process/failover_test.cpp
+++ b/tests/process/failover_test.cpp
@@ -2,6 +2,7 @@
 #include "harness/harness.h"
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <thread>
 
 using namespace harness;
 
@@ -172,6 +173,28 @@
     BOOST_TEST(Caller(cluster.getCallerAddress(0)).read("orders", "GET a").status == 200u);
 }
 
+// The home whose turn it is freezes while it replaces the primary, and wakes when another has finished.
+BOOST_AUTO_TEST_CASE(home_that_freezes_in_its_turn_is_passed_over_and_does_no_harm_when_it_wakes)
+{
+    Cluster cluster(getSmallShape());
+    cluster.beginAll();
+    BOOST_TEST(Caller(cluster.getCallerAddress(0)).write("orders", "SET a before", "before").status == 200u);
+    auto homes = cluster.getStatus(0)["groups"].at("orders").at("homes").as_array();
+    size_t first = 0;
+    while (cluster.getHostName(first) != homes[0].as_string())
+        ++first;
+    auto other = (first + 1) % 3;
+    cluster.getMember("orders-a").kill();
+    std::this_thread::sleep_for(milliseconds(150)); // about when it begins; the outcome must be the same whenever
+    cluster.getHost(first).signal(SIGSTOP);
+    BOOST_TEST(waitUntil(milliseconds(15000), [&] { return Caller(cluster.getCallerAddress(other)).write("orders", "SET a after", "after", 1000).status == 200; }));
+    auto primary = cluster.getPrimary("orders", other);
+    cluster.getHost(first).signal(SIGCONT);
+    BOOST_TEST(waitUntil(milliseconds(10000), [&] { return cluster.getPrimary("orders", first) == primary; }));
+    BOOST_TEST(getResult(Caller(cluster.getCallerAddress(first)).read("orders", "GET a", 0)) == "after");
+    BOOST_TEST(cluster.sumMetric("invariant_violations") == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_primary_is_handed_over_without_losing_a_write)
 {
     auto shape = getSmallShape();
