--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -13,16 +13,20 @@
 namespace {
 
 // Where a setting lives, and its bounds: whole numbers have a range, text is required and has a least length.
-struct Setting {
+template <typename S>
+struct SettingOf {
     const char* section;
     const char* key;
-    std::variant<std::string Settings::*, int Settings::*, bool Settings::*> field;
+    std::variant<std::string S::*, int S::*, bool S::*> field;
     int least;
     int most;
     const char* unit;
     const char* meaning;
 };
 
+using Setting = SettingOf<Settings>;
+using GatewaySetting = SettingOf<GatewaySettings>;
+
 constexpr int kNoMost = 1000;
 
 const std::vector<Setting>& getSettings()
@@ -58,6 +62,29 @@
     return table;
 }
 
+const std::vector<GatewaySetting>& getGatewaySettings()
+{
+    using S = GatewaySettings;
+    static const std::vector<GatewaySetting> table {
+        { "gateway", "name", &S::name, 1, kNoMost, "text", "unique name of this host" },
+        { "gateway", "data_centre", &S::dataCentre, 1, kNoMost, "text", "data centre of this host" },
+        { "gateway", "caller_address", &S::callerAddress, 3, kNoMost, "ip:port", "where callers connect" },
+        { "gateway", "peer_address", &S::peerAddress, 3, kNoMost, "ip:port", "where other hosts connect" },
+        { "gateway", "ready_address", &S::readyAddress, 3, kNoMost, "ip:port", "where the balancer asks whether this host is ready" },
+        { "gateway", "metrics_address", &S::metricsAddress, 0, kNoMost, "ip:port", "where /metrics is served; empty: nowhere" },
+        { "gateway", "seeds", &S::seeds, 0, 10000, "ip:port,...", "peer addresses of some hosts, asked for news while the store is away; may be out of date" },
+        { "platform", "store_address", &S::storeAddress, 3, kNoMost, "ip:port", "the platform's store" },
+        { "platform", "orders_address", &S::ordersAddress, 3, kNoMost, "ip:port", "where promotions are ordered" },
+        { "platform", "call_limit_ms", &S::callLimitMs, 100, 60000, "ms", "a call to the store without an answer has failed after this" },
+        { "platform", "watch_wait_ms", &S::watchWaitMs, 100, 30000, "ms", "longest wait of one watch; a silent connection is noticed after about this" },
+        { "platform", "lease_ms", &S::leaseMs, 1000, 600000, "ms", "after this long without a renewal the store drops this host's entry" },
+        { "stop", "grace_ms", &S::graceMs, 500, 600000, "ms", "from the signal to stop to the forced end" },
+        { "log", "lines_per_second", &S::logLinesPerSecond, 1, 100000, "count", "request lines a second; changes of state have as many for themselves" },
+        { "log", "buffer_kb", &S::logBufferKb, 16, 65536, "KiB", "lines that wait for the reader of standard output" },
+    };
+    return table;
+}
+
 // Finds the line of "key" in "[section]", or of the section when the key is empty, for messages; 0 if absent.
 size_t findLine(const std::string& text, const std::string& section, const std::string& key)
 {
@@ -82,7 +109,8 @@
     return 0;
 }
 
-std::optional<std::string> readNumber(const Setting& row, const std::string& text, int& value)
+template <typename S>
+std::optional<std::string> readNumber(const SettingOf<S>& row, const std::string& text, int& value)
 {
     auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
     bool isWhole = ec == std::errc() && end == text.data() + text.size();
@@ -92,25 +120,27 @@
 }
 
 // Sets one field; returns what is wrong, if anything.
-std::optional<std::string> setField(Settings& settings, const Setting& row, const std::string& text)
+template <typename S>
+std::optional<std::string> setField(S& settings, const SettingOf<S>& row, const std::string& text)
 {
-    if (auto* field = std::get_if<int Settings::*>(&row.field))
+    if (auto* field = std::get_if<int S::*>(&row.field))
         return readNumber(row, text, settings.*(*field));
-    if (auto* field = std::get_if<bool Settings::*>(&row.field)) {
+    if (auto* field = std::get_if<bool S::*>(&row.field)) {
         settings.*(*field) = text == "true";
         if (text != "true" && text != "false")
             return fmt::format("[{}] {} must be true or false", row.section, row.key);
         return std::nullopt;
     }
-    settings.*std::get<std::string Settings::*>(row.field) = text;
+    settings.*std::get<std::string S::*>(row.field) = text;
     if (text.size() < static_cast<size_t>(row.least))
         return fmt::format("[{}] {} must have at least {} characters", row.section, row.key, row.least);
     return std::nullopt;
 }
 
-const Setting* findSetting(const std::string& section, const std::string& key)
+template <typename S>
+const SettingOf<S>* findSetting(const std::vector<SettingOf<S>>& table, const std::string& section, const std::string& key)
 {
-    for (auto& it : getSettings()) {
+    for (auto& it : table) {
         if (section == it.section && key == it.key)
             return &it;
     }
@@ -139,7 +169,8 @@
     return rows;
 }
 
-tl::expected<Settings, std::string> parseSettings(const std::string& text, const std::string& path)
+template <typename S>
+static tl::expected<S, std::string> parseTable(const std::vector<SettingOf<S>>& table, const std::string& text, const std::string& path)
 {
     boost::property_tree::ptree tree;
     std::istringstream stream(text);
@@ -148,13 +179,13 @@
     } catch (const boost::property_tree::ini_parser_error& error) {
         return tl::make_unexpected(fmt::format("{}:{}: {}", path, error.line(), error.message()));
     }
-    Settings settings;
+    S settings;
     std::vector<std::string> seen;
     for (auto& [section, keys] : tree) {
         if (keys.empty() && !keys.data().empty())
             return tl::make_unexpected(fmt::format("{}:{}: '{}' stands outside a section", path, findLine(text, "", section), section));
         for (auto& [key, value] : keys) {
-            auto* row = findSetting(section, key);
+            auto* row = findSetting(table, section, key);
             auto line = findLine(text, section, key);
             if (!row)
                 return tl::make_unexpected(fmt::format("{}:{}: [{}] {} is not a setting", path, line, section, key));
@@ -163,8 +194,8 @@
             seen.push_back(section + "." + key);
         }
     }
-    for (auto& it : getSettings()) {
-        bool isRequired = std::holds_alternative<std::string Settings::*>(it.field);
+    for (auto& it : table) {
+        bool isRequired = it.least > 0 && std::holds_alternative<std::string S::*>(it.field);
         auto name = std::string(it.section) + "." + it.key;
         if (isRequired && std::find(seen.begin(), seen.end(), name) == seen.end())
             return tl::make_unexpected(fmt::format("{}:{}: [{}] {} is missing", path, std::max<size_t>(1, findLine(text, it.section, "")), it.section, it.key));
@@ -172,14 +203,37 @@
     return settings;
 }
 
-tl::expected<Settings, std::string> readSettings(const std::string& path)
+tl::expected<Settings, std::string> parseSettings(const std::string& text, const std::string& path)
+{
+    return parseTable(getSettings(), text, path);
+}
+
+tl::expected<GatewaySettings, std::string> parseGatewaySettings(const std::string& text, const std::string& path)
+{
+    return parseTable(getGatewaySettings(), text, path);
+}
+
+tl::expected<std::string, std::string> readFile(const std::string& path)
 {
     std::ifstream file(path);
     if (!file)
         return tl::make_unexpected(path + ":0: cannot be opened");
     std::ostringstream text;
     text << file.rdbuf();
-    return parseSettings(text.str(), path);
+    return text.str();
+}
+
+bool isGatewayText(const std::string& text)
+{
+    return findLine(text, "gateway", "") != 0;
+}
+
+tl::expected<Settings, std::string> readSettings(const std::string& path)
+{
+    auto text = readFile(path);
+    if (!text)
+        return tl::make_unexpected(text.error());
+    return parseSettings(*text, path);
 }
 
 }
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -45,6 +45,30 @@
     int traceEvents { 0 }; // events of each group kept for /debug/trace, from the host's becoming a home on; 0: none
 };
 
+// Settings of a host that serves sessions on connections (src/gateway). A file that has a section [gateway] is read as these.
+struct GatewaySettings {
+    // [gateway]
+    std::string name {}; // required; unique among all hosts
+    std::string dataCentre {}; // required
+    std::string callerAddress {}; // required; ip:port
+    std::string peerAddress {}; // required; ip:port
+    std::string readyAddress {}; // required; ip:port
+    std::string metricsAddress {}; // ip:port; empty: no metrics are served
+    std::string seeds {}; // ip:port,...; peer addresses of some hosts
+    // [platform]
+    std::string storeAddress {}; // required; ip:port
+    std::string ordersAddress {}; // required; ip:port
+    int callLimitMs { 1000 }; // ms; the store answers in a few ms; one that is slow may need some hundred
+    int watchWaitMs { 2000 }; // ms; a watch on a silent connection is found out within this and a second
+    int leaseMs { 6000 }; // ms; renewed three times within it
+    // [stop]
+    int graceMs { 6000 }; // ms
+    // [log]
+    int logLinesPerSecond { 50 }; // lines
+    int logBufferKb { 256 }; // KiB
+    friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
+};
+
 // One row of the table of settings.
 struct SettingRow {
     std::string section;
@@ -62,4 +86,9 @@
 // The same for text, with `path` for messages.
 tl::expected<Settings, std::string> parseSettings(const std::string& text, const std::string& path);
 
+// A host's file says by its sections what it is.
+bool isGatewayText(const std::string& text);
+tl::expected<std::string, std::string> readFile(const std::string& path);
+tl::expected<GatewaySettings, std::string> parseGatewaySettings(const std::string& text, const std::string& path);
+
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "base/timeline.h"
 #include "controllers/groups.h"
 #include "daemon/drain.h"
+#include "daemon/gateway.h"
 #include "daemon/operators.h"
 #include "filters/request.h"
 #include "links/peer.h"
@@ -185,6 +186,9 @@
 int main(int argc, char** argv)
 {
     auto commandLine = readCommandLine(argc, argv);
+    auto text = base::readFile(commandLine.settingsPath);
+    if (text && base::isGatewayText(*text))
+        return daemon::runGateway(commandLine.settingsPath, *text, commandLine.mustOnlyCheck);
     auto settings = base::readSettings(commandLine.settingsPath);
     if (!settings) {
         fmt::print(stderr, "{}\n", settings.error());
--- /dev/null
+++ b/src/decisions/choice.cpp
@@ -0,0 +1,68 @@
+#include "decisions/choice.h"
+#include "decisions/placement.h"
+#include <algorithm>
+
+namespace alderward::decisions {
+
+// Statements' worth of queue that a read must save to be sent to the leader.
+static constexpr double kLeaderPenalty = 1.0;
+
+Lead takeProof(const Lead& lead, const std::string& member, uint64_t term)
+{
+    return term < lead.term ? lead : Lead { member, term, true };
+}
+
+Lead takeDenial(const Lead& lead, const std::string& member)
+{
+    return lead.member == member ? Lead { "", lead.term, false } : lead;
+}
+
+Lead takeWord(const Lead& lead, const std::string& member, uint64_t term)
+{
+    bool fillsGap = lead.member.empty() && term >= lead.term;
+    return term > lead.term || fillsGap ? Lead { member, term, false } : lead;
+}
+
+Lead takeListing(const Lead& lead, const std::string& member)
+{
+    return lead.member.empty() ? Lead { member, lead.term, false } : lead;
+}
+
+double getExpectedMs(const Candidate& candidate)
+{
+    auto ahead = candidate.queued < candidate.slots ? 0.0 : static_cast<double>(candidate.queued - candidate.slots + 1);
+    return candidate.distanceMs + candidate.workMs * (1 + ahead / candidate.slots);
+}
+
+std::optional<size_t> chooseReader(const std::vector<Candidate>& candidates, const Mark& need)
+{
+    std::optional<size_t> best;
+    double bestCost = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        auto& it = candidates[i];
+        bool isBehind = !it.isLeader && it.position < need && it.positionAge < kBehindFor && it.position.term != 0;
+        if (!it.isUsable || it.wasTried || isBehind)
+            continue;
+        auto cost = getExpectedMs(it) + (it.isLeader ? kLeaderPenalty * it.workMs : 0);
+        if (!best || cost < bestCost) {
+            best = i;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> rankCarriers(const std::string& member, const std::string& dataCentre, const std::vector<CarrierHost>& hosts)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    for (auto& it : hosts) {
+        if (it.isUp)
+            (it.dataCentre == dataCentre ? near : far).push_back(it.name);
+    }
+    auto ranked = rankHosts(member, near);
+    std::ranges::move(rankHosts(member, far), std::back_inserter(ranked));
+    return ranked;
+}
+
+}
--- /dev/null
+++ b/src/decisions/choice.h
@@ -0,0 +1,72 @@
+// Which member a statement goes to, and which host's connections it uses to get there.
+//
+// [SECTION] Lead       who leads a group, from evidence of several kinds
+// [SECTION] Choice     the cheapest member that may serve a statement
+// [SECTION] Carriers   the hosts that connect to a member
+#pragma once
+#include "decisions/freshness.h"
+#include <string>
+#include <vector>
+
+namespace alderward::decisions {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Lead
+//-----------------------------------------------------------------------------
+
+// Which member leads a group, as far as this host knows.
+struct Lead {
+    std::string member {}; // empty: nobody is known to
+    uint64_t term { 0 }; // the newest that was heard of
+    bool isProven { false }; // shown by the member itself, not only listed or told
+    friend bool operator==(const Lead&, const Lead&) = default;
+};
+
+// The member itself showed that it leads in `term`.
+Lead takeProof(const Lead& lead, const std::string& member, uint64_t term);
+// The member itself said that it does not lead.
+Lead takeDenial(const Lead& lead, const std::string& member);
+// Another host told us.
+Lead takeWord(const Lead& lead, const std::string& member, uint64_t term);
+// The list of members names it; that may be out of date, so it fills a gap only.
+Lead takeListing(const Lead& lead, const std::string& member);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Choice
+//-----------------------------------------------------------------------------
+
+struct Candidate {
+    bool isUsable { true }; // listed, not leaving, reachable as far as is known
+    bool isLeader { false };
+    bool wasTried { false }; // by this statement
+    Mark position {}; // newest that it is known to hold
+    milliseconds positionAge { 0 }; // how long ago that was
+    double distanceMs { 0 }; // there and back, with the host that carries it
+    unsigned queued { 0 }; // statements waiting or running there
+    unsigned slots { 1 };
+    double workMs { 10 }; // of one statement
+};
+
+inline constexpr milliseconds kBehindFor { 100 }; // a replica that was seen behind is left alone this long
+
+// The expected time of an answer, in ms.
+double getExpectedMs(const Candidate& candidate);
+
+// The best member for a read that must see `need`. The leader counts as busier than it is: writes have no other place to go.
+std::optional<size_t> chooseReader(const std::vector<Candidate>& candidates, const Mark& need);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Carriers
+//-----------------------------------------------------------------------------
+
+struct CarrierHost {
+    std::string name {};
+    std::string dataCentre {};
+    bool isUp { true };
+};
+
+// The hosts in the order in which they are asked to carry statements to a member: those of the member's data centre first, by
+// rendezvous rank, so that all hosts agree without asking each other as long as they see the same hosts.
+std::vector<std::string> rankCarriers(const std::string& member, const std::string& dataCentre, const std::vector<CarrierHost>& hosts);
+
+}
--- a/src/decisions/errors.cpp
+++ b/src/decisions/errors.cpp
@@ -27,6 +27,14 @@
     ErrorRow { ErrorKind::OutcomeUnknown, "outcome-unknown", 504, Ran::Unknown, true },
     ErrorRow { ErrorKind::StatementRefused, "statement-refused", 422, Ran::No, false },
     ErrorRow { ErrorKind::Draining, "draining", 503, Ran::No, true },
+    ErrorRow { ErrorKind::TransactionAborted, "transaction-aborted", 409, Ran::No, true },
+    ErrorRow { ErrorKind::NotPrimary, "not-primary", 503, Ran::No, true },
+    ErrorRow { ErrorKind::WrongTarget, "wrong-target", 503, Ran::No, true },
+    ErrorRow { ErrorKind::TooManyConnections, "too-many-connections", 503, Ran::No, true },
+    ErrorRow { ErrorKind::TargetUnreachable, "target-unreachable", 503, Ran::No, true },
+    ErrorRow { ErrorKind::UnknownStatement, "unknown-statement", 404, Ran::No, false },
+    ErrorRow { ErrorKind::StatementFailed, "statement-failed", 500, Ran::Yes, false },
+    ErrorRow { ErrorKind::StatementTimedOut, "statement-timed-out", 504, Ran::Unknown, false },
     ErrorRow { ErrorKind::Internal, "internal", 500, Ran::Unknown, false },
 };
 
--- a/src/decisions/errors.h
+++ b/src/decisions/errors.h
@@ -38,6 +38,14 @@
     OutcomeUnknown, // sent, but no trustworthy answer came
     StatementRefused, // the target refused the statement itself
     Draining, // this host is stopping
+    TransactionAborted, // rolled back, or never begun: nothing of it is kept
+    NotPrimary, // the target is a replica and was asked to write
+    WrongTarget, // another member answers at the target's address
+    TooManyConnections, // the target takes no more connections
+    TargetUnreachable, // no connection to the target could be had; the statement was not sent
+    UnknownStatement, // no statement was prepared under this name
+    StatementFailed, // the target ran the statement and reports a failure
+    StatementTimedOut, // sent, but no answer came within the route's limit
     Internal,
 };
 
--- /dev/null
+++ b/src/decisions/freshness.cpp
@@ -0,0 +1,42 @@
+#include "decisions/freshness.h"
+#include <algorithm>
+
+namespace alderward::decisions {
+
+FloorHistory takeFloor(FloorHistory history, const Floor& floor)
+{
+    auto& floors = history.floors;
+    auto it = std::ranges::upper_bound(floors, floor.since, {}, &Floor::since);
+    // Marks and times rise together; a floor that says less than an older one says nothing.
+    if (it != floors.begin() && std::prev(it)->mark > floor.mark)
+        return history;
+    // Two in one step: the younger one stands for both, unless it is the newest of all, which is always kept.
+    bool isCrowded = it != floors.begin() && std::prev(it) != floors.begin() && floor.since - std::prev(it, 2)->since < kFloorStep;
+    if (isCrowded && std::prev(it)->mark.term == floor.mark.term)
+        *std::prev(it) = floor;
+    else
+        it = floors.insert(it, floor);
+    while (floors.size() > 1 && floors.back().since - floors.front().since > kFloorMemory)
+        floors.pop_front();
+    return history;
+}
+
+std::optional<Mark> getFloor(const FloorHistory& history, milliseconds maximumAge, TimePoint sent)
+{
+    auto oldest = sent - maximumAge;
+    for (auto& it : history.floors) {
+        if (it.since >= oldest)
+            return it.mark;
+    }
+    return std::nullopt;
+}
+
+std::optional<Mark> getReadMark(const DatabaseRoute& route, const FloorHistory& history, const Mark& sessionCommit, TimePoint sent)
+{
+    auto floor = getFloor(history, route.maximumAge, sent);
+    if (!floor || route.consistency != Consistency::ReadYourWrites)
+        return floor;
+    return std::max(*floor, sessionCommit);
+}
+
+}
--- /dev/null
+++ b/src/decisions/freshness.h
@@ -0,0 +1,39 @@
+// Which commits a read must see, as a position in its group's log. A position taken from a primary that was proven to lead
+// when it answered covers every commit that was acknowledged before the question was sent: it is a floor for reads.
+#pragma once
+#include "decisions/statement.h"
+#include <chrono>
+#include <deque>
+
+namespace alderward::decisions {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+
+struct Floor {
+    Mark mark {};
+    TimePoint since {}; // covers all commits acknowledged before this; on this host's monotonic clock
+    friend bool operator==(const Floor&, const Floor&) = default;
+};
+
+// Floors of one group, oldest first. Older ones are kept because a replica is the likelier to have a floor the older it is.
+struct FloorHistory {
+    std::deque<Floor> floors {};
+    friend bool operator==(const FloorHistory&, const FloorHistory&) = default;
+
+    bool isEmpty() const { return floors.empty(); }
+};
+
+inline constexpr milliseconds kFloorStep { 50 }; // floors closer than this are one; bounds the history's length
+inline constexpr milliseconds kFloorMemory { 5000 }; // above any age that operators allow a read
+
+FloorHistory takeFloor(FloorHistory history, const Floor& floor);
+
+// The lowest mark that covers everything acknowledged before `sent` less `maximumAge`. Empty: no floor is young enough.
+// A floor of an older term than the newest may name commits that a change of primary took back; one is returned only as long as
+// nothing newer is known, and members of the new term hold every position of older ones that survived.
+std::optional<Mark> getFloor(const FloorHistory& history, milliseconds maximumAge, TimePoint sent);
+
+// What a read outside the primary must see: a floor, and for ReadYourWrites the session's last commit as well.
+std::optional<Mark> getReadMark(const DatabaseRoute& route, const FloorHistory& history, const Mark& sessionCommit, TimePoint sent);
+
+}
--- /dev/null
+++ b/src/decisions/statement.cpp
@@ -0,0 +1,51 @@
+#include "decisions/statement.h"
+#include <algorithm>
+
+namespace alderward::decisions {
+
+bool isPassedOver(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::TooManyConnections:
+    case ErrorKind::TooStale:
+    case ErrorKind::NotPrimary:
+    case ErrorKind::WrongTarget:
+    case ErrorKind::UnknownStatement:
+    case ErrorKind::TargetUnreachable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string nameShape(const PreparedShape& shape)
+{
+    return (shape.isWrite ? "w_" : "r_") + shape.shape;
+}
+
+ConnectionPlan planConnection(const ConnectionState& connection, const SessionValues& session, const std::optional<PreparedShape>& shape)
+{
+    ConnectionPlan plan;
+    plan.mustReset = std::ranges::any_of(connection.values, [&](const auto& it) { return !session.contains(it.first); });
+    for (const auto& [name, value] : session) {
+        auto found = connection.values.find(name);
+        if (plan.mustReset || found == connection.values.end() || found->second != value)
+            plan.values.emplace_back(name, value);
+    }
+    plan.mustPrepare = shape && (plan.mustReset || !connection.prepared.contains(*shape));
+    return plan;
+}
+
+ConnectionState applyPlan(ConnectionState connection, const ConnectionPlan& plan, const std::optional<PreparedShape>& shape)
+{
+    if (plan.mustReset)
+        connection = {};
+    for (const auto& [name, value] : plan.values)
+        connection.values[name] = value;
+    if (plan.mustPrepare)
+        connection.prepared.insert(*shape);
+    return connection;
+}
+
+}
--- /dev/null
+++ b/src/decisions/succession.cpp
@@ -0,0 +1,105 @@
+#include "decisions/succession.h"
+#include <algorithm>
+#include <boost/json.hpp>
+#include <set>
+
+namespace alderward::decisions {
+
+namespace json = boost::json;
+
+Succession makeSuccession(const Succession& previous, const std::vector<RankedHost>& ranked)
+{
+    Succession next;
+    next.firstToken = previous.orderers.empty() ? 1 : previous.firstToken + kTokensEach * kOrderers;
+    std::set<std::string> used;
+    auto take = [&](bool onlyNewDataCentres) {
+        for (auto& it : ranked) {
+            bool isIn = std::ranges::find(next.orderers, it.orderer) != next.orderers.end();
+            if (isIn || next.orderers.size() >= kOrderers || (onlyNewDataCentres && used.contains(it.dataCentre)))
+                continue;
+            used.insert(it.dataCentre);
+            next.orderers.push_back(it.orderer);
+        }
+    };
+    take(true);
+    take(false);
+    return next;
+}
+
+bool isSuccessionDue(const Succession& succession, const std::vector<Orderer>& live)
+{
+    auto isLive = [&](const Orderer& it) { return std::ranges::find(live, it) != live.end(); };
+    if (succession.orderers.empty() || !isLive(succession.orderers.front()))
+        return true;
+    auto standing = std::ranges::count_if(succession.orderers, isLive);
+    return static_cast<size_t>(standing) < std::min(kOrderers, live.size());
+}
+
+std::optional<size_t> findRank(const Succession& succession, const Orderer& self)
+{
+    auto it = std::ranges::find(succession.orderers, self);
+    if (it == succession.orderers.end())
+        return std::nullopt;
+    return static_cast<size_t>(it - succession.orderers.begin());
+}
+
+std::optional<uint64_t> getToken(const Succession& succession, size_t rank, uint64_t count)
+{
+    if (count >= kTokensEach)
+        return std::nullopt;
+    return succession.firstToken + rank * kTokensEach + count;
+}
+
+std::string formatSuccession(const Succession& succession)
+{
+    json::array orderers;
+    for (auto& it : succession.orderers)
+        orderers.push_back({ { "host", it.host }, { "incarnation", it.incarnation } });
+    return json::serialize(json::object { { "orderers", orderers }, { "firstToken", succession.firstToken } });
+}
+
+std::optional<Succession> parseSuccession(const std::string& text)
+{
+    boost::system::error_code ec;
+    auto value = json::parse(text, ec);
+    if (ec || !value.is_object())
+        return std::nullopt;
+    auto& object = value.as_object();
+    auto* orderers = object.if_contains("orderers");
+    auto* first = object.if_contains("firstToken");
+    if (!orderers || !orderers->is_array() || !first || !first->is_number())
+        return std::nullopt;
+    Succession succession;
+    succession.firstToken = first->to_number<uint64_t>(ec);
+    for (auto& it : orderers->as_array()) {
+        auto* object = it.if_object();
+        if (!object || !object->contains("host") || !object->at("host").is_string() || !object->contains("incarnation"))
+            return std::nullopt;
+        succession.orderers.push_back({ std::string(object->at("host").as_string()), object->at("incarnation").to_number<uint64_t>(ec) });
+    }
+    if (ec)
+        return std::nullopt;
+    return succession;
+}
+
+std::optional<std::string> chooseSuccessor(const std::vector<MemberFinding>& replicas, unsigned synchronousReplicas)
+{
+    const MemberFinding* best = nullptr;
+    for (auto& it : replicas) {
+        if (!it.wasReached && synchronousReplicas > 0)
+            return std::nullopt;
+        if (!it.wasReached || !it.mayLead)
+            continue;
+        if (!best || it.received > best->received)
+            best = &it;
+    }
+    if (!best)
+        return std::nullopt;
+    // A member that may not lead can hold more than the best that may: with synchronous replicas, that would lose a commit.
+    bool isBehind = std::ranges::any_of(replicas, [&](const MemberFinding& it) { return it.received > best->received; });
+    if (synchronousReplicas > 0 && isBehind)
+        return std::nullopt;
+    return best->member;
+}
+
+}
--- /dev/null
+++ b/src/decisions/succession.h
@@ -0,0 +1,72 @@
+// Who may order a change of primary, and which member is to lead. The right to order is settled in the platform's store beforehand, for
+// a holder and its deputies, each with tokens of its own, so that a deputy can act while the store is away and no two hosts ever use
+// the same token (docs/design/0009-platform.md).
+//
+// COMMON MISTAKES
+//   - Ordering a different member with a token that was used before: the first order may be carried out late, after the second.
+//
+// [SECTION] Succession   the record in the store
+// [SECTION] Evidence     whether the primary is dead, and who takes over
+#pragma once
+#include "decisions/freshness.h"
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace alderward::decisions {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Succession
+//-----------------------------------------------------------------------------
+
+// A process that may order; a restarted one is another.
+struct Orderer {
+    std::string host {};
+    uint64_t incarnation { 0 };
+    friend bool operator==(const Orderer&, const Orderer&) = default;
+};
+
+struct Succession {
+    std::vector<Orderer> orderers {}; // the holder first, then its deputies in order
+    uint64_t firstToken { 0 }; // orderer i owns kTokensEach tokens from firstToken + i * kTokensEach on
+    friend bool operator==(const Succession&, const Succession&) = default;
+};
+
+inline constexpr uint64_t kTokensEach = 1000; // decisions of one orderer before the record must be renewed
+inline constexpr size_t kOrderers = 3; // a holder and two deputies: two hosts may die while the store is away
+
+// The next record: orderers in rank order over the live hosts, in different data centres where there are several.
+struct RankedHost {
+    Orderer orderer {};
+    std::string dataCentre {};
+};
+Succession makeSuccession(const Succession& previous, const std::vector<RankedHost>& ranked);
+// Whether the record names too few live orderers, or a holder that is gone.
+bool isSuccessionDue(const Succession& succession, const std::vector<Orderer>& live);
+// This process's place; empty: none.
+std::optional<size_t> findRank(const Succession& succession, const Orderer& self);
+// The token of this process's `count`th decision (from 0). Empty: its tokens are used up.
+std::optional<uint64_t> getToken(const Succession& succession, size_t rank, uint64_t count);
+
+std::string formatSuccession(const Succession& succession);
+std::optional<Succession> parseSuccession(const std::string& text);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Evidence
+//-----------------------------------------------------------------------------
+
+// What one host found when it asked a member for its status.
+struct MemberFinding {
+    std::string member {};
+    bool wasReached { false };
+    bool saysPrimary { false };
+    uint64_t term { 0 };
+    Mark received {}; // newest entry of its log
+    bool mayLead { true }; // listed and not leaving
+};
+
+// The member that holds most. With synchronous replicas a commit may be on any one of them, so all have to be heard.
+// Empty: none can be chosen.
+std::optional<std::string> chooseSuccessor(const std::vector<MemberFinding>& replicas, unsigned synchronousReplicas);
+
+}
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,344 @@
+#include "gateway/caller_session.h"
+#include "base/event_log.h"
+
+namespace alderward::gateway {
+
+using base::Clock;
+using base::LogClass;
+using decisions::ErrorKind;
+using decisions::SessionState;
+using decisions::Statement;
+using decisions::StatementKind;
+
+static constexpr size_t kPreparedMost = 256; // names in one session; bounds its memory
+static constexpr size_t kValuesMost = 256;
+
+CallerSession::CallerSession(SessionContext context, uint64_t number)
+    : m_context(std::move(context))
+    , m_name(std::to_string(number))
+    , m_channel(std::make_shared<links::Channel>(m_context.context.get_executor(), links::ChannelOptions {}))
+{
+}
+
+void CallerSession::begin(boost::asio::ip::tcp::socket socket)
+{
+    auto self = shared_from_this();
+    m_channel->begin(
+        std::move(socket), [self](std::string_view message) { self->takeMessage(message); }, [self](const std::string& reason) { self->close(reason); });
+}
+
+void CallerSession::takeMessage(std::string_view message)
+{
+    auto parsed = m_context.codec.parseCaller(message);
+    if (auto* hello = std::get_if<links::OpenSession>(&parsed); hello && !m_isOpen) {
+        open(*hello);
+    } else if (auto* statement = std::get_if<Statement>(&parsed); statement && m_isOpen) {
+        take(*statement);
+    } else if (std::holds_alternative<links::EndSession>(parsed)) {
+        close("ended by the caller");
+    } else {
+        m_channel->send(m_context.codec.formatError({ ErrorKind::BadRequest, "the message is not understood here" }));
+        m_channel->finish();
+        close("bad message");
+    }
+}
+
+void CallerSession::open(const links::OpenSession& message)
+{
+    m_database = message.database;
+    auto it = m_context.world.configuration.routes.find(m_database);
+    if (m_context.isDraining || it == m_context.world.configuration.routes.end()) {
+        auto kind = m_context.isDraining ? ErrorKind::Draining : ErrorKind::UnknownGroup;
+        m_channel->send(m_context.codec.formatError({ kind, m_context.isDraining ? "this host is stopping" : "no such database" }));
+        m_channel->finish();
+        close("refused");
+        return;
+    }
+    m_route = it->second;
+    m_isOpen = true;
+    m_channel->send(m_context.codec.formatReady(SessionState::Idle));
+}
+
+// Between transactions, the route is the one in force now.
+void CallerSession::refreshRoute()
+{
+    auto it = m_context.world.configuration.routes.find(m_database);
+    if (it != m_context.world.configuration.routes.end())
+        m_route = it->second;
+    else
+        m_route = {};
+}
+
+void CallerSession::take(const Statement& statement)
+{
+    m_isRunning = true;
+    m_channel->setPaused(true); // one at a time: the next one's answer depends on this one's
+    if (m_state == SessionState::Idle)
+        refreshRoute();
+    if (m_route.database.empty()) {
+        answerError(ErrorKind::UnknownGroup, "no such database any more");
+        return;
+    }
+    if (m_state == SessionState::Failed) {
+        endFailed(statement);
+        return;
+    }
+    switch (statement.kind) {
+    case StatementKind::SetValue:
+        setValue(statement);
+        break;
+    case StatementKind::Prepare:
+        prepare(statement);
+        break;
+    case StatementKind::Deallocate:
+        deallocate(statement);
+        break;
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        beginTransaction(statement);
+        break;
+    case StatementKind::Rollback:
+        rollback(statement);
+        break;
+    case StatementKind::Unknown:
+        answerError(ErrorKind::BadRequest, "the statement is not understood");
+        break;
+    default:
+        runOnTarget(statement);
+    }
+}
+
+void CallerSession::setValue(const Statement& statement)
+{
+    if (m_values.size() >= kValuesMost && !m_values.contains(statement.name)) {
+        answerError(ErrorKind::BadRequest, "too many values in one session");
+        return;
+    }
+    m_values[statement.name] = statement.argument;
+    answerOk();
+}
+
+void CallerSession::prepare(const Statement& statement)
+{
+    if (m_prepared.size() >= kPreparedMost && !m_prepared.contains(statement.name)) {
+        answerError(ErrorKind::BadRequest, "too many prepared statements in one session");
+        return;
+    }
+    m_prepared[statement.name] = { statement.argument, statement.isWrite };
+    answerOk();
+}
+
+void CallerSession::deallocate(const Statement& statement)
+{
+    if (m_prepared.erase(statement.name) == 0)
+        answerError(ErrorKind::UnknownStatement, "nothing is prepared under this name");
+    else
+        answerOk();
+}
+
+// No target hears of it before the first statement: a transaction that rests holds no connection.
+void CallerSession::beginTransaction(const Statement& statement)
+{
+    if (m_state != SessionState::Idle) {
+        answerError(ErrorKind::BadRequest, "a transaction is open");
+        return;
+    }
+    m_state = SessionState::InTransaction;
+    m_isReadOnly = statement.kind == StatementKind::BeginReadOnly;
+    m_hasWritten = false;
+    m_transaction.reset();
+    answerOk();
+}
+
+void CallerSession::rollback(const Statement&)
+{
+    if (m_state != SessionState::InTransaction) {
+        answerError(ErrorKind::BadRequest, "no transaction is open");
+        return;
+    }
+    if (m_transaction)
+        m_context.runner.end(*m_transaction);
+    m_transaction.reset();
+    m_state = SessionState::Idle;
+    answerOk();
+}
+
+// The transaction was rolled back when it failed; here the caller ends it for itself.
+void CallerSession::endFailed(const Statement& statement)
+{
+    bool isEnd = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    if (!isEnd) {
+        answerError(ErrorKind::BadRequest, "the transaction failed; end it first");
+        return;
+    }
+    m_state = SessionState::Idle;
+    if (statement.kind == StatementKind::Rollback)
+        answerOk();
+    else
+        answerError(ErrorKind::TransactionAborted, "the transaction had failed and was rolled back");
+}
+
+bool CallerSession::fillRun(Run& run, const Statement& statement)
+{
+    auto now = Clock::now();
+    run.route = m_route;
+    run.session = m_name;
+    run.arrivedAt = now;
+    run.order.statement = statement;
+    run.order.values = m_values;
+    run.order.priority = m_route.priority;
+    run.order.objective = now + m_route.objective;
+    run.order.deadline = now + m_route.statementLimit;
+    if (statement.kind != StatementKind::Execute)
+        return true;
+    auto it = m_prepared.find(statement.name);
+    if (it == m_prepared.end())
+        return false;
+    run.order.shape = it->second;
+    run.order.statement.isWrite = it->second.isWrite;
+    return true;
+}
+
+void CallerSession::runOnTarget(const Statement& statement)
+{
+    Run run;
+    bool isCommit = statement.kind == StatementKind::Commit;
+    if (isCommit && m_state != SessionState::InTransaction) {
+        answerError(ErrorKind::BadRequest, "no transaction is open");
+        return;
+    }
+    if (!fillRun(run, statement)) {
+        answerError(ErrorKind::UnknownStatement, "nothing is prepared under this name");
+        return;
+    }
+    auto self = shared_from_this();
+    auto ran = run.order.statement;
+    auto done = [self, ran](const Outcome& outcome, const std::optional<TransactionHandle>& transaction) { self->takeOutcome(ran, outcome, transaction); };
+    if (m_transaction) {
+        m_context.runner.runNext(*m_transaction, std::move(run), done);
+        return;
+    }
+    bool isOpening = m_state == SessionState::InTransaction;
+    run.order.kind = isOpening ? OrderKind::Begin : OrderKind::Single;
+    bool readsOnly = isOpening ? m_isReadOnly : !ran.isWrite;
+    run.needsLeader = !readsOnly || m_route.consistency == decisions::Consistency::Primary;
+    if (!run.needsLeader) {
+        auto mark = decisions::getReadMark(m_route, m_context.world.groups[m_route.group].floors, m_lastCommit, run.arrivedAt);
+        run.needsLeader = !mark; // no floor is young enough: the leader itself proves freshness
+        run.need = mark.value_or(Mark {});
+    }
+    run.order.isReadOnly = readsOnly && !run.needsLeader;
+    m_context.runner.run(std::move(run), done);
+}
+
+// What the caller is told. A promise that nothing is kept is made only where no commit can have arrived.
+decisions::Error CallerSession::translate(const Statement& statement, const decisions::Error& error, bool wasSent) const
+{
+    bool isInTransaction = m_state == SessionState::InTransaction;
+    bool isCommit = statement.kind == StatementKind::Commit;
+    bool mayBeKept = (isCommit && m_hasWritten) || (!isInTransaction && statement.isWrite);
+    bool isUnclear = error.kind == ErrorKind::OutcomeUnknown || error.kind == ErrorKind::StatementTimedOut || error.kind == ErrorKind::Internal;
+    if (isUnclear && mayBeKept && wasSent)
+        return { ErrorKind::OutcomeUnknown, error.message };
+    if (isUnclear)
+        return { ErrorKind::TransactionAborted, error.message };
+    return error;
+}
+
+void CallerSession::takeOutcome(const Statement& statement, const Outcome& outcome, const std::optional<TransactionHandle>& transaction)
+{
+    bool isCommit = statement.kind == StatementKind::Commit;
+    bool wasInTransaction = m_state == SessionState::InTransaction;
+    auto answer = outcome;
+    if (answer.error)
+        answer.error = translate(statement, *answer.error, answer.wasSent);
+    if (!answer.error && (isCommit ? m_hasWritten : !wasInTransaction && statement.isWrite))
+        m_lastCommit = std::max(m_lastCommit, answer.position);
+    if (wasInTransaction) {
+        if (!m_transaction && transaction && !answer.error)
+            m_transaction = transaction;
+        m_hasWritten = m_hasWritten || statement.isWrite;
+        if (answer.error && m_transaction && !isCommit)
+            m_context.runner.end(*m_transaction);
+        if (answer.error || isCommit)
+            m_transaction.reset();
+        m_state = isCommit ? SessionState::Idle : answer.error ? SessionState::Failed
+                                                               : SessionState::InTransaction;
+    }
+    if (!m_channel->isOpen() && m_transaction) { // the caller left while its statement ran
+        m_context.runner.end(*m_transaction);
+        m_transaction.reset();
+    }
+    send(answer);
+}
+
+void CallerSession::answerOk()
+{
+    send({});
+}
+
+void CallerSession::answerError(ErrorKind kind, const std::string& message)
+{
+    if (m_state == SessionState::InTransaction && kind != ErrorKind::UnknownStatement) {
+        if (m_transaction)
+            m_context.runner.end(*m_transaction);
+        m_transaction.reset();
+        m_state = SessionState::Failed;
+    }
+    send(decisions::makeFailure(kind, message));
+}
+
+void CallerSession::send(const Outcome& outcome)
+{
+    m_isRunning = false;
+    m_restingSince = Clock::now();
+    m_channel->send(m_context.codec.formatAnswer(outcome, m_state));
+    if (m_isDraining && m_state == SessionState::Idle) {
+        m_channel->finish();
+        close("this host is stopping");
+        return;
+    }
+    m_channel->setPaused(false);
+}
+
+void CallerSession::drain()
+{
+    m_isDraining = true;
+    if (!isBusy()) {
+        m_channel->finish();
+        close("this host is stopping");
+    }
+}
+
+void CallerSession::abort()
+{
+    m_channel->finish();
+    close("this host is stopping");
+}
+
+void CallerSession::sweep(TimePoint now)
+{
+    auto limit = m_context.world.configuration.transactionIdle;
+    bool isResting = m_state == SessionState::InTransaction && !m_isRunning && m_transaction;
+    if (limit.count() == 0 || !isResting || now - m_restingSince < limit)
+        return;
+    base::logEvent(LogClass::Failure, "transaction-ended", { { "session", std::string_view(m_name) }, { "reason", "it rested for too long" } });
+    m_context.runner.end(*m_transaction);
+    m_transaction.reset();
+    m_state = SessionState::Failed;
+}
+
+void CallerSession::close(const std::string&)
+{
+    if (m_channel->isOpen() && !m_isDraining)
+        m_channel->finish();
+    if (m_transaction && !m_isRunning) {
+        m_context.runner.end(*m_transaction);
+        m_transaction.reset();
+    }
+    auto self = shared_from_this();
+    if (m_context.onEnd)
+        m_context.onEnd(self);
+}
+
+}
--- /dev/null
+++ b/src/gateway/caller_session.h
@@ -0,0 +1,69 @@
+// A caller's session: one connection, its values, prepared statements and transaction. Answers by itself what no target has to see.
+#pragma once
+#include "gateway/runner.h"
+
+namespace alderward::gateway {
+
+struct SessionContext {
+    boost::asio::io_context& context;
+    const links::StatementCodec& codec;
+    World& world;
+    Runner& runner;
+    const bool& isDraining;
+    std::function<void(const std::shared_ptr<class CallerSession>&)> onEnd;
+};
+
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+public:
+    CallerSession(SessionContext context, uint64_t number);
+
+    void begin(boost::asio::ip::tcp::socket socket);
+    // Closes the session as soon as nothing of it is in flight: a planned stop.
+    void drain();
+    // Rolls an open transaction back and closes.
+    void abort();
+    // Ends what waited for too long.
+    void sweep(TimePoint now);
+
+    bool isBusy() const { return m_isRunning || m_state != decisions::SessionState::Idle; }
+    bool isRunning() const { return m_isRunning; }
+
+private:
+    void takeMessage(std::string_view message);
+    void open(const links::OpenSession& message);
+    void take(const decisions::Statement& statement);
+    void setValue(const decisions::Statement& statement);
+    void prepare(const decisions::Statement& statement);
+    void deallocate(const decisions::Statement& statement);
+    void beginTransaction(const decisions::Statement& statement);
+    void rollback(const decisions::Statement& statement);
+    void endFailed(const decisions::Statement& statement);
+    void runOnTarget(const decisions::Statement& statement);
+    bool fillRun(Run& run, const decisions::Statement& statement);
+    void takeOutcome(const decisions::Statement& statement, const Outcome& outcome, const std::optional<TransactionHandle>& transaction);
+    decisions::Error translate(const decisions::Statement& statement, const decisions::Error& error, bool wasSent) const;
+    void answerOk();
+    void answerError(decisions::ErrorKind kind, const std::string& message);
+    void send(const Outcome& outcome);
+    void close(const std::string& reason);
+    void refreshRoute();
+
+    SessionContext m_context;
+    std::string m_name; // for the log
+    std::shared_ptr<links::Channel> m_channel;
+    std::string m_database;
+    decisions::DatabaseRoute m_route;
+    decisions::SessionValues m_values;
+    std::map<std::string, decisions::PreparedShape> m_prepared;
+    decisions::SessionState m_state { decisions::SessionState::Idle };
+    bool m_isReadOnly { false }; // the transaction
+    bool m_hasWritten { false }; // the transaction
+    std::optional<TransactionHandle> m_transaction; // empty until its first statement
+    Mark m_lastCommit;
+    TimePoint m_restingSince {};
+    bool m_isOpen { false };
+    bool m_isRunning { false };
+    bool m_isDraining { false };
+};
+
+}
--- /dev/null
+++ b/src/gateway/directory.cpp
@@ -0,0 +1,285 @@
+#include "gateway/directory.h"
+#include "base/event_log.h"
+#include "base/random.h"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace alderward::gateway {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using base::Clock;
+using base::LogClass;
+using base::milliseconds;
+using base::TimePoint;
+using links::StoreErrorKind;
+
+static constexpr double kRetryLeastMs = 100; // pause after a failed call; spread, so that hosts do not come together
+static constexpr double kRetryMostMs = 350;
+
+static milliseconds getRetryPause()
+{
+    return milliseconds(static_cast<int64_t>(kRetryLeastMs + base::getRandom() * (kRetryMostMs - kRetryLeastMs)));
+}
+
+static std::string formatHost(const links::ListedHost& host)
+{
+    return json::serialize(json::object { { "address", host.address }, { "dataCentre", host.dataCentre }, { "incarnation", host.incarnation } });
+}
+
+Directory::Directory(asio::io_context& context, links::PlatformAdapter& platform, links::ListedHost self, DirectoryTimings timings, DirectoryEvents events)
+    : m_context(context)
+    , m_platform(platform)
+    , m_self(std::move(self))
+    , m_timings(timings)
+    , m_events(std::move(events))
+{
+}
+
+TimePoint Directory::getDeadline() const
+{
+    return Clock::now() + m_timings.callLimit;
+}
+
+void Directory::begin()
+{
+    asio::co_spawn(m_context, follow(), asio::detached);
+    asio::co_spawn(m_context, keepEntry(), asio::detached);
+}
+
+asio::awaitable<void> Directory::end()
+{
+    m_isEnding = true;
+    if (m_lease == 0)
+        co_return;
+    links::StoreChange change;
+    change.deletes.push_back(std::string(kHostsPrefix) + m_self.name);
+    co_await m_platform.getStore().change(std::move(change), getDeadline());
+}
+
+void Directory::hurry(uint64_t version)
+{
+    if (version <= m_version || m_mustReread)
+        return;
+    base::logEvent(LogClass::State, "configuration-behind", { { "here", static_cast<int64_t>(m_version) }, { "elsewhere", static_cast<int64_t>(version) } });
+    m_mustReread = true;
+    m_platform.getStore().interruptWatch();
+}
+
+void Directory::setReachable(bool isReachable, const std::string& reason)
+{
+    if (isReachable == m_isReachable)
+        return;
+    m_isReachable = isReachable;
+    base::logEvent(LogClass::State, isReachable ? "store-regained" : "store-lost", { { "reason", std::string_view(reason) } });
+}
+
+asio::awaitable<void> Directory::follow()
+{
+    while (!m_isEnding) {
+        bool isGood = true;
+        if (m_mustReread) {
+            isGood = co_await readConfiguration();
+            m_mustReread = !isGood;
+        }
+        if (isGood)
+            isGood = m_mustList ? co_await readAll() : co_await watchOnce();
+        if (!isGood)
+            co_await base::sleepFor(getRetryPause());
+    }
+}
+
+asio::awaitable<bool> Directory::readConfiguration()
+{
+    auto item = co_await m_platform.getStore().get(m_platform.getConfigurationKey(), getDeadline());
+    if (!item) {
+        setReachable(item.error().kind == StoreErrorKind::NotFound, item.error().reason);
+        co_return item.error().kind == StoreErrorKind::NotFound;
+    }
+    takeConfiguration(*item);
+    co_return true;
+}
+
+// Pages are no snapshot: changes made meanwhile come again with the watch, which starts at the first page's revision.
+asio::awaitable<std::optional<uint64_t>> Directory::readPrefix(std::string prefix)
+{
+    std::string after;
+    std::optional<uint64_t> revision;
+    for (;;) {
+        auto page = co_await m_platform.getStore().list(prefix, after, false, getDeadline());
+        if (!page) {
+            setReachable(false, page.error().reason);
+            co_return std::nullopt;
+        }
+        if (!revision)
+            revision = page->revision;
+        for (auto& it : page->items) {
+            m_listed.insert(it.key);
+            takeItem(it);
+        }
+        if (!page->hasMore || page->items.empty())
+            co_return revision;
+        after = page->items.back().key;
+    }
+}
+
+asio::awaitable<bool> Directory::readAll()
+{
+    m_listed.clear();
+    std::optional<uint64_t> least;
+    std::vector<std::string> prefixes;
+    prefixes.push_back(m_platform.getMembersPrefix());
+    prefixes.emplace_back("alderward/");
+    for (auto& prefix : prefixes) {
+        auto revision = co_await readPrefix(prefix);
+        if (!revision)
+            co_return false;
+        least = std::min(least.value_or(*revision), *revision);
+    }
+    if (!co_await readConfiguration())
+        co_return false;
+    for (auto& key : std::set(m_known)) {
+        if (!m_listed.contains(key))
+            takeItem({ .key = key, .isDeleted = true });
+    }
+    m_known = m_listed;
+    m_revision = *least;
+    m_mustList = false;
+    setReachable(true, "listed");
+    m_events.onMembersRead();
+    co_return true;
+}
+
+asio::awaitable<bool> Directory::watchOnce()
+{
+    auto changes = co_await m_platform.getStore().watch("", m_revision, m_timings.watchWait);
+    if (changes) {
+        setReachable(true, "watch answered");
+        for (auto& it : changes->items)
+            takeItem(it);
+        m_revision = std::max(m_revision, changes->revision);
+        co_return true;
+    }
+    if (m_mustReread) // we broke it off ourselves
+        co_return true;
+    if (changes.error().kind == StoreErrorKind::HistoryLost) {
+        base::logEvent(LogClass::State, "history-lost", { { "revision", static_cast<int64_t>(m_revision) } });
+        m_mustList = true;
+        co_return true;
+    }
+    setReachable(false, changes.error().reason);
+    co_return false;
+}
+
+void Directory::takeItem(const links::StoreItem& item)
+{
+    auto members = m_platform.getMembersPrefix();
+    if (item.key == m_platform.getConfigurationKey()) {
+        if (!item.isDeleted)
+            takeConfiguration(item);
+        return;
+    }
+    if (item.isDeleted)
+        m_known.erase(item.key);
+    else
+        m_known.insert(item.key);
+    if (item.key.starts_with(members)) {
+        if (item.isDeleted) {
+            m_events.onMemberGone(item.key.substr(members.size()));
+            return;
+        }
+        auto member = m_platform.parseMember(item.key, item.value);
+        if (member)
+            m_events.onMember(*member);
+        else
+            base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) }, { "reason", std::string_view(member.error()) } });
+    } else if (item.key.starts_with(kHostsPrefix))
+        takeHost(item);
+    else if (item.key.starts_with(kSuccessionPrefix))
+        m_events.onSuccession(item.key.substr(kSuccessionPrefix.size()), item);
+}
+
+// A version below the one in force is an old answer: it never goes back.
+void Directory::takeConfiguration(const links::StoreItem& item)
+{
+    auto configuration = m_platform.parseConfiguration(item.value);
+    if (!configuration) {
+        base::logEvent(LogClass::State, "configuration-refused", { { "reason", std::string_view(configuration.error()) } });
+        return;
+    }
+    if (configuration->version <= m_version)
+        return;
+    m_version = configuration->version;
+    m_events.onConfiguration(*configuration);
+}
+
+void Directory::takeHost(const links::StoreItem& item)
+{
+    auto name = item.key.substr(kHostsPrefix.size());
+    if (item.isDeleted) {
+        if (name == m_self.name && m_lease != 0 && !m_isEnding) {
+            base::logEvent(LogClass::State, "entry-lost", { { "reason", std::string_view("the store dropped this host's entry") } });
+            m_lease = 0; // keepEntry() writes it anew
+        }
+        m_events.onHostGone(name);
+        return;
+    }
+    boost::system::error_code ec;
+    auto value = json::parse(item.value, ec);
+    auto* object = ec ? nullptr : value.if_object();
+    if (!object || !object->contains("address") || !object->contains("dataCentre") || !object->contains("incarnation")) {
+        base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) } });
+        return;
+    }
+    links::ListedHost host;
+    host.name = name;
+    host.address = std::string(object->at("address").as_string());
+    host.dataCentre = std::string(object->at("dataCentre").as_string());
+    host.incarnation = object->at("incarnation").to_number<uint64_t>();
+    m_events.onHost(host);
+}
+
+asio::awaitable<bool> Directory::writeEntry()
+{
+    auto& store = m_platform.getStore();
+    auto lease = co_await store.grantLease(m_timings.lease, getDeadline());
+    if (!lease)
+        co_return false;
+    links::StoreItem item;
+    item.key = std::string(kHostsPrefix) + m_self.name;
+    item.value = formatHost(m_self);
+    item.lease = *lease;
+    links::StoreChange change;
+    change.puts.push_back(std::move(item));
+    auto written = co_await store.change(std::move(change), getDeadline());
+    if (!written)
+        co_return false;
+    m_lease = *lease;
+    co_return true;
+}
+
+asio::awaitable<void> Directory::keepEntry()
+{
+    auto step = milliseconds(100);
+    auto renewedAt = Clock::now();
+    while (!m_isEnding) {
+        if (m_lease == 0) {
+            bool isWritten = co_await writeEntry();
+            renewedAt = Clock::now();
+            if (!isWritten)
+                co_await base::sleepFor(getRetryPause());
+            continue;
+        }
+        co_await base::sleepFor(step);
+        if (Clock::now() - renewedAt < m_timings.lease / 3)
+            continue;
+        renewedAt = Clock::now();
+        auto renewed = co_await m_platform.getStore().renewLease(m_lease, getDeadline());
+        if (!renewed && renewed.error().kind == StoreErrorKind::NotFound)
+            m_lease = 0;
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/directory.h
@@ -0,0 +1,71 @@
+// Follows the platform's store: reads everything once, then waits for changes; keeps this host's own entry there under a lease.
+#pragma once
+#include "links/directory.h"
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+
+namespace alderward::gateway {
+
+// Keys of the product's own in the store.
+inline constexpr std::string_view kHostsPrefix = "alderward/hosts/";
+inline constexpr std::string_view kSuccessionPrefix = "alderward/succession/";
+
+struct DirectoryEvents {
+    std::function<void(const links::GatewayConfiguration&)> onConfiguration;
+    std::function<void(const links::ListedMember&)> onMember;
+    std::function<void(const std::string& id)> onMemberGone;
+    std::function<void()> onMembersRead; // the list of members was read whole
+    std::function<void(const links::ListedHost&)> onHost;
+    std::function<void(const std::string& name)> onHostGone;
+    std::function<void(const std::string& group, const links::StoreItem&)> onSuccession;
+};
+
+struct DirectoryTimings {
+    base::milliseconds callLimit { 1000 };
+    base::milliseconds watchWait { 2000 };
+    base::milliseconds lease { 6000 };
+};
+
+class Directory {
+public:
+    Directory(boost::asio::io_context& context, links::PlatformAdapter& platform, links::ListedHost self, DirectoryTimings timings, DirectoryEvents events);
+
+    void begin();
+    // Stops following and withdraws this host's entry.
+    boost::asio::awaitable<void> end();
+    // Another host has a newer configuration than this one: look at once.
+    void hurry(uint64_t version);
+    bool isReachable() const { return m_isReachable; }
+
+private:
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<bool> readAll();
+    boost::asio::awaitable<bool> readConfiguration();
+    boost::asio::awaitable<std::optional<uint64_t>> readPrefix(std::string prefix);
+    boost::asio::awaitable<bool> watchOnce();
+    boost::asio::awaitable<void> keepEntry();
+    boost::asio::awaitable<bool> writeEntry();
+    void takeItem(const links::StoreItem& item);
+    void takeConfiguration(const links::StoreItem& item);
+    void takeHost(const links::StoreItem& item);
+    void setReachable(bool isReachable, const std::string& reason);
+    base::TimePoint getDeadline() const;
+
+    boost::asio::io_context& m_context;
+    links::PlatformAdapter& m_platform;
+    links::ListedHost m_self;
+    DirectoryTimings m_timings;
+    DirectoryEvents m_events;
+    uint64_t m_revision { 0 }; // all changes up to this one are known
+    uint64_t m_version { 0 }; // of the configuration
+    uint64_t m_lease { 0 }; // 0: no entry of ours is known to stand
+    std::set<std::string> m_listed; // keys seen in the list under way
+    std::set<std::string> m_known; // keys under the prefixes that are listed
+    bool m_mustList { true };
+    bool m_mustReread { false };
+    bool m_isReachable { false };
+    bool m_isEnding { false };
+};
+
+}
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,466 @@
+#include "gateway/gateway.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "base/random.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace alderward::gateway {
+
+namespace asio = boost::asio;
+using base::Clock;
+using base::LogClass;
+using decisions::ErrorKind;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+static constexpr milliseconds kSweepInterval { 20 }; // how late a limit may be noticed
+static constexpr milliseconds kProofInterval { 250 }; // how old the newest floor may get while nothing else renews it
+static constexpr milliseconds kTroubleFor { 500 }; // a member that this host could not reach is left to others this long
+static constexpr milliseconds kInquiryLimit { 500 }; // a busy target answers a status within some tens of ms
+static constexpr milliseconds kUnlistedFor { 4000 }; // an unlisted member is forgotten then; entries that lapsed are back before
+static constexpr milliseconds kLeavingFor { 5000 }; // connections to a leaving member are closed then
+static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
+static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
+static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
+
+Gateway::Gateway(asio::io_context& context, base::TimerService& timers, base::GatewaySettings settings, std::unique_ptr<links::PlatformAdapter> platform)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_platform(std::move(platform))
+    , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
+    , m_peers(context, m_settings.name, makePeerService())
+    , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); } })
+    , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
+    , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) {
+            if (auto it = m_pools.find(member); it != m_pools.end())
+                it->second->holdWrites(Clock::now() + time); }, m_isDraining })
+    , m_acceptor(context)
+    , m_timers(timers)
+{
+}
+
+Gateway::~Gateway() = default;
+
+tl::expected<void, std::string> Gateway::begin()
+{
+    m_world.hosts[m_self.name] = m_self;
+    if (auto listening = m_peers.listen(m_settings.peerAddress); !listening)
+        return listening;
+    auto endpoint = links::parseEndpoint(m_settings.callerAddress);
+    if (!endpoint)
+        return tl::make_unexpected(endpoint.error());
+    boost::system::error_code ec;
+    m_acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(*endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return tl::make_unexpected(m_settings.callerAddress + ": " + ec.message());
+    accept();
+    auto ready = links::beginHttpServer(m_context, m_settings.readyAddress, [this](links::HttpRequest request) { return answerReady(std::move(request)); });
+    if (!ready)
+        return tl::make_unexpected(ready.error());
+    m_ready = std::move(*ready);
+    if (!m_settings.metricsAddress.empty()) {
+        auto metrics = links::beginHttpServer(m_context, m_settings.metricsAddress, [](links::HttpRequest) -> asio::awaitable<links::HttpAnswer> {
+            links::HttpAnswer answer;
+            answer.contentType = "text/plain; version=0.0.4";
+            answer.body = base::formatMetrics();
+            co_return answer;
+        });
+        if (!metrics)
+            return tl::make_unexpected(metrics.error());
+        m_metrics = std::move(*metrics);
+    }
+    m_directory.begin();
+    m_sweep = m_timers.subscribe(m_context.get_executor(), kSweepInterval, [this] { sweep(); });
+    base::logEvent(LogClass::State, "start", { { "version", std::string_view(ALDERWARD_VERSION) }, { "data_centre", std::string_view(m_settings.dataCentre) }, { "incarnation", static_cast<int64_t>(m_self.incarnation) } });
+    return {};
+}
+
+asio::awaitable<links::HttpAnswer> Gateway::answerReady(links::HttpRequest request)
+{
+    links::HttpAnswer answer;
+    if (request.path != m_platform->getReadyPath())
+        answer.status = 404;
+    else if (!isReady())
+        answer.status = 503;
+    co_return answer;
+}
+
+bool Gateway::isReady() const
+{
+    return m_world.configuration.version > 0 && m_world.hasMembers && !m_isDraining;
+}
+
+void Gateway::noteReadiness()
+{
+    if (isReady() == m_wasReady)
+        return;
+    m_wasReady = isReady();
+    base::logEvent(LogClass::State, "readiness", { { "ready", m_wasReady }, { "configuration", static_cast<int64_t>(m_world.configuration.version) }, { "members", static_cast<int64_t>(m_world.members.size()) }, { "stopping", m_isDraining } });
+}
+
+void Gateway::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code ec, asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (!ec) {
+            SessionContext context { m_context, m_platform->getCodec(), m_world, m_runner, m_isEnding, [this](const std::shared_ptr<CallerSession>& it) { m_sessions.erase(it); } };
+            auto session = std::make_shared<CallerSession>(std::move(context), ++m_lastSession);
+            m_sessions.insert(session);
+            session->begin(std::move(socket));
+        }
+        accept();
+    });
+}
+
+std::shared_ptr<TargetPool> Gateway::getPool(const TargetAddress& target)
+{
+    auto& pool = m_pools[target.member];
+    if (!pool) {
+        pool = std::make_shared<TargetPool>(m_context.get_executor(), m_platform->getCodec(), target, m_settings.name, makeObserver());
+        auto group = m_world.configuration.groups.find(target.group);
+        auto most = group == m_world.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
+        auto member = m_world.members.find(target.member);
+        auto slots = member == m_world.members.end() ? 1U : std::max(1U, member->second.listed.slots);
+        // Half of the limit, as two hosts may carry to one member while they disagree on who does.
+        pool->setLimits({ std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 });
+    }
+    return pool;
+}
+
+PoolObserver Gateway::makeObserver()
+{
+    PoolObserver observer;
+    observer.onLeads = [this](const TargetAddress& target, const Mark& position, TimePoint sentAt) {
+        takeLead(target.group, decisions::takeProof(m_world.groups[target.group].lead, target.member, position.term), "proof");
+        if (m_world.groups[target.group].lead.member == target.member) {
+            takeFloor(target.group, { position, sentAt });
+            m_promoter.calm(target.group);
+        }
+    };
+    observer.onFollows = [this](const TargetAddress& target) { takeLead(target.group, decisions::takeDenial(m_world.groups[target.group].lead, target.member), "denied"); };
+    observer.onPosition = [this](const TargetAddress& target, const Mark& position) {
+        auto it = m_world.members.find(target.member);
+        if (it == m_world.members.end())
+            return;
+        it->second.position = position;
+        it->second.positionAt = Clock::now();
+    };
+    observer.onAnswer = [this](const TargetAddress& target) {
+        auto it = m_world.members.find(target.member);
+        if (it == m_world.members.end())
+            return;
+        it->second.answeredAt = Clock::now();
+        it->second.troubleAt = {};
+    };
+    observer.onTrouble = [this](const TargetAddress& target, const std::string& reason) {
+        auto it = m_world.members.find(target.member);
+        if (it == m_world.members.end())
+            return;
+        it->second.troubleAt = Clock::now();
+        base::logEvent(LogClass::State, "target-trouble", { { "member", std::string_view(target.member) }, { "group", std::string_view(target.group) }, { "reason", std::string_view(reason) } });
+        if (m_world.groups[target.group].lead.member == target.member)
+            raiseAlarm(target.group, reason);
+    };
+    return observer;
+}
+
+// Whoever is in charge of the group looks into it.
+void Gateway::raiseAlarm(const std::string& group, const std::string& reason)
+{
+    m_promoter.raiseAlarm(group, reason);
+    auto& leader = m_world.groups[group].lead.member;
+    for (auto& name : m_peers.getUpHosts())
+        m_peers.sendAlarm(name, group, leader, reason);
+}
+
+void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
+{
+    auto& current = m_world.groups[group].lead;
+    bool isNews = lead.member != current.member || lead.term != current.term;
+    current = lead;
+    if (isNews)
+        base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
+}
+
+void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
+{
+    auto& floors = m_world.groups[group].floors;
+    floors = decisions::takeFloor(std::move(floors), floor);
+}
+
+bool Gateway::isTroubled(const TargetAddress& target) const
+{
+    auto it = m_world.members.find(target.member);
+    return it != m_world.members.end() && it->second.troubleAt != TimePoint {} && Clock::now() - it->second.troubleAt < kTroubleFor;
+}
+
+template <typename Message>
+void Gateway::fillNews(Message& message, TimePoint now) const
+{
+    message.set_configuration(m_world.configuration.version);
+    message.set_is_leaving(m_isDraining);
+    for (auto& [name, group] : m_world.groups) {
+        if (!group.floors.isEmpty()) {
+            auto& floor = *message.add_floors();
+            floor.set_group(name);
+            floor.mutable_mark()->set_term(group.floors.floors.back().mark.term);
+            floor.mutable_mark()->set_position(group.floors.floors.back().mark.position);
+            floor.set_age_us(static_cast<uint64_t>(duration_cast<microseconds>(now - group.floors.floors.back().since).count()));
+        }
+        if (!group.lead.member.empty()) {
+            auto& lead = *message.add_leads();
+            lead.set_group(name);
+            lead.set_member(group.lead.member);
+            lead.set_term(group.lead.term);
+        }
+    }
+}
+
+template <typename Message>
+void Gateway::takeNews(const Message& message, TimePoint sentAt)
+{
+    m_directory.hurry(message.configuration());
+    for (auto& it : message.leads()) {
+        auto& lead = m_world.groups[it.group()].lead;
+        if (m_world.members.contains(it.member()))
+            takeLead(it.group(), decisions::takeWord(lead, it.member(), it.term()), "told");
+    }
+    if (sentAt == TimePoint {}) // no telling how old it is
+        return;
+    for (auto& it : message.floors())
+        takeFloor(it.group(), { { it.mark().term(), it.mark().position() }, sentAt - microseconds(it.age_us()) });
+}
+
+PeerService Gateway::makePeerService()
+{
+    PeerService service;
+    service.getPool = [this](const TargetAddress& target) { return getPool(target); };
+    service.inquire = [this](const TargetAddress& target, std::function<void(const Finding&)> done) { inquire(target, std::move(done)); };
+    service.onAlarm = [this](const std::string& group, const std::string& member, const std::string& reason) {
+        if (m_world.groups[group].lead.member == member || member.empty())
+            m_promoter.raiseAlarm(group, reason);
+    };
+    service.onHoldWrites = [this](const std::string&, const std::string& member, milliseconds time) {
+        if (auto it = m_pools.find(member); it != m_pools.end())
+            it->second->holdWrites(Clock::now() + time);
+    };
+    service.fillPing = [this](peer::Ping& ping) { fillNews(ping, Clock::now()); };
+    service.fillPong = [this](peer::Pong& pong) {
+        auto now = Clock::now();
+        fillNews(pong, now);
+        for (auto& [member, pool] : m_pools) {
+            auto load = pool->getLoad();
+            auto& wire = *pong.add_loads();
+            wire.set_member(member);
+            wire.set_waiting(load.waiting);
+            wire.set_running(load.running);
+            wire.set_work_ms(load.workMs);
+            wire.set_unreachable(isTroubled(pool->getTarget()));
+        }
+    };
+    service.onPing = [this](const std::string&, const peer::Ping& ping) { takeNews(ping, {}); };
+    service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeNews(pong, sentAt); };
+    service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
+    return service;
+}
+
+DirectoryEvents Gateway::makeDirectoryEvents()
+{
+    DirectoryEvents events;
+    events.onConfiguration = [this](const links::GatewayConfiguration& configuration) {
+        base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_world.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
+        m_world.configuration = configuration;
+    };
+    events.onMember = [this](const links::ListedMember& member) {
+        bool wasKnown = m_world.members.contains(member.id);
+        auto before = wasKnown ? m_world.members[member.id].listed : links::ListedMember {};
+        takeMember(m_world, member);
+        if (before != member)
+            base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary } });
+    };
+    events.onMemberGone = [this](const std::string& id) {
+        takeMemberGone(m_world, id, Clock::now());
+        base::logEvent(LogClass::State, "member-unlisted", { { "member", std::string_view(id) } });
+    };
+    events.onMembersRead = [this] { m_world.hasMembers = true; };
+    events.onHost = [this](const links::ListedHost& host) {
+        if (host.name == m_self.name)
+            return;
+        m_world.hosts[host.name] = host;
+        std::vector<links::ListedHost> hosts;
+        for (auto& [name, it] : m_world.hosts)
+            hosts.push_back(it);
+        m_peers.setHosts(hosts);
+    };
+    events.onHostGone = [this](const std::string& name) {
+        // Its entry may have lapsed with the store; while the host answers it stays.
+        if (name == m_self.name || m_peers.isUp(name))
+            return;
+        m_world.hosts.erase(name);
+        std::vector<links::ListedHost> hosts;
+        for (auto& [other, it] : m_world.hosts)
+            hosts.push_back(it);
+        m_peers.setHosts(hosts);
+    };
+    events.onSuccession = [this](const std::string& group, const links::StoreItem& item) { m_promoter.takeSuccession(group, item); };
+    return events;
+}
+
+// Asks a member for its status on a connection of its own. Any answer to ordinary statements meanwhile shows that it lives, too.
+void Gateway::inquire(const TargetAddress& target, std::function<void(const Finding&)> done)
+{
+    auto session = std::make_shared<TargetSession>(m_context.get_executor(), m_platform->getCodec());
+    auto began = Clock::now();
+    auto shared = std::make_shared<std::function<void(const Finding&)>>(std::move(done));
+    auto timer = std::make_shared<asio::steady_timer>(m_context, kInquiryLimit);
+    auto finish = [this, shared, session, timer, target, began](const Finding& finding) {
+        if (!*shared)
+            return;
+        auto found = finding;
+        auto member = m_world.members.find(target.member);
+        if (member != m_world.members.end() && member->second.answeredAt > began)
+            found.wasReached = true;
+        auto call = std::move(*shared);
+        *shared = nullptr;
+        timer->cancel();
+        session->close();
+        call(found);
+    };
+    timer->async_wait([finish](boost::system::error_code ec) {
+        if (!ec)
+            finish({});
+    });
+    session->open(
+        target, m_settings.name, kInquiryLimit, [this, session, finish](const Outcome& outcome) {
+            if (outcome.error) {
+                // A member that refuses lives; one that is another than expected does not count.
+                Finding finding;
+                finding.wasReached = outcome.error->kind == ErrorKind::TooManyConnections || outcome.error->kind == ErrorKind::Overloaded;
+                finish(finding);
+                return;
+            }
+            session->ask(m_platform->getCodec().formatStatusQuestion(), [this, finish](const Outcome& answer) {
+                Finding finding;
+                finding.wasReached = !answer.error || answer.error->kind == ErrorKind::Overloaded;
+                if (!answer.error && !answer.rows.empty()) {
+                    if (auto status = m_platform->getCodec().parseStatus(answer.rows.front()))
+                        finding.status = *status;
+                }
+                finish(finding);
+            }); },
+        [finish](const std::string&) { finish({}); });
+}
+
+bool Gateway::isCarrier(const MemberBelief& member) const
+{
+    std::vector<decisions::CarrierHost> hosts;
+    for (auto& [name, host] : m_world.hosts) {
+        bool isUp = name == m_self.name ? !m_isDraining : m_peers.isUp(name) && !m_peers.isLeaving(name);
+        hosts.push_back({ name, host.dataCentre, isUp });
+    }
+    auto ranked = decisions::rankCarriers(member.listed.id, member.listed.dataCentre, hosts);
+    return !ranked.empty() && ranked.front() == m_self.name;
+}
+
+void Gateway::sweep()
+{
+    auto now = Clock::now();
+    noteReadiness();
+    sweepPools(now);
+    m_peers.sweep(now);
+    m_runner.sweep(now);
+    m_promoter.sweep(now);
+    auto sessions = std::vector(m_sessions.begin(), m_sessions.end());
+    for (auto& it : sessions)
+        it->sweep(now);
+    if (m_isDraining)
+        sweepStop(now);
+    base::flushEventLog();
+}
+
+void Gateway::sweepPools(TimePoint now)
+{
+    for (auto& id : forgetMembers(m_world, kUnlistedFor, now)) {
+        auto it = m_pools.find(id);
+        if (it == m_pools.end())
+            continue;
+        it->second->shutDown("the member is gone");
+        m_pools.erase(it);
+    }
+    for (auto& [id, member] : m_world.members) {
+        bool leads = m_world.groups[member.listed.group].lead.member == id;
+        if (!leads || !isCarrier(member))
+            continue;
+        getPool(member.getTarget());
+    }
+    for (auto& [id, pool] : m_pools) {
+        auto member = m_world.members.find(id);
+        bool leads = member != m_world.members.end() && m_world.groups[member->second.listed.group].lead.member == id;
+        pool->setProofInterval(leads && isCarrier(member->second) ? kProofInterval : milliseconds(0));
+        pool->sweep(now);
+    }
+}
+
+void Gateway::reload(const base::GatewaySettings& settings)
+{
+    if (settings == m_settings)
+        return;
+    base::setLogBudget({ settings.logLinesPerSecond, settings.logBufferKb * 1024 });
+    base::logEvent(LogClass::State, "reload", { { "lines_per_second", static_cast<int64_t>(settings.logLinesPerSecond) } });
+    m_settings = settings;
+}
+
+void Gateway::beginStop()
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    m_stopBegan = Clock::now();
+    base::logEvent(LogClass::State, "stop-begins", { { "sessions", static_cast<int64_t>(m_sessions.size()) }, { "grace_ms", static_cast<int64_t>(m_settings.graceMs) } });
+}
+
+// The balancer needs a while to send no more callers; then sessions are closed as they come to rest, and at half of the grace time
+// transactions are ended.
+void Gateway::sweepStop(TimePoint now)
+{
+    auto passed = now - m_stopBegan;
+    auto grace = milliseconds(m_settings.graceMs);
+    if (passed < std::min(kNoticeTime, grace / 2))
+        return;
+    if (!m_isEnding)
+        base::logEvent(LogClass::State, "stop-closing", { { "sessions", static_cast<int64_t>(m_sessions.size()) } });
+    m_isEnding = true;
+    auto sessions = std::vector(m_sessions.begin(), m_sessions.end());
+    for (auto& it : sessions) {
+        it->drain();
+        if (passed > grace / 2 && it->isBusy() && !it->isRunning())
+            it->abort();
+    }
+    if (!m_sessions.empty() && passed < grace - kEndReserve)
+        return;
+    m_sweep.stop();
+    asio::co_spawn(m_context, finishStop(), asio::detached);
+}
+
+asio::awaitable<void> Gateway::finishStop()
+{
+    auto cut = static_cast<int64_t>(m_sessions.size());
+    m_peers.stop();
+    co_await m_directory.end();
+    co_await base::sleepFor(milliseconds(50)); // the last answers leave
+    base::logEvent(LogClass::State, "stop", { { "sessions_cut", cut } });
+    base::flushEventLog();
+    m_context.stop();
+}
+
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,71 @@
+// A host that serves sessions on connections: accepts callers, follows the platform's store, and owns the parts that run statements.
+// One executor and one thread: everything here is touched from it only (docs/design/0009-platform.md says why).
+#pragma once
+#include "base/settings.h"
+#include "gateway/caller_session.h"
+#include "gateway/directory.h"
+#include "gateway/promoter.h"
+#include "links/http.h"
+#include <unordered_set>
+
+namespace alderward::gateway {
+
+class Gateway {
+public:
+    Gateway(boost::asio::io_context& context, base::TimerService& timers, base::GatewaySettings settings, std::unique_ptr<links::PlatformAdapter> platform);
+    ~Gateway();
+
+    tl::expected<void, std::string> begin();
+    // A planned stop. The executor is stopped when it is done.
+    void beginStop();
+    // The settings file may have changed.
+    void reload(const base::GatewaySettings& settings);
+    bool isReady() const;
+
+private:
+    void accept();
+    void sweep();
+    void sweepPools(TimePoint now);
+    void sweepStop(TimePoint now);
+    std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
+    PoolObserver makeObserver();
+    PeerService makePeerService();
+    DirectoryEvents makeDirectoryEvents();
+    void inquire(const TargetAddress& target, std::function<void(const Finding&)> done);
+    void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
+    void takeFloor(const std::string& group, const decisions::Floor& floor);
+    void raiseAlarm(const std::string& group, const std::string& reason);
+    bool isTroubled(const TargetAddress& target) const;
+    bool isCarrier(const MemberBelief& member) const;
+    template <typename Message>
+    void fillNews(Message& message, TimePoint now) const;
+    template <typename Message>
+    void takeNews(const Message& message, TimePoint sentAt);
+    boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
+    void noteReadiness();
+    boost::asio::awaitable<void> finishStop();
+
+    boost::asio::io_context& m_context;
+    base::GatewaySettings m_settings;
+    std::unique_ptr<links::PlatformAdapter> m_platform;
+    World m_world;
+    links::ListedHost m_self;
+    Peers m_peers;
+    Runner m_runner;
+    Directory m_directory;
+    Promoter m_promoter;
+    std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
+    uint64_t m_lastSession { 0 };
+    std::unique_ptr<links::HttpServer> m_ready;
+    std::unique_ptr<links::HttpServer> m_metrics;
+    base::TimerService& m_timers;
+    base::Subscription m_sweep;
+    TimePoint m_stopBegan {};
+    bool m_isDraining { false };
+    bool m_isEnding { false };
+    bool m_wasReady { false };
+};
+
+}
--- /dev/null
+++ b/src/gateway/promoter.cpp
@@ -0,0 +1,366 @@
+#include "gateway/promoter.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <fmt/format.h>
+#include <set>
+
+namespace alderward::gateway {
+
+namespace asio = boost::asio;
+using base::Clock;
+using base::LogClass;
+using decisions::MemberFinding;
+using links::PromotionResult;
+
+static constexpr milliseconds kStoreLimit { 600 }; // a change of the succession that takes longer is tried again
+static constexpr milliseconds kOrderLimit { 1500 }; // an order answers after the change, some hundred ms later
+static constexpr milliseconds kRetryPause { 150 }; // between orders of one decision
+static constexpr milliseconds kPauseAfter { 400 }; // after an attempt that ended, good or bad
+static constexpr milliseconds kCatchUpLimit { 800 }; // a planned change waits this long for a replica
+static constexpr milliseconds kHoldTime { 1800 }; // writes wait this long at most in a planned change
+static constexpr milliseconds kLeaderlessLimit { 600 }; // without a known primary for this long, one is looked for
+static constexpr milliseconds kListedAgainLimit { 2500 }; // entries that lapsed with the store are back by then
+static constexpr milliseconds kDeputyPause { 300 }; // each deputy waits this much longer than the one before
+static constexpr int kOrderTries = 8; // of one decision while no clear answer comes
+
+std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
+{
+    std::vector<decisions::CarrierHost> hosts;
+    for (auto& [name, host] : m_context.world.hosts) {
+        bool isUp = name == m_context.self.host || (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name));
+        hosts.push_back({ name, host.dataCentre, isUp });
+    }
+    std::vector<decisions::RankedHost> ranked;
+    for (auto& name : decisions::rankCarriers(group, "", hosts)) {
+        auto& host = m_context.world.hosts.at(name);
+        ranked.push_back({ { name, host.incarnation }, host.dataCentre });
+    }
+    return ranked;
+}
+
+void Promoter::takeSuccession(const std::string& group, const links::StoreItem& item)
+{
+    auto& state = m_states[group];
+    if (item.revision < state.revision)
+        return;
+    state.revision = item.isDeleted ? 0 : item.revision;
+    auto succession = decisions::parseSuccession(item.value);
+    if (item.isDeleted || !succession || *succession == state.succession)
+        return;
+    state.succession = *succession;
+    state.decisions = 0;
+    auto rank = decisions::findRank(*succession, m_context.self);
+    std::string_view holder = succession->orderers.empty() ? std::string_view() : std::string_view(succession->orderers.front().host);
+    base::logEvent(LogClass::State, "succession", { { "group", std::string_view(group) }, { "holder", holder }, { "first_token", static_cast<int64_t>(succession->firstToken) }, { "rank_here", rank ? static_cast<int64_t>(*rank) : int64_t { -1 } }, { "revision", static_cast<int64_t>(item.revision) } });
+}
+
+void Promoter::raiseAlarm(const std::string& group, const std::string& reason)
+{
+    auto& state = m_states[group];
+    if (state.alarmedAt != TimePoint {})
+        return;
+    state.alarmedAt = Clock::now();
+    state.alarm = reason;
+}
+
+void Promoter::calm(const std::string& group)
+{
+    auto it = m_states.find(group);
+    if (it == m_states.end() || it->second.isWorking)
+        return;
+    it->second.alarmedAt = {};
+}
+
+// The holder, or a deputy while all before it are out of reach.
+bool Promoter::isInCharge(const std::string& group, const State& state) const
+{
+    auto rank = decisions::findRank(state.succession, m_context.self);
+    if (!rank || m_context.isDraining)
+        return false;
+    for (size_t i = 0; i < *rank; ++i) {
+        auto& it = state.succession.orderers[i];
+        auto host = m_context.world.hosts.find(it.host);
+        bool isSame = host != m_context.world.hosts.end() && host->second.incarnation == it.incarnation;
+        if (isSame && m_context.peers.isUp(it.host) && !m_context.peers.isLeaving(it.host))
+            return false;
+    }
+    (void)group;
+    return true;
+}
+
+bool Promoter::mustHandOver(const GroupBelief& belief) const
+{
+    auto it = m_context.world.members.find(belief.lead.member);
+    return it != m_context.world.members.end() && (it->second.listed.isLeaving || it->second.unlistedAt);
+}
+
+void Promoter::sweep(TimePoint now)
+{
+    for (auto& [group, belief] : m_context.world.groups) {
+        auto& state = m_states[group];
+        if (state.startedAt == TimePoint {})
+            state.startedAt = now;
+        keepSuccession(group, state, now);
+        if (!belief.lead.member.empty())
+            state.leaderlessSince = {};
+        else if (state.leaderlessSince == TimePoint {})
+            state.leaderlessSince = now;
+        if (state.isWorking || now < state.notBefore || !isInCharge(group, state))
+            continue;
+        auto rank = *decisions::findRank(state.succession, m_context.self);
+        bool isLeaderless = state.leaderlessSince != TimePoint {} && now - state.leaderlessSince > kLeaderlessLimit && now - state.startedAt > kListedAgainLimit;
+        bool isAlarmed = state.alarmedAt != TimePoint {} && now - state.alarmedAt >= rank * kDeputyPause && !belief.lead.member.empty();
+        bool isPlanned = mustHandOver(belief);
+        if (!isLeaderless && !isAlarmed && !isPlanned)
+            continue;
+        state.isWorking = true;
+        auto cause = isAlarmed ? state.alarm : isPlanned ? std::string("the primary leaves")
+                                                         : std::string("no primary is known");
+        asio::co_spawn(m_context.context, replace(group, isPlanned && !isAlarmed, cause), asio::detached);
+    }
+}
+
+void Promoter::keepSuccession(const std::string& group, State& state, TimePoint now)
+{
+    if (state.isWriting || state.isWorking || m_context.isDraining || now - state.startedAt < kStoreLimit)
+        return;
+    auto ranked = rankLive(group);
+    std::vector<decisions::Orderer> live;
+    for (auto& it : ranked)
+        live.push_back(it.orderer);
+    if (!decisions::isSuccessionDue(state.succession, live) || live.empty() || live.front() != m_context.self)
+        return;
+    state.isWriting = true;
+    asio::co_spawn(m_context.context, writeSuccession(group, decisions::makeSuccession(state.succession, ranked), state.revision), asio::detached);
+}
+
+asio::awaitable<void> Promoter::writeSuccession(std::string group, decisions::Succession succession, uint64_t revision)
+{
+    auto key = "alderward/succession/" + group;
+    links::StoreChange change;
+    change.expected.emplace_back(key, revision);
+    change.puts.push_back({ .key = key, .value = decisions::formatSuccession(succession) });
+    auto written = co_await m_context.platform.getStore().change(std::move(change), Clock::now() + kStoreLimit);
+    auto& state = m_states[group];
+    if (written)
+        takeSuccession(group, { .key = key, .value = decisions::formatSuccession(succession), .revision = *written });
+    else if (written.error().kind == links::StoreErrorKind::Conflict) {
+        for (auto& it : written.error().items)
+            takeSuccession(group, it);
+    }
+    if (!written)
+        co_await base::sleepFor(kPauseAfter);
+    state.isWriting = false;
+}
+
+asio::awaitable<Finding> Promoter::ask(std::string host, TargetAddress target)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
+    auto result = std::make_shared<std::optional<Finding>>();
+    auto done = [timer, result](const Finding& finding) {
+        *result = finding;
+        timer->cancel();
+    };
+    if (host == m_context.self.host)
+        m_context.inquire(target, done);
+    else
+        m_context.peers.inquire(host, target, done);
+    if (!*result) {
+        timer->expires_after(milliseconds(1000)); // an inquiry ends by itself before; this bounds a host that freezes
+        boost::system::error_code ec;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return result->value_or(Finding {});
+}
+
+// Up to two hosts besides this one, of other data centres if there are any.
+std::vector<std::string> Promoter::chooseWitnesses() const
+{
+    std::vector<std::string> witnesses;
+    std::set<std::string> used;
+    auto own = m_context.world.hosts.find(m_context.self.host);
+    if (own != m_context.world.hosts.end())
+        used.insert(own->second.dataCentre);
+    auto up = m_context.peers.getUpHosts();
+    for (bool anyDataCentre : { false, true }) {
+        for (auto& name : up) {
+            auto host = m_context.world.hosts.find(name);
+            bool isIn = std::ranges::find(witnesses, name) != witnesses.end();
+            if (host == m_context.world.hosts.end() || isIn || witnesses.size() >= 2)
+                continue;
+            if (!anyDataCentre && used.contains(host->second.dataCentre))
+                continue;
+            used.insert(host->second.dataCentre);
+            witnesses.push_back(name);
+        }
+    }
+    return witnesses;
+}
+
+// Dead is what nobody reaches: a primary that only some hosts cannot reach still serves through the others.
+asio::awaitable<bool> Promoter::isDead(std::string group, TargetAddress leader)
+{
+    auto witnesses = chooseWitnesses();
+    witnesses.push_back(m_context.self.host);
+    auto pending = std::make_shared<size_t>(witnesses.size());
+    auto reachedBy = std::make_shared<std::string>();
+    auto deniedBy = std::make_shared<std::string>();
+    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
+    for (auto& name : witnesses) {
+        asio::co_spawn(
+            m_context.context, [this, name, leader, pending, reachedBy, deniedBy, timer]() -> asio::awaitable<void> {
+                auto finding = co_await ask(name, leader);
+                if (finding.wasReached)
+                    *(finding.status.term != 0 && !finding.status.isPrimary ? deniedBy : reachedBy) = name;
+                if (--*pending == 0 || !reachedBy->empty())
+                    timer->cancel();
+            },
+            asio::detached);
+    }
+    if (*pending > 0) {
+        boost::system::error_code ec;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    base::logEvent(LogClass::State, "primary-examined", { { "group", std::string_view(group) }, { "member", std::string_view(leader.member) }, { "witnesses", static_cast<int64_t>(witnesses.size()) }, { "reached_by", std::string_view(*reachedBy) }, { "denied_to", std::string_view(*deniedBy) } });
+    if (reachedBy->empty() && !deniedBy->empty()) {
+        auto& lead = m_context.world.groups[group].lead;
+        lead = decisions::takeDenial(lead, leader.member);
+        co_return false;
+    }
+    co_return reachedBy->empty();
+}
+
+asio::awaitable<std::vector<MemberFinding>> Promoter::askReplicas(std::string group, std::string leader)
+{
+    std::vector<std::string> ids;
+    for (auto& id : m_context.world.groups[group].members) {
+        if (id != leader)
+            ids.push_back(id);
+    }
+    auto findings = std::make_shared<std::vector<MemberFinding>>();
+    auto pending = std::make_shared<size_t>(ids.size());
+    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
+    for (auto& id : ids) {
+        auto& member = m_context.world.members.at(id);
+        bool mayLead = !member.listed.isLeaving && !member.unlistedAt;
+        asio::co_spawn(
+            m_context.context, [this, id, mayLead, target = member.getTarget(), findings, pending, timer]() -> asio::awaitable<void> {
+                auto finding = co_await ask(m_context.self.host, target);
+                for (auto& witness : chooseWitnesses()) {
+                    if (!finding.wasReached)
+                        finding = co_await ask(witness, target);
+                }
+                findings->push_back({ id, finding.wasReached, finding.status.isPrimary, finding.status.term, finding.status.received, mayLead });
+                if (--*pending == 0)
+                    timer->cancel();
+            },
+            asio::detached);
+    }
+    if (*pending > 0) {
+        boost::system::error_code ec;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return *findings;
+}
+
+// Writes wait at all hosts until the best replica holds what the primary holds, so that the change takes nothing back.
+asio::awaitable<void> Promoter::waitForReplica(std::string group, std::string leader)
+{
+    m_context.holdWrites(group, leader, kHoldTime);
+    m_context.peers.sendHoldWrites(group, leader, kHoldTime);
+    auto until = Clock::now() + kCatchUpLimit;
+    auto primary = m_context.world.members.find(leader);
+    if (primary == m_context.world.members.end())
+        co_return;
+    auto target = primary->second.getTarget();
+    co_await base::sleepFor(milliseconds(60)); // until the hosts have heard, and what they had sent has run
+    while (Clock::now() < until) {
+        auto now = co_await ask(m_context.self.host, target);
+        if (!now.wasReached)
+            co_return;
+        auto replicas = co_await askReplicas(group, leader);
+        for (auto& it : replicas) {
+            if (it.wasReached && it.mayLead && it.received >= now.status.received)
+                co_return;
+        }
+        co_await base::sleepFor(milliseconds(30));
+    }
+}
+
+asio::awaitable<void> Promoter::replace(std::string group, bool isPlanned, std::string cause)
+{
+    auto lead = m_context.world.groups[group].lead;
+    auto began = Clock::now();
+    base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
+    bool isDue = true;
+    auto member = m_context.world.members.find(lead.member);
+    if (member != m_context.world.members.end() && !isPlanned)
+        isDue = co_await isDead(group, member->second.getTarget());
+    if (isPlanned)
+        co_await waitForReplica(group, lead.member);
+    if (isDue) {
+        auto replicas = co_await askReplicas(group, lead.member);
+        auto leading = std::ranges::find_if(replicas, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term; });
+        auto limits = m_context.world.configuration.groups[group];
+        auto successor = decisions::chooseSuccessor(replicas, limits.synchronousReplicas);
+        auto& current = m_context.world.groups[group].lead;
+        if (leading != replicas.end())
+            current = decisions::takeProof(current, leading->member, leading->term);
+        else if (successor) {
+            uint64_t term = lead.term;
+            for (auto& it : replicas)
+                term = std::max(term, std::max(it.term, it.received.term));
+            co_await order(group, *successor, term);
+        } else
+            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be chosen") }, { "members_asked", static_cast<int64_t>(replicas.size()) } });
+    }
+    auto& state = m_states[group];
+    std::chrono::duration<double, std::milli> took = Clock::now() - began;
+    base::logEvent(LogClass::State, "promotion-ended", { { "group", std::string_view(group) }, { "ms", took.count() } });
+    state.isWorking = false;
+    state.alarmedAt = {};
+    state.notBefore = Clock::now() + (isDue ? kPauseAfter : milliseconds(0));
+}
+
+// One decision: one token, one member. An order without an answer is repeated as it was; it may still be carried out.
+asio::awaitable<bool> Promoter::order(std::string group, std::string member, uint64_t oldTerm)
+{
+    auto& state = m_states[group];
+    auto rank = decisions::findRank(state.succession, m_context.self);
+    auto token = rank ? decisions::getToken(state.succession, *rank, state.decisions) : std::nullopt;
+    if (!token)
+        co_return false;
+    ++state.decisions;
+    for (int i = 0; i < kOrderTries; ++i) {
+        auto askedAt = Clock::now();
+        auto result = co_await m_context.platform.promote({ group, member, m_context.self.host, *token }, askedAt + kOrderLimit);
+        static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
+        std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
+        base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
+        base::count(base::Counter::Promotions);
+        if (result == PromotionResult::Done) {
+            auto& lead = m_context.world.groups[group].lead;
+            if (lead.term <= oldTerm)
+                lead = { member, oldTerm + 1, false };
+            co_return true;
+        }
+        if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
+            if (result == PromotionResult::Outranked) // another host is in charge now, whatever the record here says
+                state.succession = {};
+            co_return false;
+        }
+        // A frozen process wakes up here: somebody else may have taken over meanwhile.
+        if (Clock::now() - askedAt > kOrderLimit + kPauseAfter || !isInCharge(group, state))
+            co_return false;
+        co_await base::sleepFor(kRetryPause);
+    }
+    co_return false;
+}
+
+}
--- /dev/null
+++ b/src/gateway/promoter.h
@@ -0,0 +1,67 @@
+// Replaces primaries: settles beforehand who may order that, gathers evidence when one looks dead or is leaving, and orders it.
+// Everything that decides safety stands in decisions/succession.h.
+#pragma once
+#include "decisions/succession.h"
+#include "gateway/peers.h"
+#include <boost/asio/awaitable.hpp>
+
+namespace alderward::gateway {
+
+struct PromoterContext {
+    boost::asio::io_context& context;
+    World& world;
+    Peers& peers;
+    links::PlatformAdapter& platform;
+    decisions::Orderer self;
+    std::function<void(const TargetAddress&, std::function<void(const Finding&)>)> inquire; // from this host
+    std::function<void(const std::string& group, const std::string& member, milliseconds)> holdWrites; // at this host
+    const bool& isDraining;
+};
+
+class Promoter {
+public:
+    explicit Promoter(PromoterContext context)
+        : m_context(std::move(context))
+    {
+    }
+
+    void takeSuccession(const std::string& group, const links::StoreItem& item);
+    // Somebody had trouble with a member that is thought to lead, or nobody is known to lead.
+    void raiseAlarm(const std::string& group, const std::string& reason);
+    // The primary showed that it leads.
+    void calm(const std::string& group);
+    // Decides what is due. Call every few tens of ms.
+    void sweep(TimePoint now);
+
+private:
+    struct State {
+        decisions::Succession succession {};
+        uint64_t revision { 0 }; // of the record in the store; 0: there is none
+        bool isWriting { false };
+        bool isWorking { false }; // a change of primary is under way here
+        uint64_t decisions { 0 }; // tokens of ours that were used
+        TimePoint alarmedAt {}; // zero: no alarm stands
+        TimePoint startedAt {}; // when this host began to look at the group
+        TimePoint notBefore {};
+        TimePoint leaderlessSince {};
+        std::string alarm {};
+    };
+
+    std::vector<decisions::RankedHost> rankLive(const std::string& group) const;
+    bool isInCharge(const std::string& group, const State& state) const;
+    bool mustHandOver(const GroupBelief& belief) const;
+    void keepSuccession(const std::string& group, State& state, TimePoint now);
+    boost::asio::awaitable<void> writeSuccession(std::string group, decisions::Succession succession, uint64_t revision);
+    boost::asio::awaitable<void> replace(std::string group, bool isPlanned, std::string cause);
+    boost::asio::awaitable<bool> isDead(std::string group, TargetAddress leader);
+    boost::asio::awaitable<std::vector<decisions::MemberFinding>> askReplicas(std::string group, std::string leader);
+    boost::asio::awaitable<void> waitForReplica(std::string group, std::string leader);
+    boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm);
+    boost::asio::awaitable<Finding> ask(std::string host, TargetAddress target);
+    std::vector<std::string> chooseWitnesses() const;
+
+    PromoterContext m_context;
+    std::map<std::string, State> m_states;
+};
+
+}
--- /dev/null
+++ b/src/gateway/runner.cpp
@@ -0,0 +1,209 @@
+#include "gateway/runner.h"
+#include "base/event_log.h"
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace alderward::gateway {
+
+using base::Clock;
+using base::LogClass;
+using decisions::ErrorKind;
+using decisions::StatementKind;
+
+static constexpr milliseconds kRetryPause { 15 }; // before members that all said no are asked again
+static constexpr milliseconds kTroubleFor { 500 }; // a member that could not be reached is left alone this long
+
+void Runner::run(Run run, RunDone done)
+{
+    auto shared = std::make_shared<Run>(std::move(run));
+    attempt(shared, std::move(done));
+}
+
+std::string Runner::chooseCarrier(const MemberBelief& member) const
+{
+    std::vector<decisions::CarrierHost> hosts;
+    for (auto& [name, host] : m_context.world.hosts) {
+        bool isUp = name == m_context.name;
+        if (isUp)
+            isUp = !m_context.isTroubled(member.getTarget());
+        else if (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name)) {
+            auto load = m_context.peers.getLoad(name, member.listed.id);
+            isUp = !load || !load->unreachable();
+        }
+        hosts.push_back({ name, host.dataCentre, isUp });
+    }
+    auto ranked = decisions::rankCarriers(member.listed.id, member.listed.dataCentre, hosts);
+    return ranked.empty() ? m_context.name : ranked.front();
+}
+
+decisions::Candidate Runner::makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const
+{
+    auto now = Clock::now();
+    decisions::Candidate candidate;
+    candidate.isUsable = !member.listed.isLeaving && !member.unlistedAt;
+    candidate.isLeader = member.listed.id == leader;
+    candidate.wasTried = std::ranges::find(run.tried, member.listed.id) != run.tried.end();
+    candidate.position = member.position;
+    candidate.positionAge = std::chrono::duration_cast<milliseconds>(now - member.positionAt);
+    candidate.slots = std::max(1U, member.listed.slots);
+    auto carrier = chooseCarrier(member);
+    if (carrier == m_context.name) {
+        auto load = m_context.getPool(member.getTarget())->getLoad();
+        candidate.queued = load.waiting + load.running;
+        candidate.workMs = load.workMs;
+        candidate.distanceMs = member.listed.dataCentre == m_context.dataCentre ? 0 : 10;
+    } else {
+        candidate.distanceMs = m_context.peers.getDistanceMs(carrier);
+        if (auto load = m_context.peers.getLoad(carrier, member.listed.id)) {
+            candidate.queued = load->waiting() + load->running();
+            candidate.workMs = load->work_ms();
+        }
+    }
+    return candidate;
+}
+
+std::optional<TargetAddress> Runner::chooseMember(const Run& run) const
+{
+    auto group = m_context.world.groups.find(run.route.group);
+    if (group == m_context.world.groups.end())
+        return std::nullopt;
+    auto& leader = group->second.lead.member;
+    if (run.needsLeader) {
+        auto it = m_context.world.members.find(leader);
+        bool wasTried = std::ranges::find(run.tried, leader) != run.tried.end();
+        if (it == m_context.world.members.end() || wasTried)
+            return std::nullopt;
+        return it->second.getTarget();
+    }
+    std::vector<decisions::Candidate> candidates;
+    for (auto& id : group->second.members)
+        candidates.push_back(makeCandidate(run, m_context.world.members.at(id), leader));
+    auto best = decisions::chooseReader(candidates, run.need);
+    if (!best)
+        return std::nullopt;
+    return m_context.world.members.at(group->second.members[*best]).getTarget();
+}
+
+void Runner::attempt(const std::shared_ptr<Run>& run, RunDone done)
+{
+    auto now = Clock::now();
+    auto target = chooseMember(*run);
+    if (!target) {
+        if (now + kRetryPause >= run->order.deadline) {
+            auto kind = run->needsLeader ? ErrorKind::NoPrimary : ErrorKind::TooStale;
+            boost::asio::post(m_context.context, [this, run, done, kind] {
+                finish(*run, decisions::makeFailure(kind, run->lastReason.empty() ? "no member can serve this now" : run->lastReason), std::nullopt, done, {});
+            });
+            return;
+        }
+        if (run->needsLeader)
+            m_context.onNoLeader(run->route.group);
+        run->tried.clear();
+        m_waiting.push_back({ run, std::move(done), now + kRetryPause });
+        return;
+    }
+    ++run->attempts;
+    run->tried.push_back(target->member);
+    auto& member = m_context.world.members.at(target->member);
+    auto carrier = chooseCarrier(member);
+    auto order = run->order;
+    order.atLeast = run->need;
+    if (order.kind == OrderKind::Single && run->needsLeader && !order.statement.isWrite)
+        order.kind = OrderKind::ProvenSingle;
+    std::optional<TransactionHandle> transaction;
+    bool isOwn = carrier == m_context.name;
+    auto pool = isOwn ? m_context.getPool(*target) : nullptr;
+    if (order.kind == OrderKind::Begin) {
+        transaction = TransactionHandle { *target, isOwn ? "" : carrier, isOwn ? pool->takeTransactionNumber() : m_context.peers.takeTransactionNumber() };
+        order.transaction = transaction->number;
+    }
+    auto onOutcome = [this, run, target = *target, transaction, done](const Outcome& outcome) { takeOutcome(run, target, transaction, outcome, done); };
+    if (isOwn)
+        pool->submit(std::move(order), onOutcome);
+    else
+        m_context.peers.sendOrder(carrier, *target, order, onOutcome);
+}
+
+void Runner::takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done)
+{
+    if (!outcome.error) {
+        finish(*run, outcome, transaction, done, target);
+        return;
+    }
+    auto now = Clock::now();
+    auto kind = outcome.error->kind;
+    run->lastReason = outcome.error->message;
+    if (kind == ErrorKind::NotPrimary) {
+        auto& lead = m_context.world.groups[target.group].lead;
+        lead = decisions::takeDenial(lead, target.member);
+    }
+    if (kind == ErrorKind::TooStale && m_context.world.members.contains(target.member))
+        m_context.world.members[target.member].positionAt = now;
+    if (transaction)
+        end(*transaction);
+    auto& statement = run->order.statement;
+    // A single write that may have arrived is never sent again. All else leaves nothing behind until its commit.
+    bool mayRepeat = decisions::isPassedOver(kind) || (kind == ErrorKind::OutcomeUnknown && (!statement.isWrite || run->order.kind == OrderKind::Begin));
+    bool hasTime = now + kRetryPause < run->order.deadline;
+    if (!mayRepeat || !hasTime) {
+        finish(*run, outcome, std::nullopt, done, target);
+        return;
+    }
+    attempt(run, std::move(done));
+}
+
+void Runner::runNext(const TransactionHandle& transaction, Run run, RunDone done)
+{
+    run.order.kind = OrderKind::Continue;
+    run.order.transaction = transaction.number;
+    run.attempts = 1;
+    auto shared = std::make_shared<Run>(std::move(run));
+    auto onOutcome = [this, shared, transaction, done](const Outcome& outcome) { finish(*shared, outcome, transaction, done, transaction.target); };
+    if (transaction.host.empty())
+        m_context.getPool(transaction.target)->submit(shared->order, onOutcome);
+    else
+        m_context.peers.sendOrder(transaction.host, transaction.target, shared->order, onOutcome);
+}
+
+void Runner::end(const TransactionHandle& transaction)
+{
+    if (transaction.host.empty())
+        m_context.getPool(transaction.target)->endTransaction(transaction.number);
+    else
+        m_context.peers.endTransaction(transaction.host, transaction.number);
+}
+
+void Runner::finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target)
+{
+    std::chrono::duration<double, std::milli> took = Clock::now() - run.arrivedAt;
+    bool isLate = Clock::now() > run.order.objective;
+    auto logClass = outcome.error || isLate ? LogClass::Failure : LogClass::Request;
+    if (base::hasLogBudget(logClass)) {
+        auto group = m_context.world.groups.find(run.route.group);
+        std::string_view leader = group == m_context.world.groups.end() ? std::string_view() : std::string_view(group->second.lead.member);
+        auto need = std::to_string(run.need.term) + "." + std::to_string(run.need.position);
+        std::string_view result = outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served";
+        base::logEvent(logClass, "request",
+            { { "request", std::string_view(run.order.statement.id) }, { "session", std::string_view(run.session) }, { "database", std::string_view(run.route.database) },
+                { "group", std::string_view(run.route.group) }, { "kind", static_cast<int64_t>(run.order.kind) }, { "target", std::string_view(target.member) },
+                { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", leader }, { "need", std::string_view(need) },
+                { "configuration", static_cast<int64_t>(m_context.world.configuration.version) }, { "attempts", static_cast<int64_t>(run.attempts) },
+                { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
+    }
+    done(outcome, transaction);
+}
+
+void Runner::sweep(TimePoint now)
+{
+    std::vector<Waiting> due;
+    std::erase_if(m_waiting, [&](Waiting& it) {
+        bool isDue = now >= it.notBefore;
+        if (isDue)
+            due.push_back(std::move(it));
+        return isDue;
+    });
+    for (auto& it : due)
+        attempt(it.run, std::move(it.done));
+}
+
+}
--- /dev/null
+++ b/src/gateway/runner.h
@@ -0,0 +1,76 @@
+// Runs callers' statements: chooses a member and the host that carries the statement there, tries another one where the target said that
+// it did not run it, and ends within the route's limit with exactly one outcome.
+#pragma once
+#include "gateway/peers.h"
+#include <unordered_map>
+
+namespace alderward::gateway {
+
+// An open transaction of a caller and where it lives.
+struct TransactionHandle {
+    TargetAddress target {};
+    std::string host {}; // that carries it; empty: this one
+    uint64_t number { 0 }; // at the carrier
+};
+
+// A statement on its way.
+struct Run {
+    decisions::DatabaseRoute route {};
+    Order order {};
+    bool needsLeader { false };
+    Mark need {}; // reads elsewhere: what the log must hold
+    TimePoint arrivedAt {};
+    std::vector<std::string> tried {}; // members, since the last pause
+    unsigned attempts { 0 };
+    bool isHedged { false };
+    std::string session {}; // for the log
+    std::string lastReason {};
+};
+
+using RunDone = std::function<void(const Outcome& outcome, const std::optional<TransactionHandle>& transaction)>;
+
+struct RunnerContext {
+    boost::asio::io_context& context;
+    World& world;
+    Peers& peers;
+    std::string name; // of this host
+    std::string dataCentre;
+    std::function<std::shared_ptr<TargetPool>(const TargetAddress&)> getPool;
+    std::function<bool(const TargetAddress&)> isTroubled; // this host cannot reach the target
+    std::function<void(const std::string& group)> onNoLeader;
+};
+
+class Runner {
+public:
+    explicit Runner(RunnerContext context)
+        : m_context(std::move(context))
+    {
+    }
+
+    // A statement outside a transaction, or the first one inside.
+    void run(Run run, RunDone done);
+    // The next statement of a transaction, or its commit.
+    void runNext(const TransactionHandle& transaction, Run run, RunDone done);
+    void end(const TransactionHandle& transaction);
+    // Tries again what waits for a member to become available.
+    void sweep(TimePoint now);
+
+private:
+    struct Waiting {
+        std::shared_ptr<Run> run;
+        RunDone done;
+        TimePoint notBefore;
+    };
+
+    void attempt(const std::shared_ptr<Run>& run, RunDone done);
+    std::optional<TargetAddress> chooseMember(const Run& run) const;
+    decisions::Candidate makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const;
+    std::string chooseCarrier(const MemberBelief& member) const;
+    void takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done);
+    void finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target);
+
+    RunnerContext m_context;
+    std::vector<Waiting> m_waiting;
+};
+
+}
--- /dev/null
+++ b/src/gateway/target_pool.cpp
@@ -0,0 +1,433 @@
+#include "gateway/target_pool.h"
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace alderward::gateway {
+
+using base::Clock;
+using decisions::ErrorKind;
+using decisions::StatementKind;
+
+static constexpr milliseconds kConnectLimit { 700 }; // a hello takes some tens of ms; a dark host never answers
+static constexpr milliseconds kRefusedPause { 300 }; // after the target took no connection; other hosts may hold them
+static constexpr milliseconds kBrokenPause { 100 }; // after a connection could not be had
+static constexpr milliseconds kKeepAliveAfter { 1000 }; // an idle connection that was quiet for this long is asked something
+static constexpr milliseconds kSilentLimit { 500 }; // for questions that need no work at the target
+static constexpr double kWorkSmoothing = 0.1; // weight of the newest statement in the running mean
+static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
+static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
+
+TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
+    : m_executor(std::move(executor))
+    , m_codec(codec)
+    , m_target(std::move(target))
+    , m_from(std::move(from))
+    , m_observer(std::move(observer))
+{
+}
+
+PoolLoad TargetPool::getLoad() const
+{
+    return { static_cast<unsigned>(m_waiting.size()), static_cast<unsigned>(m_running.size()), m_workMs };
+}
+
+void TargetPool::submit(Order order, OrderDone done)
+{
+    auto job = std::make_shared<Job>(Job { std::move(order), std::move(done), Clock::now() });
+    m_waiting.push_back(job);
+    if (!m_isDispatching) {
+        m_isDispatching = true;
+        boost::asio::post(m_executor, [self = shared_from_this()] {
+            self->m_isDispatching = false;
+            self->dispatch();
+        });
+    }
+}
+
+// Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
+// then whoever's objective ends first; those that have missed theirs go last.
+static bool isBefore(const Order& a, const Order& b, TimePoint now)
+{
+    auto rank = [now](const Order& it) {
+        return std::tuple(it.kind != OrderKind::Continue, it.objective < now, it.priority, it.objective);
+    };
+    return rank(a) < rank(b);
+}
+
+bool TargetPool::isRunnable(const Job& job, TimePoint now) const
+{
+    auto& order = job.order;
+    bool mayWrite = order.statement.isWrite || (order.kind == OrderKind::Begin && !order.isReadOnly) || order.statement.kind == StatementKind::Commit;
+    if (mayWrite && now < m_holdUntil)
+        return false;
+    if (order.kind == OrderKind::Continue) {
+        auto it = m_transactions.find(order.transaction);
+        return it == m_transactions.end() || !it->second->isBusy;
+    }
+    if (countFree() == 0)
+        return false;
+    auto held = m_transactions.size();
+    return order.kind != OrderKind::Begin || held + std::min(kReservedConnections, m_limits.connections - 1) < m_limits.connections;
+}
+
+unsigned TargetPool::countFree() const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0; }));
+}
+
+TargetPool::JobPtr TargetPool::popNext(TimePoint now)
+{
+    auto best = m_waiting.end();
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
+        if (isRunnable(**it, now) && (best == m_waiting.end() || isBefore((*it)->order, (*best)->order, now)))
+            best = it;
+    }
+    if (best == m_waiting.end())
+        return nullptr;
+    auto job = *best;
+    m_waiting.erase(best);
+    return job;
+}
+
+void TargetPool::dispatch()
+{
+    auto now = Clock::now();
+    while (!m_waiting.empty() && m_running.size() < m_limits.running) {
+        auto job = popNext(now);
+        if (!job)
+            break;
+        auto session = findSession(*job);
+        if (session)
+            start(job, session);
+        else // its transaction lost its connection while it waited
+            finish(job, decisions::makeFailure(ErrorKind::TransactionAborted, "the connection of the transaction was lost"));
+    }
+    auto needsConnection = std::ranges::count_if(m_waiting, [](const JobPtr& it) { return it->order.kind != OrderKind::Continue; });
+    auto wanted = std::min<size_t>(needsConnection, m_limits.running) + m_transactions.size() + m_running.size();
+    while (needsConnection > 0 && m_sessions.size() + m_opening < std::min<size_t>(wanted, m_limits.connections) && countFree() + m_opening < static_cast<unsigned>(needsConnection) && m_opening < 2 && now >= m_noNewBefore)
+        openSession();
+}
+
+// The free connection that needs the least before it can serve the session.
+TargetPool::SessionPtr TargetPool::findSession(const Job& job) const
+{
+    if (job.order.kind == OrderKind::Continue) {
+        auto it = m_transactions.find(job.order.transaction);
+        return it == m_transactions.end() ? nullptr : it->second;
+    }
+    SessionPtr best;
+    size_t bestCost = 0;
+    for (auto& it : m_sessions) {
+        if (it->isBusy || it->transaction != 0)
+            continue;
+        auto cost = decisions::planConnection(it->state, job.order.values, job.order.shape).getCost();
+        if (!best || cost < bestCost) {
+            best = it;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void TargetPool::openSession()
+{
+    ++m_opening;
+    auto session = std::make_shared<TargetSession>(m_executor, m_codec);
+    auto self = shared_from_this();
+    std::weak_ptr<TargetSession> weak = session;
+    session->open(
+        m_target, m_from, kConnectLimit, [self, session](const Outcome& outcome) {
+            --self->m_opening;
+            if (outcome.error) {
+                bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
+                self->m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
+                if (!isRefused)
+                    self->m_observer.onTrouble(self->m_target, outcome.error->message);
+                // Without any connection nobody can be served: say so at once, they may try elsewhere.
+                if (self->m_sessions.empty()) {
+                    auto waiting = std::move(self->m_waiting);
+                    self->m_waiting.clear();
+                    for (auto& it : waiting)
+                        self->finish(it, decisions::makeFailure(outcome.error->kind, outcome.error->message));
+                }
+                return;
+            }
+            self->m_observer.onAnswer(self->m_target);
+            self->m_sessions.push_back(session);
+            self->dispatch(); }, [self, weak](const std::string& reason) {
+            if (auto session = weak.lock())
+                self->dropSession(session, reason); });
+}
+
+void TargetPool::start(const JobPtr& job, const SessionPtr& session)
+{
+    job->startedAt = Clock::now();
+    session->isBusy = true;
+    m_running.emplace_back(job, session);
+    prepareSession(*job, session);
+    if (job->order.kind == OrderKind::Begin || job->order.kind == OrderKind::ProvenSingle)
+        begin(job, session);
+    else
+        runStatement(job, session);
+}
+
+// Sets what the session's statements rely on. Sent along with the statement: a target takes these in order and never refuses them,
+// and if one failed all the same, the connection is not used again.
+void TargetPool::prepareSession(const Job& job, const SessionPtr& session)
+{
+    auto& order = job.order;
+    auto plan = decisions::planConnection(session->state, order.values, order.shape);
+    if (session->state.prepared.size() > kPreparedMost)
+        plan = decisions::planConnection({ { { "", "" } }, {} }, order.values, order.shape);
+    auto self = shared_from_this();
+    auto check = [self, session](const Outcome& outcome) {
+        if (outcome.error)
+            self->dropSession(session, "the session could not be set up: " + outcome.error->message);
+    };
+    if (plan.mustReset)
+        session->ask(m_codec.formatReset(), check);
+    for (const auto& [name, value] : plan.values)
+        session->ask(m_codec.formatSetValue(name, value), check);
+    if (plan.mustPrepare)
+        session->ask(m_codec.formatPrepare(decisions::nameShape(*order.shape), *order.shape), check);
+    session->state = decisions::applyPlan(std::move(session->state), plan, order.shape);
+}
+
+void TargetPool::begin(const JobPtr& job, const SessionPtr& session)
+{
+    auto sentAt = Clock::now();
+    bool isReadOnly = job->order.kind == OrderKind::Begin && job->order.isReadOnly;
+    if (job->order.kind == OrderKind::Begin) {
+        session->transaction = job->order.transaction;
+        m_transactions[job->order.transaction] = session;
+    }
+    session->ask(m_codec.formatBegin(isReadOnly, job->order.atLeast), [self = shared_from_this(), job, session, sentAt, isReadOnly](const Outcome& outcome) {
+        if (!outcome.error) {
+            if (!isReadOnly)
+                self->takeProof(outcome, sentAt);
+            if (job->isDone) // it ran out of time meanwhile; its connection is gone
+                return;
+            self->runStatement(job, session);
+            return;
+        }
+        self->m_transactions.erase(session->transaction);
+        session->transaction = 0;
+        auto refused = outcome;
+        refused.wasSent = false; // only the BEGIN was
+        if (refused.error->kind == ErrorKind::OutcomeUnknown)
+            refused.error->kind = ErrorKind::TargetUnreachable;
+        self->endJob(job, session, refused);
+    });
+}
+
+void TargetPool::runStatement(const JobPtr& job, const SessionPtr& session)
+{
+    auto& order = job->order;
+    auto atLeast = order.kind == OrderKind::Single ? order.atLeast : Mark {};
+    auto bytes = m_codec.formatStatement(order.statement, atLeast, order.shape ? decisions::nameShape(*order.shape) : "");
+    auto sentAt = Clock::now();
+    session->ask(bytes, [self = shared_from_this(), job, session, sentAt](const Outcome& outcome) {
+        auto& order = job->order;
+        bool isCommit = order.statement.kind == StatementKind::Commit;
+        // A write and its commit succeed at a target that leads only.
+        if (!outcome.error && order.kind == OrderKind::Single && order.statement.isWrite)
+            self->takeProof(outcome, sentAt);
+        if (isCommit) {
+            self->m_transactions.erase(session->transaction);
+            session->transaction = 0;
+        }
+        self->endJob(job, session, outcome);
+    });
+    if (order.kind == OrderKind::ProvenSingle)
+        session->ask(m_codec.formatRollback(), [](const Outcome&) {});
+}
+
+void TargetPool::takeProof(const Outcome& outcome, TimePoint sentAt)
+{
+    m_provedAt = std::max(m_provedAt, sentAt);
+    m_observer.onLeads(m_target, outcome.position, sentAt);
+}
+
+void TargetPool::endJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome)
+{
+    auto it = std::ranges::find(m_running, job, &std::pair<JobPtr, SessionPtr>::first);
+    if (it != m_running.end())
+        m_running.erase(it);
+    if (session->isOpen()) {
+        std::chrono::duration<double, std::milli> took = Clock::now() - job->startedAt;
+        if (!outcome.error)
+            m_workMs += kWorkSmoothing * (took.count() - m_workMs);
+        m_observer.onAnswer(m_target);
+        if (outcome.position.term != 0)
+            m_observer.onPosition(m_target, outcome.position);
+        if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
+            m_observer.onFollows(m_target);
+        freeSession(session);
+    }
+    finish(job, outcome);
+    dispatch();
+}
+
+void TargetPool::freeSession(const SessionPtr& session)
+{
+    session->isBusy = false;
+}
+
+void TargetPool::finish(const JobPtr& job, Outcome outcome)
+{
+    if (job->isDone)
+        return;
+    job->isDone = true;
+    auto done = std::move(job->done);
+    boost::asio::post(m_executor, [done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+}
+
+void TargetPool::endTransaction(uint64_t transaction)
+{
+    auto it = m_transactions.find(transaction);
+    if (it == m_transactions.end())
+        return;
+    auto session = it->second;
+    m_transactions.erase(it);
+    session->transaction = 0;
+    if (session->isBusy) { // a statement is at the target: only closing ends it
+        dropSession(session, "its transaction was given up");
+        return;
+    }
+    session->isBusy = true;
+    session->ask(m_codec.formatRollback(), [self = shared_from_this(), session](const Outcome& outcome) {
+        if (outcome.error) {
+            self->dropSession(session, "rolling back failed: " + outcome.error->message);
+            return;
+        }
+        self->freeSession(session);
+        self->dispatch();
+    });
+}
+
+void TargetPool::dropSession(const SessionPtr& session, const std::string& reason)
+{
+    auto it = std::ranges::find(m_sessions, session);
+    if (it == m_sessions.end())
+        return;
+    m_sessions.erase(it);
+    if (session->transaction != 0)
+        m_transactions.erase(session->transaction);
+    session->transaction = 0;
+    bool wasAsked = session->getPending() > 0;
+    // Its jobs end through their answers, or here if they had none yet.
+    session->close();
+    auto running = m_running;
+    for (auto& [job, holder] : running) {
+        if (holder == session)
+            endJob(job, session, decisions::makeFailure(ErrorKind::OutcomeUnknown, reason, true));
+    }
+    if (wasAsked)
+        m_observer.onTrouble(m_target, reason);
+    dispatch();
+}
+
+void TargetPool::shutDown(const std::string& reason)
+{
+    auto waiting = std::move(m_waiting);
+    m_waiting.clear();
+    for (auto& it : waiting)
+        finish(it, decisions::makeFailure(ErrorKind::TargetUnreachable, reason));
+    auto sessions = m_sessions;
+    for (auto& it : sessions)
+        dropSession(it, reason);
+}
+
+void TargetPool::sweep(TimePoint now)
+{
+    endOverdue(now);
+    endSilent(now);
+    proveLead(now);
+    keepAlive(now);
+    dispatch();
+}
+
+void TargetPool::endOverdue(TimePoint now)
+{
+    std::vector<JobPtr> late;
+    std::erase_if(m_waiting, [&](const JobPtr& it) {
+        bool isLate = now >= it->order.deadline;
+        if (isLate)
+            late.push_back(it);
+        return isLate;
+    });
+    for (auto& it : late)
+        finish(it, decisions::makeFailure(ErrorKind::Overloaded, "no turn came in time"));
+    auto running = m_running;
+    for (auto& [job, session] : running) {
+        if (now < job->order.deadline)
+            continue;
+        finish(job, decisions::makeFailure(ErrorKind::StatementTimedOut, "the target did not answer in time", true));
+        auto askedAt = session->getAskedAt();
+        dropSession(session, "no answer in time");
+        // Other connections that have been quiet since may have died in the same way.
+        auto sessions = m_sessions;
+        for (auto& it : sessions) {
+            if (!it->isBusy && it->transaction == 0 && it->getHeardAt() < askedAt)
+                dropSession(it, "quiet since a connection to the same target died");
+        }
+    }
+}
+
+// Questions of our own need no work at the target: silence means that the connection is dead.
+void TargetPool::endSilent(TimePoint now)
+{
+    auto sessions = m_sessions;
+    for (auto& it : sessions) {
+        bool hasJob = std::ranges::any_of(m_running, [&](const auto& running) { return running.second == it; });
+        if (!hasJob && it->getPending() > 0 && now - it->getAskedAt() > kSilentLimit)
+            dropSession(it, "the target is silent");
+    }
+}
+
+void TargetPool::proveLead(TimePoint now)
+{
+    if (m_proofInterval.count() == 0 || now - m_provedAt < m_proofInterval)
+        return;
+    auto it = std::ranges::find_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0 && it->getPending() == 0; });
+    if (it == m_sessions.end()) {
+        if (m_sessions.empty() && m_opening == 0 && now >= m_noNewBefore)
+            openSession();
+        return;
+    }
+    m_provedAt = now; // the next question is due an interval after this one, whatever its answer
+    auto session = *it;
+    session->isBusy = true;
+    session->ask(m_codec.formatBegin(false, {}), [self = shared_from_this(), session, now](const Outcome& outcome) {
+        if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
+            self->m_observer.onFollows(self->m_target);
+        if (outcome.error) {
+            self->freeSession(session);
+            return;
+        }
+        self->m_observer.onLeads(self->m_target, outcome.position, now);
+        self->m_observer.onAnswer(self->m_target);
+        session->ask(self->m_codec.formatRollback(), [self, session](const Outcome&) {
+            self->freeSession(session);
+            self->dispatch();
+        });
+    });
+}
+
+void TargetPool::keepAlive(TimePoint now)
+{
+    for (auto& it : m_sessions) {
+        if (it->isBusy || it->transaction != 0 || it->getPending() > 0 || now - it->getHeardAt() < kKeepAliveAfter)
+            continue;
+        it->isBusy = true;
+        it->ask(m_codec.formatBegin(true, {}), [](const Outcome&) {});
+        it->ask(m_codec.formatRollback(), [self = shared_from_this(), session = it](const Outcome& outcome) {
+            if (outcome.position.term != 0)
+                self->m_observer.onPosition(self->m_target, outcome.position);
+            self->freeSession(session);
+            self->dispatch();
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/target_pool.h
@@ -0,0 +1,137 @@
+// The connections from this host to one target, and the queue of statements before them. Whoever wants a statement run at the
+// target, a session of this host or another host, submits an order; orders wait here, not at the target, so that the most urgent one
+// goes next and one that can no longer be met is refused unsent.
+//
+// COMMON MISTAKES
+//   - Sending a statement right behind the BEGIN of its transaction. If the BEGIN is refused, the statement runs outside of it.
+#pragma once
+#include "gateway/target_session.h"
+#include <memory>
+#include <unordered_map>
+
+namespace alderward::gateway {
+
+enum class OrderKind {
+    Single, // a statement outside a transaction
+    ProvenSingle, // a read wrapped in a transaction of our own: only a target that leads runs it
+    Begin, // begins a transaction and runs its first statement
+    Continue, // the next statement of a transaction, or its commit
+};
+
+struct Order {
+    OrderKind kind { OrderKind::Single };
+    decisions::Statement statement {};
+    std::optional<decisions::PreparedShape> shape {}; // of an Execute
+    decisions::SessionValues values {};
+    bool isReadOnly { false }; // Begin: the transaction reads only and may run on a replica
+    Mark atLeast {}; // the target's log must hold this; term 0: anything goes
+    int priority { 0 }; // 0 goes first
+    TimePoint objective {}; // an answer by then is worth most
+    TimePoint deadline {}; // an answer after this is worth nothing
+    uint64_t transaction { 0 }; // Begin and Continue: its number, see TargetPool::takeTransactionNumber()
+};
+
+using OrderDone = std::function<void(const Outcome& outcome)>;
+
+// What a pool learns that others rest decisions on.
+struct PoolObserver {
+    // A target proved that it led after `sentAt`; its log then held `position`.
+    std::function<void(const TargetAddress&, const Mark& position, TimePoint sentAt)> onLeads;
+    // A target said that it is a replica.
+    std::function<void(const TargetAddress&)> onFollows;
+    std::function<void(const TargetAddress&, const Mark& position)> onPosition;
+    // A connection could not be opened, or one that was asked broke or fell silent.
+    std::function<void(const TargetAddress&, const std::string& reason)> onTrouble;
+    std::function<void(const TargetAddress&)> onAnswer;
+};
+
+struct PoolLimits {
+    unsigned connections { 4 }; // open at a time
+    unsigned running { 3 }; // statements at the target at a time
+};
+
+struct PoolLoad {
+    unsigned waiting { 0 };
+    unsigned running { 0 };
+    double workMs { 10 }; // smoothed time of one statement at the target
+    friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
+};
+
+class TargetPool : public std::enable_shared_from_this<TargetPool> {
+public:
+    TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer);
+
+    void setLimits(const PoolLimits& limits) { m_limits = limits; }
+    uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
+    // Every order ends with exactly one call of `done`, never from within submit().
+    void submit(Order order, OrderDone done);
+    // Rolls a transaction back and gives its connection free. Unknown numbers are ignored.
+    void endTransaction(uint64_t transaction);
+    // Whether the transaction still holds a connection.
+    bool hasTransaction(uint64_t transaction) const { return m_transactions.contains(transaction); }
+    // Ends orders whose time is over and connections that fell silent; proves the lead if that is due.
+    void sweep(TimePoint now);
+    // Asks the target whether it leads at least this often while nothing else shows it; 0: never.
+    void setProofInterval(milliseconds interval) { m_proofInterval = interval; }
+    // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
+    void shutDown(const std::string& reason);
+    // Statements that write wait until then: a planned change of primary is under way.
+    void holdWrites(TimePoint until) { m_holdUntil = until; }
+
+    const TargetAddress& getTarget() const { return m_target; }
+    PoolLoad getLoad() const;
+    bool isIdle() const { return m_waiting.empty() && m_sessions.empty(); }
+    size_t getOpen() const { return m_sessions.size(); }
+
+private:
+    struct Job {
+        Order order;
+        OrderDone done;
+        TimePoint submittedAt;
+        TimePoint startedAt {};
+        bool isDone { false };
+    };
+    using JobPtr = std::shared_ptr<Job>;
+    using SessionPtr = std::shared_ptr<TargetSession>;
+
+    void dispatch();
+    JobPtr popNext(TimePoint now);
+    bool isRunnable(const Job& job, TimePoint now) const;
+    SessionPtr findSession(const Job& job) const;
+    unsigned countFree() const;
+    void openSession();
+    void start(const JobPtr& job, const SessionPtr& session);
+    void prepareSession(const Job& job, const SessionPtr& session);
+    void begin(const JobPtr& job, const SessionPtr& session);
+    void runStatement(const JobPtr& job, const SessionPtr& session);
+    void endJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome);
+    void finish(const JobPtr& job, Outcome outcome);
+    void freeSession(const SessionPtr& session);
+    void takeProof(const Outcome& outcome, TimePoint sentAt);
+    void dropSession(const SessionPtr& session, const std::string& reason);
+    void proveLead(TimePoint now);
+    void keepAlive(TimePoint now);
+    void endOverdue(TimePoint now);
+    void endSilent(TimePoint now);
+
+    boost::asio::any_io_executor m_executor;
+    const links::StatementCodec& m_codec;
+    TargetAddress m_target;
+    std::string m_from;
+    PoolObserver m_observer;
+    PoolLimits m_limits;
+    std::vector<JobPtr> m_waiting;
+    std::vector<std::pair<JobPtr, SessionPtr>> m_running;
+    std::vector<SessionPtr> m_sessions; // open
+    unsigned m_opening { 0 };
+    std::unordered_map<uint64_t, SessionPtr> m_transactions;
+    uint64_t m_lastTransaction { 0 };
+    TimePoint m_noNewBefore {}; // no connection is opened before this
+    TimePoint m_provedAt {};
+    TimePoint m_holdUntil {};
+    milliseconds m_proofInterval { 0 };
+    double m_workMs { 10 };
+    bool m_isDispatching { false };
+};
+
+}
--- /dev/null
+++ b/src/gateway/world.cpp
@@ -0,0 +1,41 @@
+#include "gateway/world.h"
+#include <algorithm>
+
+namespace alderward::gateway {
+
+void takeMember(World& world, const links::ListedMember& listed)
+{
+    auto& member = world.members[listed.id];
+    member.listed = listed;
+    member.unlistedAt.reset();
+    auto& group = world.groups[listed.group];
+    if (std::ranges::find(group.members, listed.id) == group.members.end())
+        group.members.push_back(listed.id);
+    if (listed.saysPrimary)
+        group.lead = decisions::takeListing(group.lead, listed.id);
+}
+
+void takeMemberGone(World& world, const std::string& id, TimePoint now)
+{
+    auto it = world.members.find(id);
+    if (it != world.members.end() && !it->second.unlistedAt)
+        it->second.unlistedAt = now;
+}
+
+std::vector<std::string> forgetMembers(World& world, milliseconds keep, TimePoint now)
+{
+    std::vector<std::string> forgotten;
+    for (auto& [id, member] : world.members) {
+        if (member.unlistedAt && now - *member.unlistedAt > keep)
+            forgotten.push_back(id);
+    }
+    for (auto& id : forgotten) {
+        auto& group = world.groups[world.members[id].listed.group];
+        std::erase(group.members, id);
+        group.lead = decisions::takeDenial(group.lead, id);
+        world.members.erase(id);
+    }
+    return forgotten;
+}
+
+}
--- /dev/null
+++ b/src/gateway/world.h
@@ -0,0 +1,42 @@
+// What a host believes about the world: configuration, members, hosts, who leads, how fresh reads can be. One value, owned by the
+// gateway, touched on its executor only.
+#pragma once
+#include "decisions/choice.h"
+#include "gateway/target_pool.h"
+#include "links/directory.h"
+#include <map>
+
+namespace alderward::gateway {
+
+struct MemberBelief {
+    links::ListedMember listed {};
+    std::optional<TimePoint> unlistedAt {}; // the store's list dropped it then; it may still lead
+    TimePoint troubleAt {}; // the last time a connection to it failed here
+    TimePoint answeredAt {};
+    Mark position {}; // newest that it was seen to hold
+    TimePoint positionAt {};
+
+    TargetAddress getTarget() const { return { listed.id, listed.group, listed.address }; }
+};
+
+struct GroupBelief {
+    decisions::Lead lead {};
+    decisions::FloorHistory floors {};
+    std::vector<std::string> members {}; // ids
+};
+
+struct World {
+    links::GatewayConfiguration configuration {};
+    std::map<std::string, MemberBelief> members {}; // by id
+    std::map<std::string, GroupBelief> groups {};
+    std::map<std::string, links::ListedHost> hosts {}; // by name, this one included
+    bool hasMembers { false }; // the list of members was read at least once
+};
+
+// Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
+void takeMember(World& world, const links::ListedMember& listed);
+void takeMemberGone(World& world, const std::string& id, TimePoint now);
+// Forgets members that were unlisted for longer than `keep`. Returns their ids.
+std::vector<std::string> forgetMembers(World& world, milliseconds keep, TimePoint now);
+
+}
--- a/src/links/http.h
+++ b/src/links/http.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace alderward::links {
 
@@ -20,6 +21,7 @@
     std::string body {};
     std::string from {}; // name of the sending process, header "From-Host"
     uint64_t connection { 0 }; // server side: number of the connection, unique in the process
+    std::vector<std::pair<std::string, std::string>> headers {}; // client side: further headers
 };
 
 struct HttpAnswer {
@@ -84,7 +86,11 @@
     virtual uint64_t getTransferred() const = 0;
 };
 
-std::unique_ptr<HttpConnection> makeHttpConnection(boost::asio::any_io_executor executor, const std::string& address);
+struct HttpClientOptions {
+    bool expectsRequestId { true }; // the far side repeats X-Request-Id; false for servers that are not ours
+};
+
+std::unique_ptr<HttpConnection> makeHttpConnection(boost::asio::any_io_executor executor, const std::string& address, HttpClientOptions options = {});
 
 // Splits "ip:port". The ip must be numeric.
 tl::expected<boost::asio::ip::tcp::endpoint, std::string> parseEndpoint(const std::string& address);
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -20,9 +20,10 @@
 
 class BeastConnection : public HttpConnection {
 public:
-    BeastConnection(asio::any_io_executor executor, std::string address)
+    BeastConnection(asio::any_io_executor executor, std::string address, HttpClientOptions options)
         : m_stream(executor)
         , m_address(std::move(address))
+        , m_options(options)
     {
     }
 
@@ -62,7 +63,7 @@
         if (readError)
             co_return failExchange(true, readError);
         m_stream.expires_never();
-        if (reply["X-Request-Id"] != requestId) {
+        if (m_options.expectsRequestId && reply["X-Request-Id"] != requestId) {
             close();
             co_return tl::make_unexpected(LinkFailure { true, false, "the answer belongs to another request" });
         }
@@ -105,6 +106,8 @@
         message.set("X-Request-Id", requestId);
         if (!request.from.empty())
             message.set("From-Host", request.from);
+        for (auto& [name, value] : request.headers)
+            message.set(name, value);
         message.body() = std::move(request.body);
         message.prepare_payload();
         return message;
@@ -118,15 +121,16 @@
 
     boost::beast::tcp_stream m_stream;
     std::string m_address;
+    HttpClientOptions m_options;
     uint64_t m_transferred { 0 };
     bool m_isOpen { false };
 };
 
 }
 
-std::unique_ptr<HttpConnection> makeHttpConnection(asio::any_io_executor executor, const std::string& address)
+std::unique_ptr<HttpConnection> makeHttpConnection(asio::any_io_executor executor, const std::string& address, HttpClientOptions options)
 {
-    return std::make_unique<BeastConnection>(executor, address);
+    return std::make_unique<BeastConnection>(executor, address, options);
 }
 
 }
