Name the temporaries that coroutines await: processes no longer crash on a promotion

Cause: g++ 12 destroys an aggregate made inside a co_await expression twice; the order of a promotion was one (backtrace: free() in Adapter::promote). Ruled out: memory limit, stack depth.

--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -15,6 +15,7 @@
 
 constexpr int kBurstSeconds = 2; // a budget that was not used may be saved up for this long
 constexpr size_t kClasses = 3;
+constexpr milliseconds kLeftOutInterval { 1000 }; // between two lines on what was left out
 
 // One class's allowance, filled once a second.
 struct Allowance {
@@ -32,6 +33,7 @@
     uint64_t written { 0 };
     uint64_t leftOut { 0 };
     uint64_t leftOutSaid { 0 };
+    TimePoint leftOutSaidAt {};
     bool isBegun { false };
 };
 
@@ -158,7 +160,9 @@
     std::lock_guard lock(log.mutex);
     if (!log.isBegun)
         return;
-    if (log.leftOut > log.leftOutSaid) {
+    auto now = Clock::now();
+    if (log.leftOut > log.leftOutSaid && now - log.leftOutSaidAt >= kLeftOutInterval) {
+        log.leftOutSaidAt = now;
         auto n = static_cast<int64_t>(log.leftOut - log.leftOutSaid);
         if (append(log, formatLine(log.host, "lines-left-out", { { "lines", n } })))
             log.leftOutSaid = log.leftOut;
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -339,7 +339,9 @@
     ++state.decisions;
     for (int i = 0; i < kOrderTries; ++i) {
         auto askedAt = Clock::now();
-        auto result = co_await m_context.platform.promote({ group, member, m_context.self.host, *token }, askedAt + kOrderLimit);
+        // A named value: g++ 12 destroys aggregates that are made within a co_await expression twice.
+        links::PromotionOrder request { group, member, m_context.self.host, *token };
+        auto result = co_await m_context.platform.promote(request, askedAt + kOrderLimit);
         static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
         std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
         base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
