Pool limits follow configuration and member list; a host without configuration says it is not configured

Second: the balancer sends callers to hosts that are not ready when it has no others; they were told that the database does not exist. Ruled out: leaked transactions, the write hold of planned changes, the cap of the member.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -46,10 +46,17 @@
 void CallerSession::open(const links::OpenSession& message)
 {
     m_database = message.database;
-    auto it = m_context.world.configuration.routes.find(m_database);
-    if (m_context.isDraining || it == m_context.world.configuration.routes.end()) {
-        auto kind = m_context.isDraining ? ErrorKind::Draining : ErrorKind::UnknownGroup;
-        m_channel->send(m_context.codec.formatError({ kind, m_context.isDraining ? "this host is stopping" : "no such database" }));
+    auto& configuration = m_context.world.configuration;
+    auto it = configuration.routes.find(m_database);
+    std::optional<decisions::Error> refusal;
+    if (m_context.isDraining)
+        refusal = { ErrorKind::Draining, "this host is stopping" };
+    else if (configuration.version == 0) // the balancer sends callers to hosts that are not ready if it has no others
+        refusal = { ErrorKind::NotConfigured, "this host has no configuration yet" };
+    else if (it == configuration.routes.end())
+        refusal = { ErrorKind::UnknownGroup, "no such database" };
+    if (refusal) {
+        m_channel->send(m_context.codec.formatError(*refusal));
         m_channel->finish();
         close("refused");
         return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -127,16 +127,21 @@
     auto& pool = m_pools[target.member];
     if (!pool) {
         pool = std::make_shared<TargetPool>(m_context.get_executor(), m_platform->getCodec(), target, m_settings.name, makeObserver());
-        auto group = m_world.configuration.groups.find(target.group);
-        auto most = group == m_world.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
-        auto member = m_world.members.find(target.member);
-        auto slots = member == m_world.members.end() ? 1U : std::max(1U, member->second.listed.slots);
-        // Half of the limit, as two hosts may carry to one member while they disagree on who does.
-        pool->setLimits({ std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 });
+        pool->setLimits(getLimits(target));
     }
     return pool;
 }
 
+// Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
+PoolLimits Gateway::getLimits(const TargetAddress& target) const
+{
+    auto group = m_world.configuration.groups.find(target.group);
+    auto most = group == m_world.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
+    auto member = m_world.members.find(target.member);
+    auto slots = member == m_world.members.end() ? 1U : std::max(1U, member->second.listed.slots);
+    return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 };
+}
+
 PoolObserver Gateway::makeObserver()
 {
     PoolObserver observer;
@@ -406,6 +411,7 @@
     for (auto& [id, pool] : m_pools) {
         auto member = m_world.members.find(id);
         bool leads = member != m_world.members.end() && m_world.groups[member->second.listed.group].lead.member == id;
+        pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
         pool->setProofInterval(leads && isCarrier(member->second) ? kProofInterval : milliseconds(0));
         pool->sweep(now);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
     void sweepPools(TimePoint now);
     void sweepStop(TimePoint now);
     std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
+    PoolLimits getLimits(const TargetAddress& target) const;
     PoolObserver makeObserver();
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
