Hosts that no longer carry give their connections back; one silent connection is no trouble while others answer

Cause: when the carrier of a member changed, the old carrier kept its idle connections, so two old ones and the new one filled the member's cap (22 + 19 + 14 of 55) and the new one could open none; and any lost answer made a host count as unable to reach the member, so carriers changed for no reason. Alarms went to all hosts for each waiting statement; now one in 100 ms a group. Ruled out: jobs left in the pool's count (orphans logged: 0).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,7 @@
 static constexpr milliseconds kLeavingFor { 5000 }; // connections to a leaving member are closed then
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
+static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
 Gateway::Gateway(asio::io_context& context, base::TimerService& timers, base::GatewaySettings settings, std::unique_ptr<links::PlatformAdapter> platform)
@@ -183,6 +184,11 @@
 void Gateway::raiseAlarm(const std::string& group, const std::string& reason)
 {
     m_promoter.raiseAlarm(group, reason);
+    auto now = Clock::now();
+    auto& alarmedAt = m_alarmedAt[group];
+    if (now - alarmedAt < kAlarmInterval)
+        return;
+    alarmedAt = now;
     auto& leader = m_world.groups[group].lead.member;
     for (auto& name : m_peers.getUpHosts())
         m_peers.sendAlarm(name, group, leader, reason);
@@ -412,7 +418,9 @@
         auto member = m_world.members.find(id);
         bool leads = member != m_world.members.end() && m_world.groups[member->second.listed.group].lead.member == id;
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
-        pool->setProofInterval(leads && isCarrier(member->second) ? kProofInterval : milliseconds(0));
+        bool carries = member != m_world.members.end() && isCarrier(member->second);
+        pool->setCarrier(carries);
+        pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
         pool->sweep(now);
     }
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,6 +56,7 @@
     Directory m_directory;
     Promoter m_promoter;
     std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
+    std::map<std::string, TimePoint> m_alarmedAt; // by group: when other hosts were last told
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
     uint64_t m_lastSession { 0 };
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -15,6 +15,8 @@
 static constexpr milliseconds kSilentLimit { 500 }; // for questions that need no work at the target
 static constexpr double kWorkSmoothing = 0.1; // weight of the newest statement in the running mean
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
+static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
+static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
@@ -153,6 +155,7 @@
                 return;
             }
             self->m_observer.onAnswer(self->m_target);
+            session->usedAt = Clock::now();
             self->m_sessions.push_back(session);
             self->dispatch(); }, [self, weak](const std::string& reason) {
             if (auto session = weak.lock())
@@ -262,6 +265,7 @@
             m_observer.onPosition(m_target, outcome.position);
         if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
             m_observer.onFollows(m_target);
+        session->usedAt = Clock::now();
         freeSession(session);
     }
     finish(job, outcome);
@@ -273,6 +277,17 @@
     session->isBusy = false;
 }
 
+void TargetPool::closeUnused(TimePoint now)
+{
+    auto limit = m_isCarrier ? kUnusedAsCarrier : kUnusedElsewhere;
+    auto sessions = m_sessions;
+    for (auto& it : sessions) {
+        bool isLast = m_isCarrier && m_sessions.size() == 1;
+        if (!isLast && !it->isBusy && it->transaction == 0 && it->getPending() == 0 && now - it->usedAt > limit)
+            dropSession(it, "unused");
+    }
+}
+
 void TargetPool::finish(const JobPtr& job, Outcome outcome)
 {
     if (job->isDone)
@@ -315,6 +330,7 @@
         m_transactions.erase(session->transaction);
     session->transaction = 0;
     bool wasAsked = session->getPending() > 0;
+    auto askedAt = session->getAskedAt();
     // Its jobs end through their answers, or here if they had none yet.
     session->close();
     auto running = m_running;
@@ -322,8 +338,12 @@
         if (holder == session)
             endJob(job, session, decisions::makeFailure(ErrorKind::OutcomeUnknown, reason, true));
     }
-    if (wasAsked)
+    // Others that have answered since show that the target lives. If there are any, one of them is asked at once.
+    bool isAlive = std::ranges::any_of(m_sessions, [&](const SessionPtr& it) { return it->getHeardAt() > askedAt; });
+    if (wasAsked && !isAlive)
         m_observer.onTrouble(m_target, reason);
+    if (wasAsked)
+        m_provedAt = {};
     dispatch();
 }
 
@@ -344,6 +364,7 @@
     endSilent(now);
     proveLead(now);
     keepAlive(now);
+    closeUnused(now);
     dispatch();
 }
 
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -73,6 +73,8 @@
     void sweep(TimePoint now);
     // Asks the target whether it leads at least this often while nothing else shows it; 0: never.
     void setProofInterval(milliseconds interval) { m_proofInterval = interval; }
+    // Whether this host is the one that carries statements to the target; one that does not any more gives its connections back.
+    void setCarrier(bool isCarrier) { m_isCarrier = isCarrier; }
     // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
     void shutDown(const std::string& reason);
     // Statements that write wait until then: a planned change of primary is under way.
@@ -111,6 +113,7 @@
     void dropSession(const SessionPtr& session, const std::string& reason);
     void proveLead(TimePoint now);
     void keepAlive(TimePoint now);
+    void closeUnused(TimePoint now);
     void endOverdue(TimePoint now);
     void endSilent(TimePoint now);
 
@@ -132,6 +135,7 @@
     milliseconds m_proofInterval { 0 };
     double m_workMs { 10 };
     bool m_isDispatching { false };
+    bool m_isCarrier { true };
 };
 
 }
--- a/src/gateway/target_session.h
+++ b/src/gateway/target_session.h
@@ -40,6 +40,7 @@
     decisions::ConnectionState state {}; // what earlier sessions left on it
     uint64_t transaction { 0 }; // that holds it; 0: none
     bool isBusy { false }; // a job runs on it
+    TimePoint usedAt {}; // the last time a job ended on it
 
 private:
     struct Pending {
