--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,7 +19,7 @@
 static constexpr milliseconds kSweepInterval { 20 }; // how late a limit may be noticed
 static constexpr milliseconds kProofInterval { 250 }; // how old the newest floor may get while nothing else renews it
 static constexpr milliseconds kTroubleFor { 500 }; // a member that this host could not reach is left to others this long
-static constexpr milliseconds kInquiryLimit { 500 }; // a busy target answers a status within some tens of ms
+static constexpr milliseconds kInquiryLimit { 350 }; // a busy target answers a status within some tens of ms; ordinary answers count as well
 static constexpr milliseconds kUnlistedFor { 4000 }; // an unlisted member is forgotten then; entries that lapsed are back before
 static constexpr milliseconds kLeavingFor { 5000 }; // connections to a leaving member are closed then
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -21,7 +21,7 @@
 static constexpr milliseconds kStoreLimit { 600 }; // a change of the succession that takes longer is tried again
 static constexpr milliseconds kOrderLimit { 1500 }; // an order answers after the change, some hundred ms later
 static constexpr milliseconds kRetryPause { 150 }; // between orders of one decision
-static constexpr milliseconds kPauseAfter { 400 }; // after an attempt that ended, good or bad
+static constexpr milliseconds kPauseAfter { 400 }; // after an attempt that ended, good or bad, or a primary that was found alive
 static constexpr milliseconds kCatchUpLimit { 800 }; // a planned change waits this long for a replica
 static constexpr milliseconds kHoldTime { 1800 }; // writes wait this long at most in a planned change
 static constexpr milliseconds kLeaderlessLimit { 600 }; // without a known primary for this long, one is looked for
@@ -236,37 +236,48 @@
     co_return reachedBy->empty();
 }
 
-asio::awaitable<std::vector<MemberFinding>> Promoter::askReplicas(std::string group, std::string leader)
-{
-    std::vector<std::string> ids;
-    for (auto& id : m_context.world.groups[group].members) {
-        if (id != leader)
-            ids.push_back(id);
+// Replicas are asked while the primary is examined, so that a dead one costs one wait, not two.
+struct Promoter::Replicas {
+    explicit Replicas(asio::io_context& context)
+        : timer(context, asio::steady_timer::time_point::max())
+    {
     }
-    auto findings = std::make_shared<std::vector<MemberFinding>>();
-    auto pending = std::make_shared<size_t>(ids.size());
-    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
-    for (auto& id : ids) {
-        auto& member = m_context.world.members.at(id);
-        bool mayLead = !member.listed.isLeaving && !member.unlistedAt;
-        asio::co_spawn(
-            m_context.context, [this, id, mayLead, target = member.getTarget(), findings, pending, timer]() -> asio::awaitable<void> {
-                auto finding = co_await ask(m_context.self.host, target);
-                for (auto& witness : chooseWitnesses()) {
-                    if (!finding.wasReached)
-                        finding = co_await ask(witness, target);
-                }
-                findings->push_back({ id, finding.wasReached, finding.status.isPrimary, finding.status.term, finding.status.received, mayLead });
-                if (--*pending == 0)
-                    timer->cancel();
-            },
-            asio::detached);
-    }
-    if (*pending > 0) {
+    asio::awaitable<void> wait()
+    {
         boost::system::error_code ec;
-        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        if (pending > 0)
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    asio::steady_timer timer;
+    std::vector<MemberFinding> findings;
+    size_t pending { 1 }; // until askReplicas() knows
+};
+
+asio::awaitable<void> Promoter::askReplica(std::string id, std::shared_ptr<Replicas> replicas)
+{
+    auto& member = m_context.world.members.at(id);
+    bool mayLead = !member.listed.isLeaving && !member.unlistedAt;
+    auto target = member.getTarget();
+    auto finding = co_await ask(m_context.self.host, target);
+    auto witnesses = chooseWitnesses(); // a path may be broken for this host only
+    if (!finding.wasReached && !witnesses.empty())
+        finding = co_await ask(witnesses.front(), target);
+    replicas->findings.push_back({ id, finding.wasReached, finding.status.isPrimary, finding.status.term, finding.status.received, mayLead });
+    if (--replicas->pending == 0)
+        replicas->timer.cancel();
+}
+
+asio::awaitable<void> Promoter::askReplicas(std::string group, std::string leader, std::shared_ptr<Replicas> replicas)
+{
+    for (auto& id : m_context.world.groups[group].members) {
+        if (id == leader)
+            continue;
+        ++replicas->pending;
+        asio::co_spawn(m_context.context, askReplica(id, replicas), asio::detached);
     }
-    co_return *findings;
+    if (--replicas->pending == 0)
+        replicas->timer.cancel();
+    co_return;
 }
 
 // Writes wait at all hosts until the best replica holds what the primary holds, so that the change takes nothing back.
@@ -284,8 +295,10 @@
         auto now = co_await ask(m_context.self.host, target);
         if (!now.wasReached)
             co_return;
-        auto replicas = co_await askReplicas(group, leader);
-        for (auto& it : replicas) {
+        auto replicas = std::make_shared<Replicas>(m_context.context);
+        co_await askReplicas(group, leader, replicas);
+        co_await replicas->wait();
+        for (auto& it : replicas->findings) {
             if (it.wasReached && it.mayLead && it.received >= now.status.received)
                 co_return;
         }
@@ -300,32 +313,36 @@
     base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
     bool isDue = true;
     auto member = m_context.world.members.find(lead.member);
-    if (member != m_context.world.members.end() && !isPlanned)
-        isDue = co_await isDead(group, member->second.getTarget());
     if (isPlanned)
         co_await waitForReplica(group, lead.member);
+    auto replicas = std::make_shared<Replicas>(m_context.context);
+    asio::co_spawn(m_context.context, askReplicas(group, lead.member, replicas), asio::detached);
+    if (member != m_context.world.members.end() && !isPlanned)
+        isDue = co_await isDead(group, member->second.getTarget());
+    if (isDue)
+        co_await replicas->wait();
     if (isDue) {
-        auto replicas = co_await askReplicas(group, lead.member);
-        auto leading = std::ranges::find_if(replicas, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term; });
+        auto& findings = replicas->findings;
+        auto leading = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term; });
         auto limits = m_context.world.configuration.groups[group];
-        auto successor = decisions::chooseSuccessor(replicas, limits.synchronousReplicas);
+        auto successor = decisions::chooseSuccessor(findings, limits.synchronousReplicas);
         auto& current = m_context.world.groups[group].lead;
-        if (leading != replicas.end())
+        if (leading != findings.end())
             current = decisions::takeProof(current, leading->member, leading->term);
         else if (successor) {
             uint64_t term = lead.term;
-            for (auto& it : replicas)
+            for (auto& it : findings)
                 term = std::max(term, std::max(it.term, it.received.term));
             co_await order(group, *successor, term);
         } else
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be chosen") }, { "members_asked", static_cast<int64_t>(replicas.size()) } });
+            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be chosen") }, { "members_asked", static_cast<int64_t>(findings.size()) } });
     }
     auto& state = m_states[group];
     std::chrono::duration<double, std::milli> took = Clock::now() - began;
     base::logEvent(LogClass::State, "promotion-ended", { { "group", std::string_view(group) }, { "ms", took.count() } });
     state.isWorking = false;
     state.alarmedAt = {};
-    state.notBefore = Clock::now() + (isDue ? kPauseAfter : milliseconds(0));
+    state.notBefore = Clock::now() + kPauseAfter;
 }
 
 // One decision: one token, one member. An order without an answer is repeated as it was; it may still be carried out.
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -54,7 +54,9 @@
     boost::asio::awaitable<void> writeSuccession(std::string group, decisions::Succession succession, uint64_t revision);
     boost::asio::awaitable<void> replace(std::string group, bool isPlanned, std::string cause);
     boost::asio::awaitable<bool> isDead(std::string group, TargetAddress leader);
-    boost::asio::awaitable<std::vector<decisions::MemberFinding>> askReplicas(std::string group, std::string leader);
+    struct Replicas;
+    boost::asio::awaitable<void> askReplicas(std::string group, std::string leader, std::shared_ptr<Replicas> replicas);
+    boost::asio::awaitable<void> askReplica(std::string id, std::shared_ptr<Replicas> replicas);
     boost::asio::awaitable<void> waitForReplica(std::string group, std::string leader);
     boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm);
     boost::asio::awaitable<Finding> ask(std::string host, TargetAddress target);
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -12,7 +12,8 @@
 static constexpr milliseconds kRefusedPause { 300 }; // after the target took no connection; other hosts may hold them
 static constexpr milliseconds kBrokenPause { 100 }; // after a connection could not be had
 static constexpr milliseconds kKeepAliveAfter { 1000 }; // an idle connection that was quiet for this long is asked something
-static constexpr milliseconds kSilentLimit { 500 }; // for questions that need no work at the target
+static constexpr milliseconds kSilentLimit { 300 }; // for questions that need no work at the target
+static constexpr double kWorthSending = 1.5; // of a statement's usual time must be left when it is sent: else it uses a slot for nothing
 static constexpr double kWorkSmoothing = 0.1; // weight of the newest statement in the running mean
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
 static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
@@ -98,6 +99,11 @@
         auto job = popNext(now);
         if (!job)
             break;
+        std::chrono::duration<double, std::milli> left = job->order.deadline - now;
+        if (left.count() < kWorthSending * m_workMs && job->order.statement.kind != StatementKind::Commit) {
+            finish(job, decisions::makeFailure(ErrorKind::Overloaded, "its turn came too late to be answered in time"));
+            continue;
+        }
         auto session = findSession(*job);
         if (session)
             start(job, session);
