Partners in place of all hosts; orders without what the receiver knows; a connection is free only when no transaction is open on it

Now a host pings the carriers of members and its colleagues in succession, and tells only what it saw itself. Ruled out: names and values.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,9 @@
 static constexpr milliseconds kLeavingFor { 5000 }; // connections to a leaving member are closed then
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
+static constexpr milliseconds kNewsFor { 1000 }; // a proof of ours is told to others this long
+static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
+static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
@@ -150,6 +153,7 @@
         takeLead(target.group, decisions::takeProof(m_world.groups[target.group].lead, target.member, position.term), "proof");
         if (m_world.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
+            m_world.groups[target.group].provenAt = Clock::now();
             m_promoter.calm(target.group);
         }
     };
@@ -190,8 +194,10 @@
         return;
     alarmedAt = now;
     auto& leader = m_world.groups[group].lead.member;
-    for (auto& name : m_peers.getUpHosts())
-        m_peers.sendAlarm(name, group, leader, reason);
+    for (auto& name : m_promoter.getOrderers(group)) {
+        if (name != m_self.name)
+            m_peers.sendAlarm(name, group, leader, reason);
+    }
 }
 
 void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
@@ -215,30 +221,28 @@
     return it != m_world.members.end() && it->second.troubleAt != TimePoint {} && Clock::now() - it->second.troubleAt < kTroubleFor;
 }
 
-template <typename Message>
-void Gateway::fillNews(Message& message, TimePoint now) const
+void Gateway::fillNews(peer::Pong& message, TimePoint now) const
 {
     message.set_configuration(m_world.configuration.version);
     message.set_is_leaving(m_isDraining);
+    // Only what this host has seen for itself: whoever needs a group's floor asks the host that carries to its primary.
     for (auto& [name, group] : m_world.groups) {
-        if (!group.floors.isEmpty()) {
-            auto& floor = *message.add_floors();
-            floor.set_group(name);
-            floor.mutable_mark()->set_term(group.floors.floors.back().mark.term);
-            floor.mutable_mark()->set_position(group.floors.floors.back().mark.position);
-            floor.set_age_us(static_cast<uint64_t>(duration_cast<microseconds>(now - group.floors.floors.back().since).count()));
-        }
-        if (!group.lead.member.empty()) {
-            auto& lead = *message.add_leads();
-            lead.set_group(name);
-            lead.set_member(group.lead.member);
-            lead.set_term(group.lead.term);
-        }
+        if (now - group.provenAt > kNewsFor || group.floors.isEmpty())
+            continue;
+        auto& newest = group.floors.floors.back();
+        auto& floor = *message.add_floors();
+        floor.set_group(name);
+        floor.mutable_mark()->set_term(newest.mark.term);
+        floor.mutable_mark()->set_position(newest.mark.position);
+        floor.set_age_us(static_cast<uint64_t>(duration_cast<microseconds>(now - newest.since).count()));
+        auto& lead = *message.add_leads();
+        lead.set_group(name);
+        lead.set_member(group.lead.member);
+        lead.set_term(group.lead.term);
     }
 }
 
-template <typename Message>
-void Gateway::takeNews(const Message& message, TimePoint sentAt)
+void Gateway::takeNews(const peer::Pong& message, TimePoint sentAt)
 {
     m_directory.hurry(message.configuration());
     for (auto& it : message.leads()) {
@@ -246,8 +250,6 @@
         if (m_world.members.contains(it.member()))
             takeLead(it.group(), decisions::takeWord(lead, it.member(), it.term()), "told");
     }
-    if (sentAt == TimePoint {}) // no telling how old it is
-        return;
     for (auto& it : message.floors())
         takeFloor(it.group(), { { it.mark().term(), it.mark().position() }, sentAt - microseconds(it.age_us()) });
 }
@@ -255,7 +257,10 @@
 PeerService Gateway::makePeerService()
 {
     PeerService service;
-    service.getPool = [this](const TargetAddress& target) { return getPool(target); };
+    service.findPool = [this](const std::string& id) -> std::shared_ptr<TargetPool> {
+        auto member = m_world.members.find(id);
+        return member == m_world.members.end() ? nullptr : getPool(member->second.getTarget());
+    };
     service.inquire = [this](const TargetAddress& target, std::function<void(const Finding&)> done) { inquire(target, std::move(done)); };
     service.onAlarm = [this](const std::string& group, const std::string& member, const std::string& reason) {
         if (m_world.groups[group].lead.member == member || member.empty())
@@ -265,11 +270,17 @@
         if (auto it = m_pools.find(member); it != m_pools.end())
             it->second->holdWrites(Clock::now() + time);
     };
-    service.fillPing = [this](peer::Ping& ping) { fillNews(ping, Clock::now()); };
+    service.fillPing = [this](peer::Ping& ping) {
+        ping.set_configuration(m_world.configuration.version);
+        ping.set_is_leaving(m_isDraining);
+    };
     service.fillPong = [this](peer::Pong& pong) {
         auto now = Clock::now();
         fillNews(pong, now);
         for (auto& [member, pool] : m_pools) {
+            bool isOfUse = pool->isCarrier() || isTroubled(pool->getTarget());
+            if (!isOfUse)
+                continue;
             auto load = pool->getLoad();
             auto& wire = *pong.add_loads();
             wire.set_member(member);
@@ -279,7 +290,7 @@
             wire.set_unreachable(isTroubled(pool->getTarget()));
         }
     };
-    service.onPing = [this](const std::string&, const peer::Ping& ping) { takeNews(ping, {}); };
+    service.onPing = [this](const std::string&, const peer::Ping& ping) { m_directory.hurry(ping.configuration()); };
     service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeNews(pong, sentAt); };
     service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
@@ -307,26 +318,66 @@
     events.onHost = [this](const links::ListedHost& host) {
         if (host.name == m_self.name)
             return;
+        m_hostsGoneAt.erase(host.name);
         m_world.hosts[host.name] = host;
-        std::vector<links::ListedHost> hosts;
-        for (auto& [name, it] : m_world.hosts)
-            hosts.push_back(it);
-        m_peers.setHosts(hosts);
+        tellPeers();
     };
     events.onHostGone = [this](const std::string& name) {
-        // Its entry may have lapsed with the store; while the host answers it stays.
-        if (name == m_self.name || m_peers.isUp(name))
-            return;
-        m_world.hosts.erase(name);
-        std::vector<links::ListedHost> hosts;
-        for (auto& [other, it] : m_world.hosts)
-            hosts.push_back(it);
-        m_peers.setHosts(hosts);
+        if (name != m_self.name && m_world.hosts.contains(name))
+            m_hostsGoneAt[name] = Clock::now();
     };
     events.onSuccession = [this](const std::string& group, const links::StoreItem& item) { m_promoter.takeSuccession(group, item); };
     return events;
 }
 
+void Gateway::tellPeers()
+{
+    std::vector<links::ListedHost> hosts;
+    for (auto& [name, it] : m_world.hosts)
+        hosts.push_back(it);
+    m_peers.setHosts(hosts);
+    m_partnersDue = true;
+}
+
+// An entry may have lapsed with the store: a host stays while it answers, or until it had time to be listed again.
+void Gateway::sweepHosts(TimePoint now)
+{
+    auto gone = m_hostsGoneAt;
+    for (auto& [name, since] : gone) {
+        if (m_peers.isAnswering(name) || (now - since < kListedAgain && m_peers.isUp(name)))
+            continue;
+        m_hostsGoneAt.erase(name);
+        m_world.hosts.erase(name);
+        tellPeers();
+    }
+    if (!m_partnersDue && now - m_partnersAt < kPartnersInterval)
+        return;
+    m_partnersDue = false;
+    m_partnersAt = now;
+    m_peers.setPartners(choosePartners());
+}
+
+// The hosts that this one needs all the time: those that carry to each member, and the next in turn should one of them be down;
+// those that come before it where it may have to order a promotion. Bounded by members and orderers, whatever the number of hosts.
+std::set<std::string> Gateway::choosePartners() const
+{
+    std::set<std::string> partners = m_promoter.getColleagues();
+    std::vector<decisions::CarrierHost> hosts;
+    for (auto& [name, host] : m_world.hosts)
+        hosts.push_back({ name, host.dataCentre, true });
+    for (auto& [id, member] : m_world.members) {
+        for (auto& name : decisions::rankCarriers(id, member.listed.dataCentre, hosts)) {
+            if (name == m_self.name)
+                break;
+            partners.insert(name);
+            if (m_peers.isUp(name) && !m_peers.isLeaving(name))
+                break;
+        }
+    }
+    partners.erase(m_self.name);
+    return partners;
+}
+
 // Asks a member for its status on a connection of its own. Any answer to ordinary statements meanwhile shows that it lives, too.
 void Gateway::inquire(const TargetAddress& target, std::function<void(const Finding&)> done)
 {
@@ -387,6 +438,7 @@
 {
     auto now = Clock::now();
     noteReadiness();
+    sweepHosts(now);
     sweepPools(now);
     m_peers.sweep(now);
     m_runner.sweep(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,10 +38,11 @@
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
     bool isCarrier(const MemberBelief& member) const;
-    template <typename Message>
-    void fillNews(Message& message, TimePoint now) const;
-    template <typename Message>
-    void takeNews(const Message& message, TimePoint sentAt);
+    void fillNews(peer::Pong& message, TimePoint now) const;
+    void takeNews(const peer::Pong& message, TimePoint sentAt);
+    void tellPeers();
+    void sweepHosts(TimePoint now);
+    std::set<std::string> choosePartners() const;
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
     boost::asio::awaitable<void> finishStop();
@@ -56,6 +57,9 @@
     Directory m_directory;
     Promoter m_promoter;
     std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
+    std::map<std::string, TimePoint> m_hostsGoneAt; // hosts whose entries went: since when
+    TimePoint m_partnersAt {}; // when partners were last chosen
+    bool m_partnersDue { true };
     std::map<std::string, TimePoint> m_alarmedAt; // by group: when other hosts were last told
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -9,7 +9,9 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-static constexpr milliseconds kPingInterval { 250 }; // bounds how old the floors and loads of other hosts get
+static constexpr milliseconds kPingInterval { 250 }; // where orders are under way: bounds how late a silent host is noticed
+static constexpr milliseconds kQuietPingInterval { 500 }; // elsewhere: bounds how old the floors of other hosts get
+static constexpr milliseconds kUnusedFor { 5000 }; // a connection to a host that is no partner is closed after this
 static constexpr milliseconds kSilentLimit { 700 }; // without any answer to a ping, the host counts as down
 static constexpr milliseconds kConnectLimit { 700 };
 static constexpr milliseconds kReconnectPause { 250 }; // after a failure
@@ -26,8 +28,10 @@
 struct Peers::Link {
     links::ListedHost host;
     std::shared_ptr<links::Channel> channel;
+    bool isPartner { false };
     bool isUp { true };
     bool isLeaving { false };
+    TimePoint usedAt {}; // when something other than a ping was last sent
     bool wasHeard { false };
     TimePoint heardAt {};
     TimePoint pingedAt {};
@@ -121,30 +125,42 @@
 
 void Peers::setHosts(const std::vector<links::ListedHost>& hosts)
 {
-    std::map<std::string, LinkPtr> links;
+    m_hosts.clear();
     for (auto& it : hosts) {
-        if (it.name == m_name)
-            continue;
-        auto known = m_links.find(it.name);
-        if (known != m_links.end() && known->second->host == it) {
-            links[it.name] = known->second;
-            continue;
-        }
-        auto link = std::make_shared<Link>();
-        link->host = it;
-        links[it.name] = link;
+        if (it.name != m_name)
+            m_hosts[it.name] = it;
     }
-    auto old = std::move(m_links);
-    m_links = std::move(links);
-    for (auto& [name, link] : old) {
-        auto now = m_links.find(name);
-        if (now == m_links.end() || now->second != link)
-            loseLink(link, "the host is gone or was started anew");
+    auto links = m_links;
+    for (auto& [name, link] : links) {
+        auto known = m_hosts.find(name);
+        if (known != m_hosts.end() && known->second == link->host)
+            continue;
+        bool wasPartner = link->isPartner;
+        m_links.erase(name);
+        loseLink(link, "the host is gone or was started anew");
+        if (known != m_hosts.end() && wasPartner)
+            makeLink(name)->isPartner = true;
     }
-    for (auto& [name, link] : m_links) {
-        if (!link->channel)
-            connect(link);
+}
+
+void Peers::setPartners(const std::set<std::string>& names)
+{
+    for (auto& name : names) {
+        if (!m_links.contains(name) && m_hosts.contains(name))
+            makeLink(name);
     }
+    for (auto& [name, link] : m_links)
+        link->isPartner = names.contains(name);
+}
+
+Peers::LinkPtr Peers::makeLink(const std::string& host)
+{
+    auto link = std::make_shared<Link>();
+    link->host = m_hosts.at(host);
+    link->usedAt = Clock::now();
+    m_links[host] = link;
+    connect(link);
+    return link;
 }
 
 void Peers::connect(const LinkPtr& link)
@@ -193,7 +209,13 @@
 bool Peers::isUp(const std::string& host) const
 {
     auto it = m_links.find(host);
-    return it != m_links.end() && it->second->isUp;
+    return it == m_links.end() ? m_hosts.contains(host) : it->second->isUp;
+}
+
+bool Peers::isAnswering(const std::string& host) const
+{
+    auto it = m_links.find(host);
+    return it != m_links.end() && it->second->isUp && it->second->wasHeard;
 }
 
 bool Peers::isLeaving(const std::string& host) const
@@ -232,8 +254,11 @@
 Peers::LinkPtr Peers::findUp(const std::string& host)
 {
     auto it = m_links.find(host);
-    if (it == m_links.end() || !it->second->channel)
+    if (it == m_links.end())
+        return m_hosts.contains(host) ? makeLink(host) : nullptr;
+    if (!it->second->channel)
         return nullptr;
+    it->second->usedAt = Clock::now();
     return it->second;
 }
 
@@ -249,14 +274,14 @@
     auto& wire = *frame.mutable_order();
     wire.set_call(++link->lastCall);
     wire.set_member(target.member);
-    wire.set_group(target.group);
-    wire.set_address(target.address);
     wire.set_kind(static_cast<uint32_t>(order.kind));
     wire.set_id(order.statement.id);
     wire.set_statement_kind(static_cast<uint32_t>(order.statement.kind));
-    wire.set_text(order.statement.text);
-    wire.set_name(order.statement.name);
-    wire.set_argument(order.statement.argument);
+    // What a prepared statement runs is named by its shape; sending its text as well would double the bytes between data centres.
+    if (order.shape)
+        wire.set_argument(order.statement.argument);
+    else
+        wire.set_text(order.statement.text);
     wire.set_is_write(order.statement.isWrite);
     if (order.shape) {
         wire.set_has_shape(true);
@@ -434,7 +459,6 @@
     order.statement.id = wire.id();
     order.statement.kind = static_cast<decisions::StatementKind>(std::min<uint32_t>(wire.statement_kind(), static_cast<uint32_t>(decisions::StatementKind::Unknown)));
     order.statement.text = wire.text();
-    order.statement.name = wire.name();
     order.statement.argument = wire.argument();
     order.statement.isWrite = wire.is_write();
     if (wire.has_shape())
@@ -451,8 +475,16 @@
 void Peers::serveOrder(const GuestPtr& guest, const peer::Order& wire)
 {
     auto order = readOrder(wire, Clock::now());
-    TargetAddress target { wire.member(), wire.group(), wire.address() };
-    auto pool = m_service.getPool(target);
+    auto pool = m_service.findPool(wire.member());
+    if (!pool) {
+        peer::Frame frame;
+        frame.mutable_answer()->set_call(wire.call());
+        frame.mutable_answer()->set_has_error(true);
+        frame.mutable_answer()->set_error(std::string(decisions::getErrorRow(ErrorKind::TargetUnreachable).name));
+        frame.mutable_answer()->set_message("host " + m_name + " does not know the member");
+        sendFrame(*guest->channel, frame);
+        return;
+    }
     auto reply = [guest, call = wire.call(), member = wire.member(), pool](const Outcome& outcome) {
         peer::Frame frame;
         auto& answer = *frame.mutable_answer();
@@ -505,7 +537,9 @@
     auto links = m_links;
     for (auto& [name, link] : links) {
         if (!link->channel) {
-            if (now >= link->noConnectBefore)
+            if (!link->isPartner && now - link->usedAt > kUnusedFor)
+                m_links.erase(name);
+            else if (now >= link->noConnectBefore)
                 connect(link);
             continue;
         }
@@ -523,7 +557,12 @@
         });
         for (auto& done : late)
             done(decisions::makeFailure(ErrorKind::StatementTimedOut, "host " + name + " did not answer in time", true));
-        if (now - link->pingedAt < kPingInterval)
+        if (!link->isPartner && link->calls.empty() && now - link->usedAt > kUnusedFor) {
+            m_links.erase(name);
+            link->channel->close();
+            continue;
+        }
+        if (now - link->pingedAt < (link->calls.empty() ? kQuietPingInterval : kPingInterval))
             continue;
         link->pingedAt = now;
         link->pings[++link->pingNumber] = now;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -7,6 +7,7 @@
 #include "gateway/world.h"
 #include "generated/gateway.pb.h"
 #include <boost/asio/io_context.hpp>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -20,7 +21,7 @@
 
 // What other hosts ask of this one.
 struct PeerService {
-    std::function<std::shared_ptr<TargetPool>(const TargetAddress&)> getPool;
+    std::function<std::shared_ptr<TargetPool>(const std::string& member)> findPool; // empty for a member that is not known
     std::function<void(const TargetAddress&, std::function<void(const Finding&)>)> inquire;
     std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
     std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
@@ -39,11 +40,15 @@
     ~Peers();
 
     tl::expected<void, std::string> listen(const std::string& address);
-    // Keeps connections to these hosts, and to no others.
+    // The hosts that there are. A connection to one that is gone, or was started anew, ends.
     void setHosts(const std::vector<links::ListedHost>& hosts);
+    // The hosts that are pinged all the time; to others a connection is made when something is sent.
+    void setPartners(const std::set<std::string>& names);
 
-    // False after a connection failed or fell silent, until the host answers again. Unknown hosts count as up.
+    // False after a connection failed or fell silent, until the host answers again. A host without a connection counts as up.
     bool isUp(const std::string& host) const;
+    // Whether the host answered lately on a connection of ours.
+    bool isAnswering(const std::string& host) const;
     bool isLeaving(const std::string& host) const;
     // There and back, smoothed; a guess before the first answer.
     double getDistanceMs(const std::string& host) const;
@@ -69,6 +74,7 @@
     using GuestPtr = std::shared_ptr<Guest>;
 
     LinkPtr findUp(const std::string& host);
+    LinkPtr makeLink(const std::string& host);
     void connect(const LinkPtr& link);
     void takeFromHost(const LinkPtr& link, std::string_view message);
     void takePong(const LinkPtr& link, const peer::Pong& pong);
@@ -82,7 +88,8 @@
     std::string m_name;
     PeerService m_service;
     boost::asio::ip::tcp::acceptor m_acceptor;
-    std::map<std::string, LinkPtr> m_links;
+    std::map<std::string, links::ListedHost> m_hosts; // all that are known
+    std::map<std::string, LinkPtr> m_links; // to some of them
     std::unordered_set<GuestPtr> m_guests;
     uint64_t m_lastTransaction { 0 };
 };
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -69,6 +69,29 @@
     state.alarm = reason;
 }
 
+std::vector<std::string> Promoter::getOrderers(const std::string& group) const
+{
+    std::vector<std::string> names;
+    auto it = m_states.find(group);
+    if (it == m_states.end())
+        return names;
+    for (auto& orderer : it->second.succession.orderers)
+        names.push_back(orderer.host);
+    return names;
+}
+
+std::set<std::string> Promoter::getColleagues() const
+{
+    std::set<std::string> names;
+    for (auto& [group, state] : m_states) {
+        if (!decisions::findRank(state.succession, m_context.self))
+            continue;
+        for (auto& it : state.succession.orderers)
+            names.insert(it.host);
+    }
+    return names;
+}
+
 void Promoter::calm(const std::string& group)
 {
     auto it = m_states.find(group);
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -4,6 +4,7 @@
 #include "decisions/succession.h"
 #include "gateway/peers.h"
 #include <boost/asio/awaitable.hpp>
+#include <set>
 
 namespace alderward::gateway {
 
@@ -28,6 +29,10 @@
     void takeSuccession(const std::string& group, const links::StoreItem& item);
     // Somebody had trouble with a member that is thought to lead, or nobody is known to lead.
     void raiseAlarm(const std::string& group, const std::string& reason);
+    // The hosts that may order for a group, the holder first.
+    std::vector<std::string> getOrderers(const std::string& group) const;
+    // The hosts that this one shares the right to order with, in any group.
+    std::set<std::string> getColleagues() const;
     // The primary showed that it leads.
     void calm(const std::string& group);
     // Decides what is due. Call every few tens of ms.
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -248,7 +248,16 @@
         self->endJob(job, session, outcome);
     });
     if (order.kind == OrderKind::ProvenSingle)
-        session->ask(m_codec.formatRollback(), [](const Outcome&) {});
+        rollBack(session);
+}
+
+// The connection is free once the target has said that the transaction is over.
+void TargetPool::rollBack(const SessionPtr& session)
+{
+    session->ask(m_codec.formatRollback(), [self = shared_from_this(), session](const Outcome&) {
+        self->freeSession(session);
+        self->dispatch();
+    });
 }
 
 void TargetPool::takeProof(const Outcome& outcome, TimePoint sentAt)
@@ -272,15 +281,21 @@
         if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
             m_observer.onFollows(m_target);
         session->usedAt = Clock::now();
-        freeSession(session);
+        bool awaitsRollback = session->getPending() > 0;
+        if (!awaitsRollback)
+            freeSession(session);
     }
     finish(job, outcome);
     dispatch();
 }
 
+// Only a connection on which no transaction is open may serve another caller: a statement that a target failed to run, be it our
+// own ROLLBACK, can leave one behind.
 void TargetPool::freeSession(const SessionPtr& session)
 {
     session->isBusy = false;
+    if (session->isOpen() && session->transaction == 0 && session->getTargetState() != decisions::SessionState::Idle)
+        dropSession(session, "a transaction was left open on it");
 }
 
 void TargetPool::closeUnused(TimePoint now)
@@ -316,14 +331,7 @@
         return;
     }
     session->isBusy = true;
-    session->ask(m_codec.formatRollback(), [self = shared_from_this(), session](const Outcome& outcome) {
-        if (outcome.error) {
-            self->dropSession(session, "rolling back failed: " + outcome.error->message);
-            return;
-        }
-        self->freeSession(session);
-        self->dispatch();
-    });
+    rollBack(session);
 }
 
 void TargetPool::dropSession(const SessionPtr& session, const std::string& reason)
@@ -434,10 +442,7 @@
         }
         self->m_observer.onLeads(self->m_target, outcome.position, now);
         self->m_observer.onAnswer(self->m_target);
-        session->ask(self->m_codec.formatRollback(), [self, session](const Outcome&) {
-            self->freeSession(session);
-            self->dispatch();
-        });
+        self->rollBack(session);
     });
 }
 
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -75,6 +75,7 @@
     void setProofInterval(milliseconds interval) { m_proofInterval = interval; }
     // Whether this host is the one that carries statements to the target; one that does not any more gives its connections back.
     void setCarrier(bool isCarrier) { m_isCarrier = isCarrier; }
+    bool isCarrier() const { return m_isCarrier; }
     // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
     void shutDown(const std::string& reason);
     // Statements that write wait until then: a planned change of primary is under way.
@@ -105,6 +106,7 @@
     void start(const JobPtr& job, const SessionPtr& session);
     void prepareSession(const Job& job, const SessionPtr& session);
     void begin(const JobPtr& job, const SessionPtr& session);
+    void rollBack(const SessionPtr& session);
     void runStatement(const JobPtr& job, const SessionPtr& session);
     void endJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome);
     void finish(const JobPtr& job, Outcome outcome);
--- a/src/gateway/target_session.cpp
+++ b/src/gateway/target_session.cpp
@@ -83,6 +83,7 @@
     auto outcome = std::move(m_current);
     m_current = {};
     outcome.position = ready.position;
+    m_targetState = ready.state;
     outcome.wasSent = true;
     auto self = shared_from_this();
     pending.onAnswer(outcome);
--- a/src/gateway/target_session.h
+++ b/src/gateway/target_session.h
@@ -33,6 +33,8 @@
     void close();
 
     bool isOpen() const { return m_isOpen; }
+    // What the target said last of where the connection stands.
+    decisions::SessionState getTargetState() const { return m_targetState; }
     size_t getPending() const { return m_pending.size(); }
     TimePoint getHeardAt() const { return m_heardAt; }
     TimePoint getAskedAt() const { return m_askedAt; } // when the oldest unanswered question was sent
@@ -60,6 +62,7 @@
     Outcome m_current; // of the answer that is being read
     TimePoint m_heardAt {};
     TimePoint m_askedAt {};
+    decisions::SessionState m_targetState { decisions::SessionState::Idle };
     bool m_isOpen { false };
 };
 
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -22,6 +22,7 @@
 struct GroupBelief {
     decisions::Lead lead {};
     decisions::FloorHistory floors {};
+    TimePoint provenAt {}; // when the primary last showed this host itself that it leads
     std::vector<std::string> members {}; // ids
 };
 
