--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -59,8 +59,8 @@
     std::string storeAddress {}; // required; ip:port
     std::string ordersAddress {}; // required; ip:port
     int callLimitMs { 1000 }; // ms; the store answers in a few ms; one that is slow may need some hundred
-    int watchWaitMs { 2000 }; // ms; a watch on a silent connection is found out within this and a second
-    int leaseMs { 6000 }; // ms; renewed three times within it
+    int watchWaitMs { 2800 }; // ms; a watch on a silent connection is found out within this and a second
+    int leaseMs { 9000 }; // ms; renewed three times within it; who is alive is seen by asking, not by the entry
     // [stop]
     int graceMs { 6000 }; // ms
     // [log]
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -19,6 +19,9 @@
 static constexpr double kRetryLeastMs = 100; // pause after a failed call; spread, so that hosts do not come together
 static constexpr double kRetryMostMs = 350;
 
+// After changes came, before the next watch: changes that come in a row, as when all hosts start, cost one call together.
+static constexpr milliseconds kWatchPause { 250 };
+
 static milliseconds getRetryPause()
 {
     return milliseconds(static_cast<int64_t>(kRetryLeastMs + base::getRandom() * (kRetryMostMs - kRetryLeastMs)));
@@ -160,6 +163,8 @@
         for (auto& it : changes->items)
             takeItem(it);
         m_revision = std::max(m_revision, changes->revision);
+        if (!changes->items.empty())
+            co_await base::sleepFor(kWatchPause);
         co_return true;
     }
     if (m_mustReread) // we broke it off ourselves
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -89,8 +89,9 @@
     auto now = Clock::now();
     auto target = chooseMember(*run);
     if (!target) {
-        if (now + kRetryPause >= run->order.deadline) {
-            auto kind = run->needsLeader ? ErrorKind::NoPrimary : ErrorKind::TooStale;
+        if (run->wasOverloaded || now + kRetryPause >= run->order.deadline) {
+            auto kind = run->wasOverloaded ? ErrorKind::Overloaded : run->needsLeader ? ErrorKind::NoPrimary
+                                                                                      : ErrorKind::TooStale;
             boost::asio::post(m_context.context, [this, run, done, kind] {
                 finish(*run, decisions::makeFailure(kind, run->lastReason.empty() ? "no member can serve this now" : run->lastReason), std::nullopt, done, {});
             });
@@ -133,6 +134,7 @@
     auto now = Clock::now();
     auto kind = outcome.error->kind;
     run->lastReason = outcome.error->message;
+    run->wasOverloaded = run->wasOverloaded || kind == ErrorKind::Overloaded;
     if (kind == ErrorKind::NotPrimary) {
         auto& lead = m_context.world.groups[target.group].lead;
         lead = decisions::takeDenial(lead, target.member);
--- a/src/gateway/runner.h
+++ b/src/gateway/runner.h
@@ -22,7 +22,7 @@
     TimePoint arrivedAt {};
     std::vector<std::string> tried {}; // members, since the last pause
     unsigned attempts { 0 };
-    bool isHedged { false };
+    bool wasOverloaded { false }; // a member could not take it in time: once no other is left, its caller is told at once
     std::string session {}; // for the log
     std::string lastReason {};
 };
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_pool.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 namespace alderward::gateway {
 
@@ -18,6 +19,7 @@
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
 static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
 static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
+static constexpr double kWaitShare = 0.7; // of the time to the objective that a statement may be expected to wait for its turn
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
@@ -34,9 +36,39 @@
     return { static_cast<unsigned>(m_waiting.size()), static_cast<unsigned>(m_running.size()), m_workMs };
 }
 
+// Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
+// then whoever's objective ends first; those that have missed theirs go last.
+static bool isBefore(const Order& a, const Order& b, TimePoint now, double workMs)
+{
+    auto soonest = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(workMs));
+    auto rank = [soonest](const Order& it) {
+        return std::tuple(it.kind != OrderKind::Continue, it.objective < soonest, it.priority, it.objective);
+    };
+    return rank(a) < rank(b);
+}
+
+// A statement that would get its turn too late is refused now: its caller can ask elsewhere or again while that is of use, and those
+// that are admitted are answered in time. Holding all of them makes all of them late.
+bool TargetPool::isAdmitted(const Order& order, TimePoint now) const
+{
+    if (order.kind == OrderKind::Continue)
+        return true;
+    auto ahead = std::ranges::count_if(m_waiting, [&](const JobPtr& it) { return isBefore(it->order, order, now, m_workMs); });
+    auto wait = static_cast<double>(ahead) * m_workMs / std::max(1U, m_limits.running);
+    std::chrono::duration<double, std::milli> toObjective = order.objective - now;
+    std::chrono::duration<double, std::milli> toDeadline = order.deadline - now;
+    return wait <= std::min(kWaitShare * toObjective.count(), toDeadline.count() - 2 * kWorthSending * m_workMs);
+}
+
 void TargetPool::submit(Order order, OrderDone done)
 {
-    auto job = std::make_shared<Job>(Job { std::move(order), std::move(done), Clock::now() });
+    auto now = Clock::now();
+    bool mayWait = isAdmitted(order, now);
+    auto job = std::make_shared<Job>(Job { std::move(order), std::move(done), now });
+    if (!mayWait) {
+        finish(job, decisions::makeFailure(ErrorKind::Overloaded, fmt::format("{} statements wait before it, {:.0f} ms each", m_waiting.size(), m_workMs)));
+        return;
+    }
     m_waiting.push_back(job);
     if (!m_isDispatching) {
         m_isDispatching = true;
@@ -47,16 +79,6 @@
     }
 }
 
-// Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
-// then whoever's objective ends first; those that have missed theirs go last.
-static bool isBefore(const Order& a, const Order& b, TimePoint now)
-{
-    auto rank = [now](const Order& it) {
-        return std::tuple(it.kind != OrderKind::Continue, it.objective < now, it.priority, it.objective);
-    };
-    return rank(a) < rank(b);
-}
-
 bool TargetPool::isRunnable(const Job& job, TimePoint now) const
 {
     auto& order = job.order;
@@ -82,7 +104,7 @@
 {
     auto best = m_waiting.end();
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        if (isRunnable(**it, now) && (best == m_waiting.end() || isBefore((*it)->order, (*best)->order, now)))
+        if (isRunnable(**it, now) && (best == m_waiting.end() || isBefore((*it)->order, (*best)->order, now, m_workMs)))
             best = it;
     }
     if (best == m_waiting.end())
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -97,6 +97,7 @@
     using JobPtr = std::shared_ptr<Job>;
     using SessionPtr = std::shared_ptr<TargetSession>;
 
+    bool isAdmitted(const Order& order, TimePoint now) const;
     void dispatch();
     JobPtr popNext(TimePoint now);
     bool isRunnable(const Job& job, TimePoint now) const;
