--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -19,7 +19,7 @@
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
 static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
 static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
-static constexpr double kWaitShare = 0.7; // of the time to the objective that a statement may be expected to wait for its turn
+static constexpr double kFeasible = 2; // of a statement's usual time must be left to its objective: else it goes behind those that can meet theirs
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
@@ -37,27 +37,25 @@
 }
 
 // Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
-// then whoever's objective ends first; those that have missed theirs go last.
+// then whoever's objective ends first. Those that cannot meet theirs any more go last: before others, they would make these miss theirs too.
 static bool isBefore(const Order& a, const Order& b, TimePoint now, double workMs)
 {
-    auto soonest = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(workMs));
+    auto soonest = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(kFeasible * workMs));
     auto rank = [soonest](const Order& it) {
         return std::tuple(it.kind != OrderKind::Continue, it.objective < soonest, it.priority, it.objective);
     };
     return rank(a) < rank(b);
 }
 
-// A statement that would get its turn too late is refused now: its caller can ask elsewhere or again while that is of use, and those
-// that are admitted are answered in time. Holding all of them makes all of them late.
+// A statement whose turn cannot come before its deadline is refused now: its caller can ask elsewhere or again while that is of use.
 bool TargetPool::isAdmitted(const Order& order, TimePoint now) const
 {
     if (order.kind == OrderKind::Continue)
         return true;
     auto ahead = std::ranges::count_if(m_waiting, [&](const JobPtr& it) { return isBefore(it->order, order, now, m_workMs); });
     auto wait = static_cast<double>(ahead) * m_workMs / std::max(1U, m_limits.running);
-    std::chrono::duration<double, std::milli> toObjective = order.objective - now;
     std::chrono::duration<double, std::milli> toDeadline = order.deadline - now;
-    return wait <= std::min(kWaitShare * toObjective.count(), toDeadline.count() - 2 * kWorthSending * m_workMs);
+    return wait <= toDeadline.count() - kWorthSending * m_workMs;
 }
 
 void TargetPool::submit(Order order, OrderDone done)
