--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -133,11 +133,14 @@
     auto links = m_links;
     for (auto& [name, link] : links) {
         auto known = m_hosts.find(name);
-        if (known != m_hosts.end() && known->second == link->host)
+        // A process that was started anew has new connections: the old one ends by itself, and this may be one to the new process.
+        if (known != m_hosts.end() && known->second.address == link->host.address) {
+            link->host = known->second;
             continue;
+        }
         bool wasPartner = link->isPartner;
         m_links.erase(name);
-        loseLink(link, "the host is gone or was started anew");
+        loseLink(link, "the host is gone or has moved");
         if (known != m_hosts.end() && wasPartner)
             makeLink(name)->isPartner = true;
     }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -40,7 +40,7 @@
     ~Peers();
 
     tl::expected<void, std::string> listen(const std::string& address);
-    // The hosts that there are. A connection to one that is gone, or was started anew, ends.
+    // The hosts that there are. A connection to one that is gone or has another address ends.
     void setHosts(const std::vector<links::ListedHost>& hosts);
     // The hosts that are pinged all the time; to others a connection is made when something is sent.
     void setPartners(const std::set<std::string>& names);
