--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,6 +25,7 @@
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
 static constexpr milliseconds kNewsFor { 1000 }; // a proof of ours is told to others this long
+static constexpr milliseconds kProofMissed { 1000 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, floors each 500
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
@@ -270,6 +271,10 @@
         if (auto it = m_pools.find(member); it != m_pools.end())
             it->second->holdWrites(Clock::now() + time);
     };
+    service.onLead = [this](const std::string& group, const std::string& member, uint64_t term) {
+        if (m_world.members.contains(member))
+            takeLead(group, decisions::takeWord(m_world.groups[group].lead, member, term), "ordered");
+    };
     service.fillPing = [this](peer::Ping& ping) {
         ping.set_configuration(m_world.configuration.version);
         ping.set_is_leaving(m_isDraining);
@@ -307,6 +312,7 @@
         bool wasKnown = m_world.members.contains(member.id);
         auto before = wasKnown ? m_world.members[member.id].listed : links::ListedMember {};
         takeMember(m_world, member);
+        takeRoleChange(before, member);
         if (before != member)
             base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary } });
     };
@@ -330,6 +336,20 @@
     return events;
 }
 
+// A member says of itself that its role changed. That counts against a leader that has not shown itself lately, no more: a member that
+// was cut off may not know that it was replaced.
+void Gateway::takeRoleChange(const links::ListedMember& before, const links::ListedMember& now)
+{
+    auto& group = m_world.groups[now.group];
+    bool isFresh = !group.floors.isEmpty() && Clock::now() - group.floors.floors.back().since < kProofMissed;
+    if (before.saysPrimary == now.saysPrimary || isFresh)
+        return;
+    if (now.saysPrimary && group.lead.member != now.id)
+        takeLead(now.group, { now.id, group.lead.term, false }, "listed");
+    else if (!now.saysPrimary)
+        takeLead(now.group, decisions::takeDenial(group.lead, now.id), "listed");
+}
+
 void Gateway::tellPeers()
 {
     std::vector<links::ListedHost> hosts;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -40,6 +40,7 @@
     bool isCarrier(const MemberBelief& member) const;
     void fillNews(peer::Pong& message, TimePoint now) const;
     void takeNews(const peer::Pong& message, TimePoint sentAt);
+    void takeRoleChange(const links::ListedMember& before, const links::ListedMember& now);
     void tellPeers();
     void sweepHosts(TimePoint now);
     std::set<std::string> choosePartners() const;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -348,6 +348,20 @@
     frame.mutable_hold_writes()->set_group(group);
     frame.mutable_hold_writes()->set_member(member);
     frame.mutable_hold_writes()->set_for_ms(static_cast<uint32_t>(time.count()));
+    sendToAll(frame);
+}
+
+void Peers::sendLead(const std::string& group, const std::string& member, uint64_t term)
+{
+    peer::Frame frame;
+    frame.mutable_lead()->set_group(group);
+    frame.mutable_lead()->set_member(member);
+    frame.mutable_lead()->set_term(term);
+    sendToAll(frame);
+}
+
+void Peers::sendToAll(const peer::Frame& frame)
+{
     for (auto& [name, link] : m_links) {
         if (link->channel)
             sendFrame(*link->channel, frame);
@@ -451,6 +465,8 @@
         });
     } else if (frame.has_alarm())
         m_service.onAlarm(frame.alarm().group(), frame.alarm().member(), "host " + guest->host + ": " + frame.alarm().reason());
+    else if (frame.has_lead())
+        m_service.onLead(frame.lead().group(), frame.lead().member(), frame.lead().term());
     else if (frame.has_hold_writes())
         m_service.onHoldWrites(frame.hold_writes().group(), frame.hold_writes().member(), milliseconds(frame.hold_writes().for_ms()));
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -25,6 +25,7 @@
     std::function<void(const TargetAddress&, std::function<void(const Finding&)>)> inquire;
     std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
     std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
+    std::function<void(const std::string& group, const std::string& member, uint64_t term)> onLead;
     // Fills in what this host knows and tells with each exchange.
     std::function<void(peer::Ping&)> fillPing;
     std::function<void(peer::Pong&)> fillPong;
@@ -63,6 +64,8 @@
     void inquire(const std::string& host, const TargetAddress& target, std::function<void(const Finding&)> done);
     void sendAlarm(const std::string& host, const std::string& group, const std::string& member, const std::string& reason);
     void sendHoldWrites(const std::string& group, const std::string& member, milliseconds time);
+    // Tells all partners that a member was made the primary.
+    void sendLead(const std::string& group, const std::string& member, uint64_t term);
     // Pings, reconnects and finds silent links.
     void sweep(TimePoint now);
     void stop();
@@ -77,6 +80,7 @@
     LinkPtr makeLink(const std::string& host);
     void connect(const LinkPtr& link);
     void takeFromHost(const LinkPtr& link, std::string_view message);
+    void sendToAll(const peer::Frame& frame);
     void takePong(const LinkPtr& link, const peer::Pong& pong);
     void loseLink(const LinkPtr& link, const std::string& reason);
     void accept();
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -19,7 +19,7 @@
 using links::PromotionResult;
 
 static constexpr milliseconds kStoreLimit { 600 }; // a change of the succession that takes longer is tried again
-static constexpr milliseconds kOrderLimit { 1500 }; // an order answers after the change, some hundred ms later
+static constexpr milliseconds kOrderLimit { 800 }; // an order is answered within tens of ms; without an answer the member itself is asked
 static constexpr milliseconds kRetryPause { 150 }; // between orders of one decision
 static constexpr milliseconds kPauseAfter { 400 }; // after an attempt that ended, good or bad, or a primary that was found alive
 static constexpr milliseconds kCatchUpLimit { 800 }; // a planned change waits this long for a replica
@@ -386,10 +386,18 @@
         std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
         base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
         base::count(base::Counter::Promotions);
-        if (result == PromotionResult::Done) {
+        bool isDone = result == PromotionResult::Done;
+        auto chosen = m_context.world.members.find(member);
+        if (result == PromotionResult::Unknown && chosen != m_context.world.members.end()) {
+            auto target = chosen->second.getTarget();
+            auto finding = co_await ask(m_context.self.host, target);
+            isDone = finding.wasReached && finding.status.isPrimary && finding.status.term > oldTerm;
+        }
+        if (isDone) {
             auto& lead = m_context.world.groups[group].lead;
             if (lead.term <= oldTerm)
                 lead = { member, oldTerm + 1, false };
+            m_context.peers.sendLead(group, member, oldTerm + 1);
             co_return true;
         }
         if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
--- a/src/gateway/target_session.cpp
+++ b/src/gateway/target_session.cpp
@@ -8,6 +8,7 @@
 TargetSession::TargetSession(boost::asio::any_io_executor executor, const links::StatementCodec& codec)
     : m_codec(codec)
     , m_channel(std::make_shared<links::Channel>(executor, links::ChannelOptions {}))
+    , m_helloTimer(executor)
 {
 }
 
@@ -20,6 +21,12 @@
     m_channel->connect(
         target.address, limit, [self](std::string_view message) { self->takeMessage(message); }, [self](const std::string& reason) { self->fail(reason); });
     m_channel->send(m_codec.formatHello(target.group, from, target.member));
+    m_helloTimer.expires_after(limit);
+    m_helloTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+        auto session = weak.lock();
+        if (!ec && session && session->m_onOpen)
+            session->fail("no hello in time");
+    });
 }
 
 void TargetSession::ask(std::string_view bytes, Answer onAnswer)
@@ -58,6 +65,7 @@
 
 void TargetSession::takeHello(const links::TargetMessage& message)
 {
+    m_helloTimer.cancel();
     Outcome outcome;
     if (auto* ready = std::get_if<links::ReadyMessage>(&message)) {
         m_isOpen = true;
--- a/src/gateway/target_session.h
+++ b/src/gateway/target_session.h
@@ -56,6 +56,7 @@
 
     const links::StatementCodec& m_codec;
     std::shared_ptr<links::Channel> m_channel;
+    boost::asio::steady_timer m_helloTimer; // a target may take the connection and never say anything
     std::deque<Pending> m_pending;
     Answer m_onOpen;
     std::function<void(const std::string&)> m_onClosed;
--- a/src/links/http.h
+++ b/src/links/http.h
@@ -21,7 +21,7 @@
     std::string body {};
     std::string from {}; // name of the sending process, header "From-Host"
     uint64_t connection { 0 }; // server side: number of the connection, unique in the process
-    std::vector<std::pair<std::string, std::string>> headers {}; // client side: further headers
+    std::vector<std::pair<std::string, std::string>> headers {}; // client side: further ones to send; server side: all that came
 };
 
 struct HttpAnswer {
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -179,6 +179,8 @@
         bool keepAlive = message.keep_alive();
         std::string requestId(message["X-Request-Id"]);
         HttpRequest request { std::string(message.method_string()), std::string(message.target()), std::move(message.body()), std::string(message["From-Host"]), connection.id };
+        for (auto& it : message)
+            request.headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
         auto answer = co_await m_handler(std::move(request));
         if (answer.mustDrop)
             co_return co_await waitForClose(stream);
--- /dev/null
+++ b/tests/gateway/failover_test.cpp
@@ -0,0 +1,173 @@
+// Changes of primary.
+#include "harness/gateway_rig.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fmt/format.h>
+
+using namespace harness;
+
+namespace {
+
+bool canWrite(GatewayRig& rig, unsigned host)
+{
+    return LineCaller(rig.getCallerAddress(host), "db0-primary").ask("WRITE x 1").isOk();
+}
+
+std::vector<standins::PromotionSeen> getPromotions(GatewayRig& rig)
+{
+    return rig.call([&] { return rig.getStore().getPromotions(); });
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(failover)
+
+BOOST_AUTO_TEST_CASE(a_dead_primary_is_replaced_by_the_replica_that_holds_most)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    BOOST_TEST(canWrite(rig, 0));
+    rig.call([&] { rig.getGroup().getFaults("g0-b").isDeaf = true; });
+    BOOST_TEST(canWrite(rig, 0));
+    std::this_thread::sleep_for(milliseconds(100));
+    rig.call([&] { rig.getGroup().kill("g0-a"); });
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, i); }));
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getPrimary(); }) == "g0-c");
+    auto promotions = getPromotions(rig);
+    BOOST_TEST(promotions.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_dark_primary_is_replaced_also_while_the_store_is_away)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    BOOST_TEST(canWrite(rig, 0));
+    rig.call([&] {
+        rig.getStore().faults.isSilent = true;
+        rig.getGroup().getFaults("g0-a").isDark = true;
+    });
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(6000), [&] { return canWrite(rig, i); }));
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getTerm(); }) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(tokens_rise_with_each_decision_and_holder_and_are_never_shared)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    for (int round = 0; round < 3; ++round) {
+        auto primary = rig.call([&] { return rig.getGroup().getPrimary(); });
+        auto term = rig.call([&] { return rig.getGroup().getTerm(); });
+        rig.call([&] { rig.getGroup().kill(primary); });
+        BOOST_TEST(waitUntil(milliseconds(6000), [&] { return rig.call([&] { return rig.getGroup().getTerm(); }) > term; }));
+        rig.call([&] { rig.getGroup().begin(primary); });
+        BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, 0) && canWrite(rig, 1) && canWrite(rig, 2); }));
+        auto promotions = getPromotions(rig);
+        // The holder dies; another takes its place in the store.
+        auto holder = promotions.back().holder;
+        auto index = static_cast<unsigned>(holder.back() - '0');
+        rig.getHost(index).kill();
+        std::this_thread::sleep_for(milliseconds(1500));
+        rig.beginHost(index);
+        rig.waitReady(index);
+        std::this_thread::sleep_for(milliseconds(1500));
+    }
+    std::map<uint64_t, std::pair<std::string, std::string>> users; // token to holder and member
+    uint64_t highest = 0;
+    for (auto& it : getPromotions(rig)) {
+        auto [known, isNew] = users.emplace(it.token, std::pair(it.holder, it.member));
+        BOOST_TEST((isNew || known->second == std::pair(it.holder, it.member)));
+        BOOST_TEST(it.token >= highest);
+        highest = std::max(highest, it.token);
+    }
+    BOOST_TEST(users.size() >= 3u);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_primary_is_handed_over_and_no_commit_is_lost)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] {
+        for (auto& id : rig.getGroup().getIds())
+            rig.getGroup().getFaults(id).lag = milliseconds(80);
+    });
+    LineCaller writer(rig.getCallerAddress(0), "db0-primary");
+    std::map<std::string, std::string> kept;
+    rig.call([&] { rig.getStore().setLeaving("g0-a", true); });
+    auto until = std::chrono::steady_clock::now() + milliseconds(3000);
+    for (int i = 0; std::chrono::steady_clock::now() < until; ++i) {
+        auto item = fmt::format("item{}", i);
+        if (writer.ask("WRITE " + item + " 1").isOk())
+            kept[item] = "1";
+    }
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getPrimary(); }) != "g0-a");
+    auto items = rig.call([&] { return rig.getGroup().getItems(); });
+    for (auto& [item, value] : kept)
+        BOOST_TEST(items.contains(item), item << " was acknowledged and is gone");
+    BOOST_TEST(kept.size() > 10u);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_without_an_answer_is_repeated_as_it_was)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] {
+        rig.getStore().faults.losesPromotions = true;
+        rig.getGroup().kill("g0-a");
+    });
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return rig.call([&] { return rig.getGroup().getTerm(); }) == 2; }));
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(5000), [&] { return canWrite(rig, i); }));
+    std::map<uint64_t, std::string> byToken;
+    for (auto& it : getPromotions(rig)) {
+        auto [known, isNew] = byToken.emplace(it.token, it.member);
+        BOOST_TEST((isNew || known->second == it.member), "token " << it.token << " was used for two members");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_primary_is_not_replaced)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] { rig.getGroup().getFaults("g0-a").work = milliseconds(400); });
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 12; ++i)
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i % 3), "db0-primary"));
+    for (int round = 0; round < 4; ++round) {
+        for (auto& it : callers)
+            it->send("READ x");
+        for (auto& it : callers)
+            it->receive();
+    }
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getTerm(); }) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_holder_that_freezes_is_replaced_by_a_deputy_and_does_no_harm_when_it_wakes)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    BOOST_TEST(canWrite(rig, 0));
+    // The holder is the first of the record in the store; its name stands in the log of every host.
+    std::string log;
+    size_t at = std::string::npos;
+    waitUntil(milliseconds(2000), [&] {
+        log = rig.getLog(0);
+        at = log.rfind("\"holder\":\"h");
+        return at != std::string::npos;
+    });
+    BOOST_REQUIRE(at != std::string::npos);
+    auto holder = static_cast<unsigned>(log[at + 11] - '0');
+    rig.getHost(holder).signal(SIGSTOP);
+    rig.call([&] { rig.getGroup().kill("g0-a"); });
+    auto other = (holder + 1) % 3;
+    BOOST_TEST(waitUntil(milliseconds(8000), [&] { return canWrite(rig, other); }));
+    auto term = rig.call([&] { return rig.getGroup().getTerm(); });
+    rig.getHost(holder).signal(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(2000));
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getTerm(); }) == term);
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, holder); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/path_test.cpp
@@ -0,0 +1,193 @@
+// The path of a statement: sessions, values, prepared statements, transactions, freshness.
+#include "harness/gateway_rig.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace harness;
+
+BOOST_AUTO_TEST_SUITE(path)
+
+BOOST_AUTO_TEST_CASE(a_session_reads_writes_and_commits_through_any_host)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    for (unsigned i = 0; i < 3; ++i) {
+        LineCaller caller(rig.getCallerAddress(i), "db0-own");
+        BOOST_TEST(caller.getHello().state == "I");
+        auto item = fmt::format("item{}", i);
+        BOOST_TEST(caller.ask("WRITE " + item + " first").isOk());
+        auto read = caller.ask("READ " + item);
+        BOOST_TEST(read.isOk());
+        BOOST_REQUIRE(read.rows.size() == 1u);
+        BOOST_TEST(read.rows[0] == "first");
+        BOOST_TEST(caller.ask("BEGIN").state == "T");
+        BOOST_TEST(caller.ask("WRITE " + item + " second").isOk());
+        BOOST_TEST(caller.ask("READ " + item).rows.at(0) == "second");
+        BOOST_TEST(caller.ask("COMMIT").state == "I");
+        BOOST_TEST(caller.ask("READ " + item).rows.at(0) == "second");
+        BOOST_TEST(caller.ask("BEGIN").isOk());
+        BOOST_TEST(caller.ask("WRITE " + item + " third").isOk());
+        BOOST_TEST(caller.ask("ROLLBACK").isOk());
+        BOOST_TEST(caller.ask("READ " + item).rows.at(0) == "second");
+    }
+    BOOST_TEST(LineCaller(rig.getCallerAddress(0), "no-such").getHello().hasCode("NODB"));
+}
+
+BOOST_AUTO_TEST_CASE(statements_run_with_the_values_and_shapes_of_their_own_session)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    std::map<std::string, std::pair<std::string, std::string>> expected; // id to value and text
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (unsigned i = 0; i < 6; ++i) {
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i % 3), "db0-own"));
+        BOOST_TEST(callers[i]->ask(fmt::format("SET zone v{}", i)).isOk());
+        // The same name for different shapes.
+        BOOST_TEST(callers[i]->ask(fmt::format("PREPARE s READ shape{}", i)).isOk());
+    }
+    for (int round = 0; round < 10; ++round) {
+        for (unsigned i = 0; i < callers.size(); ++i) {
+            BOOST_TEST(callers[i]->ask("EXECUTE s x").isOk());
+            expected[callers[i]->getLastId()] = { fmt::format("v{}", i), fmt::format("READ x") };
+        }
+    }
+    BOOST_TEST(callers[0]->ask("DEALLOC s").isOk());
+    BOOST_TEST(callers[0]->ask("EXECUTE s x").hasCode("NOSUCHSTMT"));
+    auto ran = rig.call([&] { return rig.getGroup().getRan(); });
+    size_t seen = 0;
+    for (auto& it : ran) {
+        auto found = expected.find(it.id);
+        if (found == expected.end())
+            continue;
+        ++seen;
+        BOOST_TEST(it.values["zone"] == found->second.first);
+    }
+    BOOST_TEST(seen == expected.size());
+}
+
+BOOST_AUTO_TEST_CASE(reads_of_a_stated_age_go_to_replicas_and_never_miss_the_sessions_own_commit)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] {
+        for (auto& id : rig.getGroup().getIds())
+            rig.getGroup().getFaults(id).lag = milliseconds(300);
+    });
+    LineCaller caller(rig.getCallerAddress(0), "db0-own");
+    for (int i = 0; i < 10; ++i) {
+        auto value = fmt::format("v{}", i);
+        BOOST_TEST(caller.ask("WRITE mine " + value).isOk());
+        BOOST_TEST(caller.ask("READ mine").rows.at(0) == value);
+    }
+    LineCaller bounded(rig.getCallerAddress(1), "db0-bounded");
+    for (int i = 0; i < 30; ++i)
+        BOOST_TEST(bounded.ask("READ mine").isOk());
+    auto ran = rig.call([&] { return rig.getGroup().getRan(); });
+    auto byReplica = std::ranges::count_if(ran, [](const auto& it) { return it.member != "g0-a" && it.text == "READ mine"; });
+    BOOST_TEST(byReplica >= 20);
+}
+
+// Found at the bench (a transaction's own ROLLBACK that fails): the next caller's statement ran inside the transaction of another.
+BOOST_AUTO_TEST_CASE(a_connection_on_which_a_rollback_failed_serves_nobody_else)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] { rig.getGroup().getFaults("g0-a").failsRollback = true; });
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 4; ++i)
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(0), "db0-primary"));
+    for (int round = 0; round < 10; ++round) {
+        for (auto& it : callers)
+            it->send("READ x");
+        for (auto& it : callers)
+            it->receive();
+    }
+    auto ran = rig.call([&] { return rig.getGroup().getRan(); });
+    for (auto& it : ran)
+        BOOST_TEST((it.transaction.empty() || it.transaction == it.id), it.id << " ran inside the transaction of " << it.transaction);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_whose_answer_is_lost_is_in_doubt_and_never_sent_again)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    for (bool isTransaction : { false, true }) {
+        LineCaller caller(rig.getCallerAddress(1), "db0-primary");
+        auto item = isTransaction ? "in-transaction" : "alone";
+        if (isTransaction) {
+            caller.ask("BEGIN");
+            BOOST_TEST(caller.ask(fmt::format("WRITE {} 1", item)).isOk());
+        }
+        rig.call([&] { rig.getGroup().getFaults("g0-a").losesAnswers = 1; });
+        auto answer = caller.ask(isTransaction ? "COMMIT" : fmt::format("WRITE {} 1", item));
+        BOOST_TEST(answer.hasCode("INDOUBT"), answer.result);
+        BOOST_TEST(answer.state == "I");
+        auto ran = rig.call([&] { return rig.getGroup().getRan(); });
+        BOOST_TEST(std::ranges::count_if(ran, [&](const auto& it) { return it.id == caller.getLastId(); }) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_read_whose_answer_is_lost_is_asked_again_and_a_transaction_is_aborted_with_nothing_kept)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    LineCaller reader(rig.getCallerAddress(0), "db0-primary");
+    rig.call([&] { rig.getGroup().getFaults("g0-a").losesAnswers = 1; });
+    BOOST_TEST(reader.ask("READ x").isOk());
+    LineCaller writer(rig.getCallerAddress(2), "db0-primary");
+    writer.ask("BEGIN");
+    BOOST_TEST(writer.ask("WRITE kept 1").isOk());
+    rig.call([&] { rig.getGroup().getFaults("g0-a").losesAnswers = 1; });
+    auto answer = writer.ask("WRITE kept 2");
+    BOOST_TEST(answer.hasCode("ABORTED"), answer.result);
+    BOOST_TEST(answer.state == "E");
+    BOOST_TEST(writer.ask("READ kept").hasCode("MALFORMED"));
+    BOOST_TEST(writer.ask("ROLLBACK").state == "I");
+    BOOST_TEST(!rig.call([&] { return rig.getGroup().getItems().contains("kept"); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_inside_a_transaction_holds_no_connection)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    for (int i = 0; i < 60; ++i) {
+        LineCaller caller(rig.getCallerAddress(i % 3), "db0-primary");
+        caller.ask("BEGIN");
+        BOOST_TEST(caller.ask("WRITE x 1").isOk(), "caller " << i);
+    }
+    BOOST_TEST(!rig.call([&] { return rig.getGroup().getItems().contains("x"); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_transaction_that_rests_for_too_long_is_ended)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    LineCaller caller(rig.getCallerAddress(0), "db0-primary");
+    caller.ask("BEGIN");
+    BOOST_TEST(caller.ask("WRITE rested 1").isOk());
+    std::this_thread::sleep_for(milliseconds(3300));
+    BOOST_TEST(caller.ask("COMMIT").hasCode("ABORTED"));
+    BOOST_TEST(!rig.call([&] { return rig.getGroup().getItems().contains("rested"); }));
+}
+
+BOOST_AUTO_TEST_CASE(the_members_connection_limit_holds_over_all_hosts)
+{
+    RigShape shape;
+    shape.connections = 10;
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 45; ++i)
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i % 3), i % 2 == 0 ? "db0-primary" : "db0-bounded"));
+    for (int round = 0; round < 5; ++round) {
+        for (auto& it : callers)
+            it->send("READ x");
+        for (auto& it : callers)
+            BOOST_TEST(it->receive().isOk());
+    }
+    for (auto& id : rig.getGroup().getIds())
+        BOOST_TEST(rig.call([&] { return rig.getGroup().getConnectionsMost(id); }) <= 10u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/gateway/platform_test.cpp
@@ -0,0 +1,207 @@
+// The platform misbehaves: the store, the configuration, hosts that restart.
+#include "harness/gateway_rig.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace harness;
+
+BOOST_AUTO_TEST_SUITE(platform)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_in_force_everywhere_and_never_goes_back)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.configure(5, 1500, "added");
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(3000), [&] { return LineCaller(rig.getCallerAddress(i), "added").getHello().state == "I"; }));
+    rig.configure(4); // an old answer
+    std::this_thread::sleep_for(milliseconds(600));
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(LineCaller(rig.getCallerAddress(i), "added").getHello().state == "I");
+}
+
+BOOST_AUTO_TEST_CASE(changes_come_through_lost_history_and_silent_watches)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.call([&] { rig.getStore().compact(); });
+    rig.configure(6, 1500, "after-history");
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(4000), [&] { return LineCaller(rig.getCallerAddress(i), "after-history").getHello().state == "I"; }));
+    rig.call([&] { rig.getStore().faults.silentWatches = true; });
+    rig.configure(7, 1500, "after-silence");
+    std::this_thread::sleep_for(milliseconds(1000));
+    rig.call([&] { rig.getStore().faults.silentWatches = false; });
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(5000), [&] { return LineCaller(rig.getCallerAddress(i), "after-silence").getHello().state == "I"; }));
+}
+
+// Found at the bench: callers that reached a host before it had its configuration were told that their database does not exist.
+BOOST_AUTO_TEST_CASE(a_host_without_configuration_is_not_ready_and_denies_no_database)
+{
+    RigShape shape;
+    shape.hosts = 1;
+    GatewayRig rig(shape);
+    rig.call([&] { rig.getStore().faults.status = 503; });
+    rig.beginHost(0);
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return !LineCaller(rig.getCallerAddress(0), "db0-primary").getHello().result.empty(); }));
+    auto hello = LineCaller(rig.getCallerAddress(0), "db0-primary").getHello();
+    BOOST_TEST(hello.hasCode("BUSY"), hello.result);
+    BOOST_TEST(!rig.isReady(0));
+    rig.call([&] { rig.getStore().faults.status = 0; });
+    BOOST_TEST(rig.waitReady(0, milliseconds(2000)));
+}
+
+// Found at the bench: a pool that was made before the configuration kept two connections for good, and no transaction could begin.
+BOOST_AUTO_TEST_CASE(pools_made_before_the_configuration_take_its_limits)
+{
+    GatewayRig rig;
+    rig.call([&] { rig.getStore().faults.refusedKeys.insert("op/config"); });
+    for (unsigned i = 0; i < 3; ++i)
+        rig.beginHost(i);
+    std::this_thread::sleep_for(milliseconds(800)); // members and hosts are known, primaries are asked
+    rig.call([&] { rig.getStore().faults.refusedKeys.clear(); });
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(rig.waitReady(i));
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i % 3), "db0-primary"));
+        callers.back()->ask("BEGIN");
+        BOOST_TEST(callers.back()->ask(fmt::format("WRITE x {}", i)).isOk());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(serving_goes_on_while_the_store_is_away_and_entries_come_back)
+{
+    RigShape shape;
+    shape.extraSettings = ""; // default lease
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    rig.call([&] { rig.getStore().faults.isSilent = true; });
+    std::this_thread::sleep_for(milliseconds(1500));
+    for (unsigned i = 0; i < 3; ++i) {
+        LineCaller caller(rig.getCallerAddress(i), "db0-own");
+        BOOST_TEST(caller.ask("WRITE x 1").isOk());
+        BOOST_TEST(caller.ask("READ x").isOk());
+        BOOST_TEST(rig.isReady(i));
+    }
+    rig.call([&] {
+        rig.getStore().faults.isSilent = false;
+        rig.getStore().remove("alderward/hosts/h1");
+    });
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return rig.call([&] { return rig.getStore().has("alderward/hosts/h1"); }); }));
+}
+
+// Found at the bench: a host that no longer carries to a member kept its connections, and the new carrier could open none.
+BOOST_AUTO_TEST_CASE(connections_are_given_back_when_another_host_carries)
+{
+    RigShape shape;
+    shape.connections = 12;
+    GatewayRig rig(shape);
+    rig.beginHost(0); // alone: it carries to all members
+    BOOST_TEST(rig.waitReady(0));
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 12; ++i)
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(0), "db0-primary"));
+    for (auto& it : callers)
+        it->send("READ x");
+    for (auto& it : callers)
+        it->receive();
+    auto open = [&](const std::string& id) { return rig.call([&] { return rig.getGroup().getConnections(id); }); };
+    BOOST_TEST(open("g0-a") >= 2u);
+    // h1 and h2 are in the data centres of g0-b and g0-c.
+    LineCaller reader(rig.getCallerAddress(0), "db0-bounded");
+    for (int i = 0; i < 20; ++i)
+        reader.ask("READ x");
+    rig.beginHost(1);
+    rig.beginHost(2);
+    BOOST_TEST(rig.waitReady(1));
+    BOOST_TEST(rig.waitReady(2));
+    LineCaller other(rig.getCallerAddress(1), "db0-bounded");
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(other.ask("READ x").isOk());
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return open("g0-b") <= 4 && open("g0-c") <= 4; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_host_serves_at_once_and_its_peers_find_it)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    rig.getHost(0).kill();
+    LineCaller meanwhile(rig.getCallerAddress(1), "db0-primary");
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return meanwhile.ask("READ x").isOk(); }));
+    rig.beginHost(0);
+    BOOST_TEST(rig.waitReady(0));
+    LineCaller caller(rig.getCallerAddress(0), "db0-primary");
+    BOOST_TEST(caller.ask("READ x").isOk());
+    // Orders on connections to the new process are not lost when its new entry arrives.
+    for (int i = 0; i < 200; ++i)
+        BOOST_TEST(meanwhile.ask("WRITE x " + std::to_string(i)).isOk());
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing_and_gives_transactions_half_of_the_time)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    LineCaller idle(rig.getCallerAddress(0), "db0-primary");
+    LineCaller open(rig.getCallerAddress(0), "db0-primary");
+    LineCaller resting(rig.getCallerAddress(0), "db0-primary");
+    open.ask("BEGIN");
+    BOOST_TEST(open.ask("WRITE stopped 1").isOk());
+    resting.ask("BEGIN");
+    resting.ask("WRITE rests 1");
+    rig.getHost(0).signal(SIGTERM);
+    BOOST_TEST(waitUntil(milliseconds(500), [&] { return !rig.isReady(0); }));
+    std::this_thread::sleep_for(milliseconds(1000));
+    BOOST_TEST(open.ask("WRITE stopped 2").isOk());
+    BOOST_TEST(open.ask("COMMIT").isOk());
+    BOOST_TEST(idle.isClosed(milliseconds(4000)));
+    BOOST_TEST(resting.isClosed(milliseconds(4000)));
+    auto code = rig.getHost(0).wait(milliseconds(5000));
+    BOOST_REQUIRE(code.has_value());
+    BOOST_TEST(*code == 0);
+    BOOST_TEST(!rig.call([&] { return rig.getGroup().getItems().contains("rests"); }));
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getItems().at("stopped"); }) == "2");
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_read_again_on_a_signal_and_on_a_silent_change)
+{
+    RigShape shape;
+    shape.hosts = 1;
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    rig.getHost(0).signal(SIGHUP);
+    BOOST_TEST(waitUntil(milliseconds(2000), [&] { return rig.countEvents("settings-read") == 1; }));
+    std::FILE* file = std::fopen(rig.getSettingsPath(0).c_str(), "a");
+    std::fputs("buffer_kb = 128\n", file);
+    std::fclose(file);
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return rig.countEvents("reload") == 1; }));
+    BOOST_TEST(rig.getHost(0).isRunning());
+}
+
+// Standard output is a pipe that nobody reads: lines are lost, requests are not.
+BOOST_AUTO_TEST_CASE(a_reader_of_the_log_that_is_stuck_costs_no_request)
+{
+    RigShape shape;
+    shape.hosts = 1;
+    shape.extraSettings = "buffer_kb = 16\n";
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    rig.getHost(0).kill();
+    std::string pipe = rig.getLogPath(0) + ".pipe";
+    BOOST_REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    int reader = ::open(pipe.c_str(), O_RDWR); // holds it open and never reads
+    Process host({ rig.getDaemon(), "--settings", rig.getSettingsPath(0) }, pipe);
+    BOOST_TEST(rig.waitReady(0));
+    LineCaller caller(rig.getCallerAddress(0), "db0-primary");
+    for (int i = 0; i < 1500; ++i)
+        BOOST_REQUIRE(caller.ask("READ x", milliseconds(2000)).isOk());
+    ::close(reader);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/harness/gateway_rig.cpp
@@ -0,0 +1,249 @@
+#include "harness/gateway_rig.h"
+#include "links/http.h"
+#include <arpa/inet.h>
+#include <atomic>
+#include <boost/json.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace harness {
+
+using Clock = std::chrono::steady_clock;
+
+GatewayRig::GatewayRig(RigShape shape)
+    : m_shape(shape)
+    , m_guard(boost::asio::make_work_guard(m_context))
+{
+    static std::atomic<int> number { 0 };
+    m_folder = fmt::format("{}/alderward-rig-{}-{}", std::filesystem::temp_directory_path().string(), getpid(), ++number);
+    std::filesystem::create_directories(m_folder);
+    m_ports = findPorts(1 + 3 * m_shape.groups + 4 * m_shape.hosts);
+    size_t next = 1;
+    std::vector<standins::LineGroup*> groups;
+    for (unsigned i = 0; i < m_shape.groups; ++i) {
+        std::vector<std::string> ids { fmt::format("g{}-a", i), fmt::format("g{}-b", i), fmt::format("g{}-c", i) };
+        std::vector<unsigned short> ports { m_ports[next], m_ports[next + 1], m_ports[next + 2] };
+        next += 3;
+        m_groups.push_back(std::make_unique<standins::LineGroup>(m_context, fmt::format("g{}", i), ids, ports, m_shape.slots, m_shape.connections));
+        groups.push_back(m_groups.back().get());
+    }
+    m_store = std::make_unique<standins::KvStore>(m_context, m_ports[0], groups);
+    m_hosts.resize(m_shape.hosts);
+    m_thread = std::thread([this] { m_context.run(); });
+    call([&] { m_store->listMembers(); });
+    configure(1);
+}
+
+GatewayRig::~GatewayRig()
+{
+    m_hosts.clear();
+    m_guard.reset();
+    m_context.stop();
+    m_thread.join();
+    std::error_code ec;
+    if (!std::getenv("ALDERWARD_KEEP_LOGS")) // for reading after a failure
+        std::filesystem::remove_all(m_folder, ec);
+}
+
+void GatewayRig::configure(uint64_t version, int timeoutMs, const std::string& extraDatabase)
+{
+    boost::json::array routes;
+    boost::json::array services;
+    for (unsigned i = 0; i < m_shape.groups; ++i) {
+        auto group = fmt::format("g{}", i);
+        auto add = [&](const std::string& database, const std::string& kind, int staleness) {
+            routes.push_back({ { "Name", "r-" + database }, { "Host", database }, { "Prefix", "/" }, { "RouteType", kind }, { "TimeoutMs", timeoutMs }, { "SloMs", 500 }, { "Priority", 1 }, { "Service", group }, { "MaxStalenessMs", staleness } });
+        };
+        add(fmt::format("db{}-primary", i), "primary", 0);
+        add(fmt::format("db{}-bounded", i), "bounded_staleness", 1500);
+        add(fmt::format("db{}-own", i), "read_your_writes", 2500);
+        if (!extraDatabase.empty())
+            add(extraDatabase, "primary", 0);
+        services.push_back({ { "Name", group }, { "MaxConns", m_shape.connections }, { "SyncReplicas", 0 } });
+    }
+    boost::json::object config { { "Version", version }, { "Routes", routes }, { "Services", services }, { "Limits", { { "TxIdleMs", 3000 } } } };
+    call([&] { m_store->put("op/config", boost::json::serialize(config)); });
+}
+
+std::string GatewayRig::getDaemon() const { return std::string(std::getenv("ALDERWARD_BINARIES")) + "/alderward"; }
+std::string GatewayRig::getLogPath(unsigned index) const { return fmt::format("{}/h{}.log", m_folder, index); }
+std::string GatewayRig::getSettingsPath(unsigned index) const { return fmt::format("{}/h{}.ini", m_folder, index); }
+
+std::string GatewayRig::getCallerAddress(unsigned index) const
+{
+    return fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index]);
+}
+
+void GatewayRig::beginHost(unsigned index)
+{
+    auto base = 1 + 3 * m_shape.groups + 4 * index;
+    std::ofstream file(getSettingsPath(index));
+    file << fmt::format("[gateway]\nname = h{}\ndata_centre = dc-{}\ncaller_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\nready_address = 127.0.0.1:{}\nmetrics_address = 127.0.0.1:{}\n", index, static_cast<char>('a' + index % 3), m_ports[base], m_ports[base + 1], m_ports[base + 2], m_ports[base + 3]);
+    file << fmt::format("[platform]\nstore_address = {}\norders_address = {}\n[stop]\ngrace_ms = {}\n[log]\nlines_per_second = 10000\n{}", m_store->getAddress(), m_store->getAddress(), m_shape.graceMs, m_shape.extraSettings);
+    file.close();
+    m_hosts[index] = std::make_unique<Process>(std::vector<std::string> { getDaemon(), "--settings", getSettingsPath(index) }, getLogPath(index));
+}
+
+bool GatewayRig::isReady(unsigned index)
+{
+    Client client(fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index + 2]));
+    return client.get("/-/readiness", milliseconds(500)).status == 200;
+}
+
+std::string GatewayRig::getMetrics(unsigned index) const
+{
+    Client client(fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index + 3]));
+    return client.getText("/metrics");
+}
+
+bool GatewayRig::waitReady(unsigned index, milliseconds limit)
+{
+    return waitUntil(limit, [&] { return isReady(index); });
+}
+
+void GatewayRig::beginHosts()
+{
+    for (unsigned i = 0; i < m_shape.hosts; ++i)
+        beginHost(i);
+    for (unsigned i = 0; i < m_shape.hosts; ++i) {
+        waitReady(i);
+        // Each host has a floor of each group once a bounded read was served by it.
+        for (unsigned group = 0; group < m_shape.groups; ++group)
+            LineCaller(getCallerAddress(i), fmt::format("db{}-bounded", group)).ask("READ warm");
+    }
+    waitUntil(milliseconds(3000), [&] { return call([&] { return m_store->has("alderward/succession/g0"); }); });
+}
+
+std::string GatewayRig::getLog(unsigned index) const
+{
+    std::ifstream file(getLogPath(index));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+size_t GatewayRig::countEvents(const std::string& event) const
+{
+    size_t n = 0;
+    auto needle = "\"event\":\"" + event + "\"";
+    for (unsigned i = 0; i < m_shape.hosts; ++i) {
+        auto log = getLog(i);
+        for (auto at = log.find(needle); at != std::string::npos; at = log.find(needle, at + 1))
+            ++n;
+    }
+    return n;
+}
+
+LineCaller::LineCaller(const std::string& address, const std::string& database)
+{
+    m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::connect(m_socket, reinterpret_cast<sockaddr*>(&to), sizeof to) != 0)
+        return;
+    if (database.empty())
+        return;
+    sendRaw("CONNECT " + database + " caller\r\n");
+    m_hello = receive(milliseconds(3000));
+}
+
+LineCaller::~LineCaller() { close(); }
+
+void LineCaller::close()
+{
+    if (m_socket >= 0)
+        ::close(m_socket);
+    m_socket = -1;
+}
+
+void LineCaller::sendRaw(const std::string& bytes)
+{
+    size_t sent = 0;
+    while (sent < bytes.size()) {
+        auto n = ::send(m_socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (n <= 0)
+            return;
+        sent += static_cast<size_t>(n);
+    }
+}
+
+std::string LineCaller::readLine(Clock::time_point until)
+{
+    for (;;) {
+        auto end = m_buf.find("\r\n");
+        if (end != std::string::npos) {
+            auto line = m_buf.substr(0, end);
+            m_buf.erase(0, end + 2);
+            return line;
+        }
+        auto left = std::chrono::duration_cast<milliseconds>(until - Clock::now()).count();
+        pollfd fd { m_socket, POLLIN, 0 };
+        if (left <= 0 || ::poll(&fd, 1, static_cast<int>(left)) <= 0)
+            return "";
+        char buf[4096];
+        auto n = ::recv(m_socket, buf, sizeof buf, 0);
+        if (n <= 0)
+            return "";
+        m_buf.append(buf, static_cast<size_t>(n));
+    }
+}
+
+void LineCaller::send(const std::string& text)
+{
+    static std::atomic<int> number { 0 };
+    m_lastId = fmt::format("q{}-{}", getpid(), ++number);
+    sendRaw(fmt::format("QUERY {} {}\r\n", m_lastId, text));
+}
+
+LineAnswer LineCaller::receive(milliseconds limit)
+{
+    auto until = Clock::now() + limit;
+    LineAnswer answer;
+    for (;;) {
+        auto line = readLine(until);
+        if (line.empty())
+            return answer;
+        if (line.starts_with("ROW "))
+            answer.rows.push_back(line.substr(4));
+        else if (line.starts_with("READY ")) {
+            answer.state = line.substr(6, 1);
+            if (answer.result.empty())
+                answer.result = "COMPLETE";
+            return answer;
+        } else
+            answer.result = line;
+    }
+}
+
+LineAnswer LineCaller::ask(const std::string& text, milliseconds limit)
+{
+    send(text);
+    return receive(limit);
+}
+
+bool LineCaller::isClosed(milliseconds limit)
+{
+    pollfd fd { m_socket, POLLIN, 0 };
+    auto until = Clock::now() + limit;
+    while (Clock::now() < until) {
+        if (::poll(&fd, 1, 20) > 0) {
+            char buf[4096];
+            auto n = ::recv(m_socket, buf, sizeof buf, 0);
+            if (n <= 0)
+                return true;
+            m_buf.append(buf, static_cast<size_t>(n));
+        }
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/tests/harness/gateway_rig.h
@@ -0,0 +1,99 @@
+// Gateways as separate processes against stand-ins of the users' platform that run in a thread of the test.
+#pragma once
+#include "harness/harness.h"
+#include "standins/kv_store.h"
+#include "standins/line_group.h"
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <future>
+#include <thread>
+
+namespace harness {
+
+struct RigShape {
+    unsigned hosts { 3 };
+    unsigned groups { 1 }; // of three members each, one a data centre
+    unsigned slots { 4 };
+    unsigned connections { 24 }; // of a member
+    int graceMs { 4000 };
+    std::string extraSettings {}; // lines of INI
+};
+
+class GatewayRig {
+public:
+    explicit GatewayRig(RigShape shape = {});
+    ~GatewayRig();
+
+    void beginHosts(); // all, and waits until they are ready and every group's primary is proven
+    void beginHost(unsigned index);
+    bool waitReady(unsigned index, milliseconds limit = milliseconds(5000));
+    bool isReady(unsigned index);
+    Process& getHost(unsigned index) { return *m_hosts.at(index); }
+    std::string getCallerAddress(unsigned index) const;
+    std::string getMetrics(unsigned index) const;
+    std::string getLog(unsigned index) const; // standard output so far
+    std::string getLogPath(unsigned index) const;
+    std::string getSettingsPath(unsigned index) const;
+    std::string getDaemon() const;
+    size_t countEvents(const std::string& event) const; // lines of all hosts
+
+    // Runs on the stand-ins' thread and waits for it.
+    template <typename F>
+    auto call(F f)
+    {
+        using R = decltype(f());
+        auto task = std::make_shared<std::packaged_task<R()>>(std::move(f));
+        auto result = task->get_future();
+        boost::asio::post(m_context, [task] { (*task)(); });
+        return result.get();
+    }
+    standins::LineGroup& getGroup(unsigned index = 0) { return *m_groups.at(index); }
+    standins::KvStore& getStore() { return *m_store; }
+    // Writes a configuration; databases db0-primary, db0-bounded, db0-own and so on for each group.
+    void configure(uint64_t version, int timeoutMs = 1500, const std::string& extraDatabase = {});
+
+private:
+    RigShape m_shape;
+    std::string m_folder;
+    boost::asio::io_context m_context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::vector<unsigned short> m_ports;
+    std::vector<std::unique_ptr<standins::LineGroup>> m_groups;
+    std::unique_ptr<standins::KvStore> m_store;
+    std::vector<std::unique_ptr<Process>> m_hosts;
+    std::thread m_thread;
+};
+
+struct LineAnswer {
+    std::vector<std::string> rows;
+    std::string result; // "COMPLETE ..." or "ERROR ..."; empty: the connection ended
+    std::string state; // I, T or E
+    bool isOk() const { return result.starts_with("COMPLETE"); }
+    bool hasCode(const std::string& code) const { return result.starts_with("ERROR " + code); }
+};
+
+// A caller's connection that blocks.
+class LineCaller {
+public:
+    LineCaller(const std::string& address, const std::string& database);
+    ~LineCaller();
+    LineAnswer ask(const std::string& text, milliseconds limit = milliseconds(5000));
+    void send(const std::string& text); // without waiting
+    LineAnswer receive(milliseconds limit = milliseconds(5000));
+    const LineAnswer& getHello() const { return m_hello; }
+    const std::string& getLastId() const { return m_lastId; }
+    // Whether the far side has closed; waits up to the limit.
+    bool isClosed(milliseconds limit);
+    void close();
+    // Bytes as they are.
+    void sendRaw(const std::string& bytes);
+
+private:
+    std::string readLine(std::chrono::steady_clock::time_point until);
+    int m_socket { -1 };
+    std::string m_buf;
+    std::string m_lastId;
+    LineAnswer m_hello;
+};
+
+}
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -50,6 +50,7 @@
         int log = open(logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        close_range(3, ~0U, 0); // stand-ins in this process may listen: a child must not keep their sockets open
         execv(argv[0], argv.data());
         _exit(127);
     }
@@ -220,7 +221,7 @@
 
 // Free ports below the ephemeral range: a port in that range can be taken by an outgoing connection of a process that was
 // started before the one that is to listen on it.
-static std::vector<unsigned short> findPorts(size_t count)
+std::vector<unsigned short> findPorts(size_t count)
 {
     constexpr unsigned kFirst = 12000;
     constexpr unsigned kLast = 32000;
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -166,6 +166,9 @@
 std::string getRan(const Answer& answer);
 std::string getResult(const Answer& answer);
 
+// Free ports on loopback, different ones.
+std::vector<unsigned short> findPorts(size_t count);
+
 // Polls until `condition` holds; returns whether it did within the limit.
 bool waitUntil(milliseconds limit, const std::function<bool()>& condition);
 
--- /dev/null
+++ b/tests/standins/kv_store.cpp
@@ -0,0 +1,271 @@
+#include "standins/kv_store.h"
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+#include <openssl/evp.h>
+#include <stdexcept>
+
+namespace standins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace alderward;
+using alderward::links::HttpAnswer;
+using Clock = std::chrono::steady_clock;
+
+static std::string encode(const std::string& bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    text.resize(static_cast<size_t>(EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()))));
+    return text;
+}
+
+static std::string decode(const std::string& text)
+{
+    std::string bytes(text.size() / 4 * 3 + 1, '\0');
+    auto n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    auto padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1
+                                                                  : 0;
+    bytes.resize(static_cast<size_t>(std::max(0, n - padding)));
+    return bytes;
+}
+
+static std::string getQuery(const std::string& path, const std::string& name)
+{
+    auto at = path.find(name + "=");
+    if (at == std::string::npos)
+        return "";
+    auto raw = path.substr(at + name.size() + 1);
+    raw = raw.substr(0, raw.find('&'));
+    std::string text;
+    for (size_t i = 0; i < raw.size(); ++i) {
+        if (raw[i] == '%' && i + 2 < raw.size()) {
+            text += static_cast<char>(std::stoi(raw.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else
+            text += raw[i];
+    }
+    return text;
+}
+
+static HttpAnswer makeAnswer(unsigned status, const json::value& body)
+{
+    HttpAnswer answer;
+    answer.status = status;
+    answer.body = json::serialize(body);
+    return answer;
+}
+
+KvStore::KvStore(asio::io_context& context, unsigned short port, std::vector<LineGroup*> groups)
+    : m_context(context)
+    , m_address(fmt::format("127.0.0.1:{}", port))
+    , m_groups(std::move(groups))
+{
+    auto server = links::beginHttpServer(context, m_address, [this](links::HttpRequest request) { return serve(std::move(request)); });
+    if (!server)
+        throw std::runtime_error(server.error());
+    m_server = std::move(*server);
+}
+
+void KvStore::put(const std::string& key, const std::string& value, uint64_t lease)
+{
+    auto& item = m_items[key];
+    item.value = value;
+    item.lease = lease;
+    item.revision = ++m_revision;
+    if (item.created == 0)
+        item.created = m_revision;
+    m_changes.push_back({ m_revision, key, false, item });
+}
+
+void KvStore::remove(const std::string& key)
+{
+    if (m_items.erase(key) > 0)
+        m_changes.push_back({ ++m_revision, key, true, {} });
+}
+
+void KvStore::setLeaving(const std::string& member, bool isLeaving)
+{
+    if (isLeaving)
+        m_leaving.insert(member);
+    else
+        m_leaving.erase(member);
+    listMembers();
+}
+
+void KvStore::listMembers()
+{
+    for (auto* group : m_groups) {
+        for (auto& id : group->getIds()) {
+            json::object entry { { "Service", group->getName() }, { "Address", group->getAddress(id) }, { "Zone", "dc-" + id.substr(id.size() - 1) }, { "Version", "v1" }, { "Slots", 4 }, { "State", m_leaving.contains(id) ? "draining" : "ready" }, { "ColdLeftMs", 0 }, { "DbRole", group->getPrimary() == id ? "primary" : "replica" }, { "Sequence", 1 } };
+            auto value = json::serialize(entry);
+            auto it = m_items.find("servers/" + id);
+            if (it == m_items.end() || it->second.value != value)
+                put("servers/" + id, value);
+        }
+    }
+}
+
+void KvStore::compact()
+{
+    m_changes.clear();
+    m_forgotten = m_revision;
+}
+
+void KvStore::expire()
+{
+    auto now = Clock::now();
+    for (auto it = m_leases.begin(); it != m_leases.end();) {
+        if (now < it->second.first) {
+            ++it;
+            continue;
+        }
+        auto ended = it->first;
+        it = m_leases.erase(it);
+        auto items = m_items;
+        for (auto& [key, item] : items) {
+            if (item.lease == ended)
+                remove(key);
+        }
+    }
+}
+
+HttpAnswer KvStore::list(const std::string& prefix) const
+{
+    json::array items;
+    for (auto& [key, item] : m_items) {
+        if (key.starts_with(prefix))
+            items.push_back({ { "Key", key }, { "Value", encode(item.value) }, { "Revision", item.revision }, { "CreateRev", item.created }, { "Lease", item.lease } });
+    }
+    return makeAnswer(200, json::object { { "items", items }, { "HasMore", false }, { "CurrentRev", m_revision } });
+}
+
+asio::awaitable<HttpAnswer> KvStore::watch(std::string prefix, uint64_t after, int waitMs)
+{
+    auto until = Clock::now() + milliseconds(waitMs);
+    for (;;) {
+        if (after < m_forgotten)
+            co_return makeAnswer(410, json::object {});
+        json::array events;
+        for (auto& it : m_changes) {
+            if (it.revision <= after || !it.key.starts_with(prefix))
+                continue;
+            if (it.isDeleted)
+                events.push_back({ { "Key", it.key }, { "Revision", it.revision }, { "Tombstone", true } });
+            else
+                events.push_back({ { "Key", it.key }, { "Value", encode(it.item.value) }, { "Revision", it.revision }, { "CreateRev", it.item.created }, { "Lease", it.item.lease } });
+        }
+        bool isOver = Clock::now() >= until;
+        if (!faults.silentWatches && (!events.empty() || isOver))
+            co_return makeAnswer(200, json::object { { "events", events }, { "CurrentRev", m_revision } });
+        co_await base::sleepFor(milliseconds(5));
+    }
+}
+
+HttpAnswer KvStore::change(const std::string& body)
+{
+    auto request = json::parse(body).as_object();
+    json::array conflicts;
+    bool holds = true;
+    for (auto& it : request["Expect"].as_array()) {
+        auto& row = it.as_object();
+        std::string key(row["Key"].as_string());
+        auto found = m_items.find(key);
+        auto revision = found == m_items.end() ? 0 : found->second.revision;
+        holds = holds && revision == row["Revision"].to_number<uint64_t>();
+        if (found != m_items.end())
+            conflicts.push_back({ { "Key", key }, { "Value", encode(found->second.value) }, { "Revision", revision } });
+    }
+    if (!holds)
+        return makeAnswer(412, json::object { { "items", conflicts } });
+    for (auto& it : request["Puts"].as_array()) {
+        auto lease = it.as_object()["Lease"].to_number<uint64_t>();
+        if (lease != 0 && !m_leases.contains(lease))
+            return makeAnswer(404, json::object {});
+    }
+    for (auto& it : request["Puts"].as_array()) {
+        auto& row = it.as_object();
+        put(std::string(row["Key"].as_string()), decode(std::string(row["Value"].as_string())), row["Lease"].to_number<uint64_t>());
+    }
+    for (auto& it : request["Deletes"].as_array())
+        remove(std::string(it.as_string()));
+    return makeAnswer(200, json::object { { "Revision", m_revision } });
+}
+
+HttpAnswer KvStore::promote(const links::HttpRequest& request)
+{
+    PromotionSeen seen;
+    for (auto& [name, value] : request.headers) {
+        if (name == "Duty-Holder")
+            seen.holder = value;
+        if (name == "Fencing-Token")
+            seen.token = std::stoull(value);
+    }
+    auto body = json::parse(request.body).as_object();
+    seen.group = body["Service"].as_string();
+    seen.member = body["Id"].as_string();
+    auto& highest = m_tokens[seen.group];
+    seen.status = seen.token < highest ? 409 : 200;
+    highest = std::max(highest, seen.token);
+    for (auto* group : m_groups) {
+        if (seen.status == 200 && group->getName() == seen.group && !group->promote(seen.member))
+            seen.status = 409;
+    }
+    m_promotions.push_back(seen);
+    listMembers();
+    return makeAnswer(seen.status, json::object { { "Error", seen.status == 409 ? "refused" : "" } });
+}
+
+asio::awaitable<HttpAnswer> KvStore::serve(links::HttpRequest request)
+{
+    ++m_calls;
+    expire();
+    HttpAnswer dropped;
+    dropped.mustDrop = true;
+    auto& path = request.path;
+    if (path == "/promote") {
+        auto answer = promote(request);
+        co_return faults.losesPromotions ? dropped : answer;
+    }
+    if (faults.isSilent)
+        co_return dropped;
+    if (faults.status != 0)
+        co_return makeAnswer(faults.status, json::object {});
+    if (path.starts_with("/-/kv-key")) {
+        auto key = getQuery(path, "Key");
+        if (faults.refusedKeys.contains(key))
+            co_return makeAnswer(503, json::object {});
+        auto it = m_items.find(key);
+        if (it == m_items.end())
+            co_return makeAnswer(404, json::object {});
+        co_return makeAnswer(200, json::object { { "Key", key }, { "Value", encode(it->second.value) }, { "Revision", it->second.revision }, { "Lease", it->second.lease }, { "CurrentRev", m_revision } });
+    }
+    if (path.starts_with("/-/kv-range"))
+        co_return list(getQuery(path, "Prefix"));
+    if (path.starts_with("/-/kv-watch"))
+        co_return co_await watch(getQuery(path, "Prefix"), std::stoull(getQuery(path, "after")), std::stoi(getQuery(path, "WaitMs")));
+    if (path == "/-/kv-txn") {
+        auto answer = change(request.body);
+        if (faults.lostAnswers > 0) {
+            --faults.lostAnswers;
+            co_return dropped;
+        }
+        co_return answer;
+    }
+    if (path == "/-/kv-lease") {
+        milliseconds ttl(json::parse(request.body).as_object()["TtlMs"].to_number<int64_t>());
+        m_leases[++m_lastLease] = { Clock::now() + ttl, ttl };
+        co_return makeAnswer(200, json::object { { "Lease", m_lastLease }, { "TtlMs", ttl.count() } });
+    }
+    if (path.starts_with("/-/kv-keep/")) {
+        auto it = m_leases.find(std::stoull(path.substr(11)));
+        if (it == m_leases.end())
+            co_return makeAnswer(404, json::object {});
+        it->second.first = Clock::now() + it->second.second;
+        co_return makeAnswer(200, json::object { { "TtlMs", it->second.second.count() } });
+    }
+    co_return makeAnswer(404, json::object {});
+}
+
+}
