--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -147,28 +147,40 @@
     return nullptr;
 }
 
-std::string formatDefault(const Setting& row)
+template <typename S>
+std::string formatDefault(const SettingOf<S>& row)
 {
-    static const Settings defaults;
-    if (auto* field = std::get_if<int Settings::*>(&row.field))
+    static const S defaults;
+    if (auto* field = std::get_if<int S::*>(&row.field))
         return std::to_string(defaults.*(*field));
-    if (auto* field = std::get_if<bool Settings::*>(&row.field))
+    if (auto* field = std::get_if<bool S::*>(&row.field))
         return defaults.*(*field) ? "true" : "false";
-    return "required";
+    return row.least > 0 ? "required" : "empty";
 }
 
 }
 
-std::vector<SettingRow> getSettingTable()
+template <typename S>
+static std::vector<SettingRow> makeRows(const std::vector<SettingOf<S>>& table)
 {
     std::vector<SettingRow> rows;
-    for (auto& it : getSettings()) {
-        bool isNumber = std::holds_alternative<int Settings::*>(it.field);
+    for (auto& it : table) {
+        bool isNumber = std::holds_alternative<int S::*>(it.field);
         rows.push_back({ it.section, it.key, it.unit, formatDefault(it), isNumber ? fmt::format("{}..{}", it.least, it.most) : "", it.meaning });
     }
     return rows;
 }
 
+std::vector<SettingRow> getSettingTable()
+{
+    return makeRows(getSettings());
+}
+
+std::vector<SettingRow> getGatewaySettingTable()
+{
+    return makeRows(getGatewaySettings());
+}
+
 template <typename S>
 static tl::expected<S, std::string> parseTable(const std::vector<SettingOf<S>>& table, const std::string& text, const std::string& path)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -80,6 +80,7 @@
 };
 
 std::vector<SettingRow> getSettingTable();
+std::vector<SettingRow> getGatewaySettingTable();
 
 // Reads a file. The error names file and line: "/etc/alderward.ini:7: [health] probe_interval_ms must be from 10 to 10000".
 tl::expected<Settings, std::string> readSettings(const std::string& path);
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -33,6 +33,10 @@
 boost::asio::awaitable<int> runConfig(Options options);
 boost::asio::awaitable<int> showStatus(Options options);
 boost::asio::awaitable<int> showTimeline(Options options);
+// The story of one request from hosts' log files (standard input if none): beliefs, events of its group, its own lines.
+int explainRequest(const std::string& id, const std::vector<std::string>& paths);
+// Changes of state from hosts' log files, in one order.
+int showLogTimeline(const std::vector<std::string>& paths, const std::string& onlyGroup, const std::string& onlyHost);
 // Replays a trace; kExitFailed if this version decides otherwise than the one that recorded it.
 int replayFile(const std::string& path);
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -17,7 +17,8 @@
   config diff GROUP FILE       show what an apply would change
   config history-of GROUP      show the last changes of a record
   status                       show hosts, groups, primaries, terms, ages, homes, records in force
-  timeline                     merge the time lines of all hosts
+  timeline [FILE...]           merge the time lines of all hosts; with files: the changes of state in hosts' logs
+  explain ID [FILE...]         the story of one request from hosts' logs (standard input without files)
   replay FILE                  replay a recorded trace (GET /debug/trace?group=NAME) through this version's decisions)";
 
 ctl::Options readOptions(int argc, char** argv)
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -168,6 +168,10 @@
         co_return co_await runConfig(std::move(options));
     if (command == "status" && options.words.size() == 1)
         co_return co_await showStatus(std::move(options));
+    if (command == "explain" && options.words.size() >= 2)
+        co_return explainRequest(options.words[1], { options.words.begin() + 2, options.words.end() });
+    if (command == "timeline" && options.words.size() > 1)
+        co_return showLogTimeline({ options.words.begin() + 1, options.words.end() }, options.onlyGroup, options.onlyHost);
     if (command == "timeline" && options.words.size() == 1)
         co_return co_await showTimeline(std::move(options));
     if (command == "replay" && options.words.size() == 2)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway.h"
 #include "base/event_log.h"
-#include "base/metrics.h"
+#include "base/families.h"
 #include "base/random.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -73,10 +73,11 @@
         return tl::make_unexpected(ready.error());
     m_ready = std::move(*ready);
     if (!m_settings.metricsAddress.empty()) {
-        auto metrics = links::beginHttpServer(m_context, m_settings.metricsAddress, [](links::HttpRequest) -> asio::awaitable<links::HttpAnswer> {
+        auto metrics = links::beginHttpServer(m_context, m_settings.metricsAddress, [this](links::HttpRequest) -> asio::awaitable<links::HttpAnswer> {
+            measure();
             links::HttpAnswer answer;
             answer.contentType = "text/plain; version=0.0.4";
-            answer.body = base::formatMetrics();
+            answer.body = base::formatFamilies();
             co_return answer;
         });
         if (!metrics)
@@ -89,6 +90,33 @@
     return {};
 }
 
+// Gauges are set when somebody asks for them.
+void Gateway::measure() const
+{
+    using base::Family;
+    auto now = Clock::now();
+    for (auto family : { Family::PoolConnections, Family::PoolWaiting, Family::PoolRunning, Family::FloorAge, Family::Term })
+        base::clear(family);
+    for (auto& [member, pool] : m_pools) {
+        auto load = pool->getLoad();
+        base::setTo(Family::PoolConnections, { { "member", member } }, static_cast<double>(pool->getOpen()));
+        base::setTo(Family::PoolWaiting, { { "member", member } }, load.waiting);
+        base::setTo(Family::PoolRunning, { { "member", member } }, load.running);
+    }
+    for (auto& [name, group] : m_world.groups) {
+        base::setTo(Family::Term, { { "group", name } }, static_cast<double>(group.lead.term));
+        if (!group.floors.isEmpty())
+            base::setTo(Family::FloorAge, { { "group", name } }, std::chrono::duration<double>(now - group.floors.floors.back().since).count());
+    }
+    base::setTo(Family::ConfigurationVersion, {}, static_cast<double>(m_world.configuration.version));
+    base::setTo(Family::Sessions, {}, static_cast<double>(m_sessions.size()));
+    base::setTo(Family::Ready, {}, isReady() ? 1 : 0);
+    auto lines = base::getLogCounts();
+    base::setTo(Family::LogLines, { { "result", "written" } }, static_cast<double>(lines.written));
+    base::setTo(Family::LogLines, { { "result", "left-out" } }, static_cast<double>(lines.leftOut));
+    base::measureProcess();
+}
+
 asio::awaitable<links::HttpAnswer> Gateway::answerReady(links::HttpRequest request)
 {
     links::HttpAnswer answer;
@@ -297,7 +325,7 @@
     };
     service.onPing = [this](const std::string&, const peer::Ping& ping) { m_directory.hurry(ping.configuration()); };
     service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeNews(pong, sentAt); };
-    service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
+    service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::addTo(base::Family::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
     std::set<std::string> choosePartners() const;
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
+    void measure() const;
     boost::asio::awaitable<void> finishStop();
 
     boost::asio::io_context& m_context;
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -1,6 +1,6 @@
 #include "gateway/promoter.h"
 #include "base/event_log.h"
-#include "base/metrics.h"
+#include "base/families.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -385,7 +385,7 @@
         static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
         std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
         base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
-        base::count(base::Counter::Promotions);
+        base::addTo(base::Family::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
         bool isDone = result == PromotionResult::Done;
         auto chosen = m_context.world.members.find(member);
         if (result == PromotionResult::Unknown && chosen != m_context.world.members.end()) {
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -1,5 +1,6 @@
 #include "gateway/runner.h"
 #include "base/event_log.h"
+#include "base/families.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -178,6 +179,10 @@
 void Runner::finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target)
 {
     std::chrono::duration<double, std::milli> took = Clock::now() - run.arrivedAt;
+    std::string_view kind = run.order.statement.kind == StatementKind::Commit ? "commit" : run.order.statement.isWrite ? "write"
+                                                                                                                       : "read";
+    base::addTo(base::Family::Statements, { { "database", run.route.database }, { "kind", kind }, { "outcome", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served" } });
+    base::observe(base::Family::StatementSeconds, { { "database", run.route.database }, { "kind", kind } }, took.count() / 1000);
     bool isLate = Clock::now() > run.order.objective;
     auto logClass = outcome.error || isLate ? LogClass::Failure : LogClass::Request;
     if (base::hasLogBudget(logClass)) {
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,4 +1,5 @@
 #include "gateway/target_pool.h"
+#include "base/families.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
@@ -166,6 +167,7 @@
     session->open(
         m_target, m_from, kConnectLimit, [self, session](const Outcome& outcome) {
             --self->m_opening;
+            base::addTo(base::Family::ConnectionsOpened, { { "member", self->m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
             if (outcome.error) {
                 bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
                 self->m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
@@ -191,6 +193,7 @@
 void TargetPool::start(const JobPtr& job, const SessionPtr& session)
 {
     job->startedAt = Clock::now();
+    base::observe(base::Family::QueueSeconds, { { "member", m_target.member } }, std::chrono::duration<double>(job->startedAt - job->submittedAt).count());
     session->isBusy = true;
     m_running.emplace_back(job, session);
     prepareSession(*job, session);
@@ -293,6 +296,7 @@
         m_running.erase(it);
     if (session->isOpen()) {
         std::chrono::duration<double, std::milli> took = Clock::now() - job->startedAt;
+        base::observe(base::Family::TargetSeconds, { { "member", m_target.member } }, took.count() / 1000);
         if (!outcome.error)
             m_workMs += kWorkSmoothing * (took.count() - m_workMs);
         m_observer.onAnswer(m_target);
@@ -360,6 +364,7 @@
     if (it == m_sessions.end())
         return;
     m_sessions.erase(it);
+    base::addTo(base::Family::ConnectionsClosed, { { "member", m_target.member } });
     if (session->transaction != 0)
         m_transactions.erase(session->transaction);
     session->transaction = 0;
