More witnesses of a dead primary; hosts say with each answer that they cannot reach a member

Cause looked for: a primary that is cut from 65% of the hosts was taken for dead when three witnesses happened to be among them (27%). Now up to six are asked, the member's carriers first.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -290,6 +290,7 @@
         auto member = m_world.members.find(id);
         return member == m_world.members.end() ? nullptr : getPool(member->second.getTarget());
     };
+    service.isTroubled = [this](const TargetAddress& target) { return isTroubled(target); };
     service.inquire = [this](const TargetAddress& target, std::function<void(const Finding&)> done) { inquire(target, std::move(done)); };
     service.onAlarm = [this](const std::string& group, const std::string& member, const std::string& reason) {
         if (m_world.groups[group].lead.member == member || member.empty())
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -504,7 +504,7 @@
         sendFrame(*guest->channel, frame);
         return;
     }
-    auto reply = [guest, call = wire.call(), member = wire.member(), pool](const Outcome& outcome) {
+    auto reply = [this, guest, call = wire.call(), member = wire.member(), pool](const Outcome& outcome) {
         peer::Frame frame;
         auto& answer = *frame.mutable_answer();
         answer.set_call(call);
@@ -523,6 +523,7 @@
         answer.mutable_load()->set_waiting(load.waiting);
         answer.mutable_load()->set_running(load.running);
         answer.mutable_load()->set_work_ms(load.workMs);
+        answer.mutable_load()->set_unreachable(m_service.isTroubled(pool->getTarget()));
         sendFrame(*guest->channel, frame);
     };
     if (order.kind == OrderKind::Begin) {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -22,6 +22,7 @@
 // What other hosts ask of this one.
 struct PeerService {
     std::function<std::shared_ptr<TargetPool>(const std::string& member)> findPool; // empty for a member that is not known
+    std::function<bool(const TargetAddress&)> isTroubled; // this host cannot reach the target
     std::function<void(const TargetAddress&, std::function<void(const Finding&)>)> inquire;
     std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
     std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -27,6 +27,7 @@
 static constexpr milliseconds kLeaderlessLimit { 600 }; // without a known primary for this long, one is looked for
 static constexpr milliseconds kListedAgainLimit { 2500 }; // entries that lapsed with the store are back by then
 static constexpr milliseconds kDeputyPause { 300 }; // each deputy waits this much longer than the one before
+static constexpr size_t kWitnesses = 6; // besides this host: a primary that is cut off from two thirds of the hosts is taken for dead once in twenty times
 static constexpr int kOrderTries = 8; // of one decision while no clear answer comes
 
 std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
@@ -226,10 +227,25 @@
     return witnesses;
 }
 
+// The hosts that carry to a member, in their order.
+std::vector<std::string> Promoter::rankCarriersOf(const std::string& member) const
+{
+    std::vector<decisions::CarrierHost> hosts;
+    for (auto& [name, host] : m_context.world.hosts)
+        hosts.push_back({ name, host.dataCentre, name == m_context.self.host || m_context.peers.isUp(name) });
+    auto it = m_context.world.members.find(member);
+    return decisions::rankCarriers(member, it == m_context.world.members.end() ? "" : it->second.listed.dataCentre, hosts);
+}
+
 // Dead is what nobody reaches: a primary that only some hosts cannot reach still serves through the others.
 asio::awaitable<bool> Promoter::isDead(std::string group, TargetAddress leader)
 {
     auto witnesses = chooseWitnesses();
+    for (auto& name : rankCarriersOf(leader.member)) {
+        bool isIn = name == m_context.self.host || std::ranges::find(witnesses, name) != witnesses.end();
+        if (!isIn && witnesses.size() < kWitnesses)
+            witnesses.push_back(name);
+    }
     witnesses.push_back(m_context.self.host);
     auto pending = std::make_shared<size_t>(witnesses.size());
     auto reachedBy = std::make_shared<std::string>();
