--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -21,6 +21,8 @@
 static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
 static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
 static constexpr double kFeasible = 2; // of a statement's usual time must be left to its objective: else it goes behind those that can meet theirs
+static constexpr double kStalledTimes = 8; // of the usual time: a statement's answer may be lost; the slowest usual ones take five times
+static constexpr milliseconds kStalledLeast { 150 }; // below this a hiccup of the network would count
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
@@ -34,7 +36,7 @@
 
 PoolLoad TargetPool::getLoad() const
 {
-    return { static_cast<unsigned>(m_waiting.size()), static_cast<unsigned>(m_running.size()), m_workMs };
+    return { static_cast<unsigned>(m_waiting.size()), countRunning(), m_workMs };
 }
 
 // Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
@@ -63,7 +65,7 @@
 {
     auto now = Clock::now();
     bool mayWait = isAdmitted(order, now);
-    auto job = std::make_shared<Job>(Job { std::move(order), std::move(done), now });
+    auto job = std::make_shared<Job>(Job { std::move(order), std::make_shared<OrderDone>(std::move(done)), now });
     if (!mayWait) {
         finish(job, decisions::makeFailure(ErrorKind::Overloaded, fmt::format("{} statements wait before it, {:.0f} ms each", m_waiting.size(), m_workMs)));
         return;
@@ -116,7 +118,8 @@
 void TargetPool::dispatch()
 {
     auto now = Clock::now();
-    while (!m_waiting.empty() && m_running.size() < m_limits.running) {
+    std::erase_if(m_waiting, [](const JobPtr& it) { return it->isDone(); }); // repeated, and the first one was answered after all
+    while (!m_waiting.empty() && countRunning() < m_limits.running) {
         auto job = popNext(now);
         if (!job)
             break;
@@ -237,7 +240,7 @@
         if (!outcome.error) {
             if (!isReadOnly)
                 self->takeProof(outcome, sentAt);
-            if (job->isDone) // it ran out of time meanwhile; its connection is gone
+            if (job->isDone()) // it ran out of time meanwhile; its connection is gone
                 return;
             self->runStatement(job, session);
             return;
@@ -296,6 +299,7 @@
         m_running.erase(it);
     if (session->isOpen()) {
         std::chrono::duration<double, std::milli> took = Clock::now() - job->startedAt;
+        m_answeredAt = Clock::now();
         base::observe(base::Family::TargetSeconds, { { "member", m_target.member } }, took.count() / 1000);
         if (!outcome.error)
             m_workMs += kWorkSmoothing * (took.count() - m_workMs);
@@ -335,10 +339,10 @@
 
 void TargetPool::finish(const JobPtr& job, Outcome outcome)
 {
-    if (job->isDone)
+    if (job->isDone())
         return;
-    job->isDone = true;
-    auto done = std::move(job->done);
+    auto done = std::move(*job->done);
+    *job->done = nullptr;
     boost::asio::post(m_executor, [done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
 }
 
@@ -399,6 +403,7 @@
 
 void TargetPool::sweep(TimePoint now)
 {
+    findStalled(now);
     endOverdue(now);
     endSilent(now);
     proveLead(now);
@@ -407,6 +412,37 @@
     dispatch();
 }
 
+unsigned TargetPool::countRunning() const
+{
+    return static_cast<unsigned>(std::ranges::count_if(m_running, [](const auto& it) { return !it.first->isStalled; }));
+}
+
+// A statement that takes several times as long as usual, while later ones were answered, has probably lost its answer. It gives up its
+// place, or a few of these would stop all others until their time is over. A read is run once more; whichever answer comes first counts.
+// Nothing is ended for it: a slow answer is delivered as well.
+void TargetPool::findStalled(TimePoint now)
+{
+    auto limit = std::max(kStalledLeast, milliseconds(static_cast<int64_t>(kStalledTimes * m_workMs)));
+    auto running = m_running;
+    for (auto& [job, session] : running) {
+        if (job->isStalled && job->isDone()) { // its repetition was answered
+            dropSession(session, "the answer is no longer waited for");
+            continue;
+        }
+        if (job->isStalled || now - job->startedAt < limit || m_answeredAt < job->startedAt + limit / 2)
+            continue;
+        job->isStalled = true;
+        auto& order = job->order;
+        bool mayRepeat = !order.statement.isWrite && (order.kind == OrderKind::Single || order.kind == OrderKind::ProvenSingle);
+        bool isBusy = m_waiting.size() >= m_limits.running; // a repetition would take a turn from somebody who has had none
+        if (!mayRepeat || isBusy)
+            continue;
+        auto again = std::make_shared<Job>(*job);
+        again->isStalled = false;
+        m_waiting.push_back(std::move(again));
+    }
+}
+
 void TargetPool::endOverdue(TimePoint now)
 {
     std::vector<JobPtr> late;
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -89,10 +89,11 @@
 private:
     struct Job {
         Order order;
-        OrderDone done;
+        std::shared_ptr<OrderDone> done; // shared with the job that repeats it; empty inside once it was called
         TimePoint submittedAt;
         TimePoint startedAt {};
-        bool isDone { false };
+        bool isStalled { false }; // its answer seems to be lost: it takes no place among those at the target any more
+        bool isDone() const { return !*done; }
     };
     using JobPtr = std::shared_ptr<Job>;
     using SessionPtr = std::shared_ptr<TargetSession>;
@@ -117,6 +118,8 @@
     void proveLead(TimePoint now);
     void keepAlive(TimePoint now);
     void closeUnused(TimePoint now);
+    unsigned countRunning() const;
+    void findStalled(TimePoint now);
     void endOverdue(TimePoint now);
     void endSilent(TimePoint now);
 
@@ -137,6 +140,7 @@
     TimePoint m_holdUntil {};
     milliseconds m_proofInterval { 0 };
     double m_workMs { 10 };
+    TimePoint m_answeredAt {}; // the last answer to a statement
     bool m_isDispatching { false };
     bool m_isCarrier { true };
 };
