--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -134,7 +134,7 @@
     std::optional<uint64_t> least;
     std::vector<std::string> prefixes;
     prefixes.push_back(m_platform.getMembersPrefix());
-    prefixes.emplace_back("alderward/");
+    prefixes.emplace_back(kOwnPrefix);
     for (auto& prefix : prefixes) {
         auto revision = co_await readPrefix(prefix);
         if (!revision)
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -8,6 +8,7 @@
 namespace alderward::gateway {
 
 // Keys of the product's own in the store.
+inline constexpr std::string_view kOwnPrefix = "alderward/";
 inline constexpr std::string_view kHostsPrefix = "alderward/hosts/";
 inline constexpr std::string_view kSuccessionPrefix = "alderward/succession/";
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -53,19 +53,8 @@
     m_world.hosts[m_self.name] = m_self;
     if (auto listening = m_peers.listen(m_settings.peerAddress); !listening)
         return listening;
-    auto endpoint = links::parseEndpoint(m_settings.callerAddress);
-    if (!endpoint)
-        return tl::make_unexpected(endpoint.error());
-    boost::system::error_code ec;
-    m_acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return tl::make_unexpected(m_settings.callerAddress + ": " + ec.message());
+    if (auto listening = links::beginListening(m_acceptor, m_settings.callerAddress); !listening)
+        return listening;
     accept();
     auto ready = links::beginHttpServer(m_context, m_settings.readyAddress, [this](links::HttpRequest request) { return answerReady(std::move(request)); });
     if (!ready)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -90,19 +90,8 @@
 
 tl::expected<void, std::string> Peers::listen(const std::string& address)
 {
-    auto endpoint = links::parseEndpoint(address);
-    if (!endpoint)
-        return tl::make_unexpected(endpoint.error());
-    boost::system::error_code ec;
-    m_acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return tl::make_unexpected(address + ": " + ec.message());
+    if (auto listening = links::beginListening(m_acceptor, address); !listening)
+        return listening;
     accept();
     return {};
 }
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/promoter.h"
 #include "base/event_log.h"
 #include "base/families.h"
+#include "gateway/directory.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -102,7 +103,7 @@
 }
 
 // The holder, or a deputy while all before it are out of reach.
-bool Promoter::isInCharge(const std::string& group, const State& state) const
+bool Promoter::isInCharge(const State& state) const
 {
     auto rank = decisions::findRank(state.succession, m_context.self);
     if (!rank || m_context.isDraining)
@@ -114,7 +115,6 @@
         if (isSame && m_context.peers.isUp(it.host) && !m_context.peers.isLeaving(it.host))
             return false;
     }
-    (void)group;
     return true;
 }
 
@@ -135,7 +135,7 @@
             state.leaderlessSince = {};
         else if (state.leaderlessSince == TimePoint {})
             state.leaderlessSince = now;
-        if (state.isWorking || now < state.notBefore || !isInCharge(group, state))
+        if (state.isWorking || now < state.notBefore || !isInCharge(state))
             continue;
         auto rank = *decisions::findRank(state.succession, m_context.self);
         bool isLeaderless = state.leaderlessSince != TimePoint {} && now - state.leaderlessSince > kLeaderlessLimit && now - state.startedAt > kListedAgainLimit;
@@ -166,7 +166,7 @@
 
 asio::awaitable<void> Promoter::writeSuccession(std::string group, decisions::Succession succession, uint64_t revision)
 {
-    auto key = "alderward/succession/" + group;
+    auto key = std::string(kSuccessionPrefix) + group;
     links::StoreChange change;
     change.expected.emplace_back(key, revision);
     change.puts.push_back({ .key = key, .value = decisions::formatSuccession(succession) });
@@ -428,7 +428,7 @@
             co_return false;
         }
         // A frozen process wakes up here: somebody else may have taken over meanwhile.
-        if (Clock::now() - askedAt > kOrderLimit + kPauseAfter || !isInCharge(group, state))
+        if (Clock::now() - askedAt > kOrderLimit + kPauseAfter || !isInCharge(state))
             co_return false;
         co_await base::sleepFor(kRetryPause);
     }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -53,7 +53,7 @@
     };
 
     std::vector<decisions::RankedHost> rankLive(const std::string& group) const;
-    bool isInCharge(const std::string& group, const State& state) const;
+    bool isInCharge(const State& state) const;
     bool mustHandOver(const GroupBelief& belief) const;
     void keepSuccession(const std::string& group, State& state, TimePoint now);
     boost::asio::awaitable<void> writeSuccession(std::string group, decisions::Succession succession, uint64_t revision);
--- a/src/links/channel.cpp
+++ b/src/links/channel.cpp
@@ -47,6 +47,24 @@
     return frame;
 }
 
+tl::expected<void, std::string> beginListening(tcp::acceptor& acceptor, const std::string& address)
+{
+    auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return tl::make_unexpected(endpoint.error());
+    boost::system::error_code ec;
+    acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(*endpoint, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return tl::make_unexpected(address + ": " + ec.message());
+    return {};
+}
+
 Channel::Channel(asio::any_io_executor executor, ChannelOptions options)
     : m_socket(executor)
     , m_timer(executor)
--- a/src/links/channel.h
+++ b/src/links/channel.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 
 namespace alderward::links {
 
@@ -35,6 +36,9 @@
 // The frame that splitFrame() reads.
 std::string makeFrame(std::string_view message);
 
+// Opens, binds and listens. The error names the address.
+tl::expected<void, std::string> beginListening(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address);
+
 struct ChannelOptions {
     Splitter splitter { splitLine };
     size_t outputLimit { 4 << 20 }; // bytes waiting to be written; a far side that reads so slowly is cut off
