Two tests of the gateway that could not fail now can; which were seen to fail is said

Cause: with the mends taken out in a scratch build, path/a_connection_on_which_a_rollback_failed... and platform/connections_are_given_back... still passed: the one only sent reads that begin anew, the other never opened more than one connection. Both now fail without the mend (writes on their own after a failed rollback; 18 callers at once) and pass with it. Ruled out for platform/a_restarted_host...: it hangs on a race and was not made to fail.

--- a/tests/gateway/path_test.cpp
+++ b/tests/gateway/path_test.cpp
@@ -94,14 +94,11 @@
     GatewayRig rig;
     rig.beginHosts();
     rig.call([&] { rig.getGroup().getFaults("g0-a").failsRollback = true; });
-    std::vector<std::unique_ptr<LineCaller>> callers;
-    for (int i = 0; i < 4; ++i)
-        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(0), "db0-primary"));
+    LineCaller reader(rig.getCallerAddress(0), "db0-primary");
+    LineCaller writer(rig.getCallerAddress(0), "db0-primary");
     for (int round = 0; round < 10; ++round) {
-        for (auto& it : callers)
-            it->send("READ x");
-        for (auto& it : callers)
-            it->receive();
+        reader.ask("READ x"); // wrapped in a transaction of the gateway's own, whose rollback fails
+        writer.ask("WRITE x 1"); // on its own, and on a connection that is free
     }
     auto ran = rig.call([&] { return rig.getGroup().getRan(); });
     for (auto& it : ran)
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -105,19 +105,27 @@
     GatewayRig rig(shape);
     rig.beginHost(0); // alone: it carries to all members
     BOOST_TEST(rig.waitReady(0));
+    LineCaller(rig.getCallerAddress(0), "db0-primary").ask("READ x"); // a first floor
+    rig.call([&] {
+        for (auto& id : rig.getGroup().getIds())
+            rig.getGroup().getFaults(id).work = milliseconds(60);
+    });
     std::vector<std::unique_ptr<LineCaller>> callers;
-    for (int i = 0; i < 12; ++i)
-        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(0), "db0-primary"));
-    for (auto& it : callers)
-        it->send("READ x");
-    for (auto& it : callers)
-        it->receive();
+    for (int i = 0; i < 18; ++i)
+        callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(0), "db0-bounded"));
+    for (int round = 0; round < 3; ++round) {
+        for (auto& it : callers)
+            it->send("READ x");
+        for (auto& it : callers)
+            it->receive();
+    }
+    rig.call([&] {
+        for (auto& id : rig.getGroup().getIds())
+            rig.getGroup().getFaults(id).work = milliseconds(1);
+    });
     auto open = [&](const std::string& id) { return rig.call([&] { return rig.getGroup().getConnections(id); }); };
-    BOOST_TEST(open("g0-a") >= 2u);
+    BOOST_TEST(open("g0-b") + open("g0-c") >= 6u);
     // h1 and h2 are in the data centres of g0-b and g0-c.
-    LineCaller reader(rig.getCallerAddress(0), "db0-bounded");
-    for (int i = 0; i < 20; ++i)
-        reader.ask("READ x");
     rig.beginHost(1);
     rig.beginHost(2);
     BOOST_TEST(rig.waitReady(1));
@@ -125,7 +133,7 @@
     LineCaller other(rig.getCallerAddress(1), "db0-bounded");
     for (int i = 0; i < 20; ++i)
         BOOST_TEST(other.ask("READ x").isOk());
-    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return open("g0-b") <= 4 && open("g0-c") <= 4; }));
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return open("g0-b") <= 2 && open("g0-c") <= 2; }));
 }
 
 BOOST_AUTO_TEST_CASE(a_restarted_host_serves_at_once_and_its_peers_find_it)
