The order of hosts before a member is ranked once for each change of hosts, not for each statement

Cause: choosing a carrier hashed and sorted all hosts for each member of the group at each attempt of a statement; isCarrier() did the same for each pool every 20 ms, the promoter for each group every 20 ms. Change: World keeps the ranking by member and by group (getCarriers(), getRankedHosts()) until a host comes or goes or the member's data centre changes; who is up is asked while walking it. Five places that filled a list of hosts became that one. Ruled out: another order. Rendezvous ranks of hosts do not depend on the other hosts, so leaving out those that are down afterwards gives the same list.

--- a/src/decisions/choice.cpp
+++ b/src/decisions/choice.cpp
@@ -56,10 +56,8 @@
 {
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (auto& it : hosts) {
-        if (it.isUp)
-            (it.dataCentre == dataCentre ? near : far).push_back(it.name);
-    }
+    for (auto& it : hosts)
+        (it.dataCentre == dataCentre ? near : far).push_back(it.name);
     auto ranked = rankHosts(member, near);
     std::ranges::move(rankHosts(member, far), std::back_inserter(ranked));
     return ranked;
--- a/src/decisions/choice.h
+++ b/src/decisions/choice.h
@@ -62,7 +62,6 @@
 struct CarrierHost {
     std::string name {};
     std::string dataCentre {};
-    bool isUp { true };
 };
 
 // The hosts in the order in which they are asked to carry statements to a member: those of the member's data centre first, by
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,7 +50,7 @@
 
 tl::expected<void, std::string> Gateway::begin()
 {
-    m_world.hosts[m_self.name] = m_self;
+    takeHost(m_world, m_self);
     if (auto listening = m_peers.listen(m_settings.peerAddress); !listening)
         return listening;
     if (auto listening = links::beginListening(m_acceptor, m_settings.callerAddress); !listening)
@@ -350,7 +350,7 @@
         if (host.name == m_self.name)
             return;
         m_hostsGoneAt.erase(host.name);
-        m_world.hosts[host.name] = host;
+        takeHost(m_world, host);
         tellPeers();
     };
     events.onHostGone = [this](const std::string& name) {
@@ -392,7 +392,7 @@
         if (m_peers.isAnswering(name) || (now - since < kListedAgain && m_peers.isUp(name)))
             continue;
         m_hostsGoneAt.erase(name);
-        m_world.hosts.erase(name);
+        dropHost(m_world, name);
         tellPeers();
     }
     if (!m_partnersDue && now - m_partnersAt < kPartnersInterval)
@@ -404,14 +404,11 @@
 
 // The hosts that this one needs all the time: those that carry to each member, and the next in turn should one of them be down;
 // those that come before it where it may have to order a promotion. Bounded by members and orderers, whatever the number of hosts.
-std::set<std::string> Gateway::choosePartners() const
+std::set<std::string> Gateway::choosePartners()
 {
     std::set<std::string> partners = m_promoter.getColleagues();
-    std::vector<decisions::CarrierHost> hosts;
-    for (auto& [name, host] : m_world.hosts)
-        hosts.push_back({ name, host.dataCentre, true });
     for (auto& [id, member] : m_world.members) {
-        for (auto& name : decisions::rankCarriers(id, member.listed.dataCentre, hosts)) {
+        for (auto& name : getCarriers(m_world, member)) {
             if (name == m_self.name)
                 break;
             partners.insert(name);
@@ -468,15 +465,11 @@
         [finish](const std::string&) { finish({}); });
 }
 
-bool Gateway::isCarrier(const MemberBelief& member) const
+bool Gateway::isCarrier(const MemberBelief& member)
 {
-    std::vector<decisions::CarrierHost> hosts;
-    for (auto& [name, host] : m_world.hosts) {
-        bool isUp = name == m_self.name ? !m_isDraining : m_peers.isUp(name) && !m_peers.isLeaving(name);
-        hosts.push_back({ name, host.dataCentre, isUp });
-    }
-    auto ranked = decisions::rankCarriers(member.listed.id, member.listed.dataCentre, hosts);
-    return !ranked.empty() && ranked.front() == m_self.name;
+    auto& ranked = getCarriers(m_world, member);
+    auto first = std::ranges::find_if(ranked, [this](const std::string& name) { return name == m_self.name ? !m_isDraining : m_peers.isUp(name) && !m_peers.isLeaving(name); });
+    return first != ranked.end() && *first == m_self.name;
 }
 
 void Gateway::sweep()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,13 +37,13 @@
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
-    bool isCarrier(const MemberBelief& member) const;
+    bool isCarrier(const MemberBelief& member);
     void fillNews(peer::Pong& message, TimePoint now) const;
     void takeNews(const peer::Pong& message, TimePoint sentAt);
     void takeRoleChange(const links::ListedMember& before, const links::ListedMember& now);
     void tellPeers();
     void sweepHosts(TimePoint now);
-    std::set<std::string> choosePartners() const;
+    std::set<std::string> choosePartners();
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
     void measure() const;
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -33,13 +33,11 @@
 
 std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
 {
-    std::vector<decisions::CarrierHost> hosts;
-    for (auto& [name, host] : m_context.world.hosts) {
-        bool isUp = name == m_context.self.host || (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name));
-        hosts.push_back({ name, host.dataCentre, isUp });
-    }
     std::vector<decisions::RankedHost> ranked;
-    for (auto& name : decisions::rankCarriers(group, "", hosts)) {
+    for (auto& name : getRankedHosts(m_context.world, group)) {
+        bool isUp = name == m_context.self.host || (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name));
+        if (!isUp)
+            continue;
         auto& host = m_context.world.hosts.at(name);
         ranked.push_back({ { name, host.incarnation }, host.dataCentre });
     }
@@ -227,23 +225,16 @@
     return witnesses;
 }
 
-// The hosts that carry to a member, in their order.
-std::vector<std::string> Promoter::rankCarriersOf(const std::string& member) const
-{
-    std::vector<decisions::CarrierHost> hosts;
-    for (auto& [name, host] : m_context.world.hosts)
-        hosts.push_back({ name, host.dataCentre, name == m_context.self.host || m_context.peers.isUp(name) });
-    auto it = m_context.world.members.find(member);
-    return decisions::rankCarriers(member, it == m_context.world.members.end() ? "" : it->second.listed.dataCentre, hosts);
-}
-
 // Dead is what nobody reaches: a primary that only some hosts cannot reach still serves through the others.
 asio::awaitable<bool> Promoter::isDead(std::string group, TargetAddress leader)
 {
     auto witnesses = chooseWitnesses();
-    for (auto& name : rankCarriersOf(leader.member)) {
+    // Those that carry to it, in their order, know it best.
+    auto member = m_context.world.members.find(leader.member);
+    auto carriers = member == m_context.world.members.end() ? std::vector<std::string>() : getCarriers(m_context.world, member->second);
+    for (auto& name : carriers) {
         bool isIn = name == m_context.self.host || std::ranges::find(witnesses, name) != witnesses.end();
-        if (!isIn && witnesses.size() < kWitnesses)
+        if (!isIn && m_context.peers.isUp(name) && witnesses.size() < kWitnesses)
             witnesses.push_back(name);
     }
     witnesses.push_back(m_context.self.host);
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -67,7 +67,6 @@
     boost::asio::awaitable<Finding> ask(std::string host, TargetAddress target);
     std::vector<std::string> chooseWitnesses() const;
     size_t countListed(const std::string& group) const;
-    std::vector<std::string> rankCarriersOf(const std::string& member) const;
 
     PromoterContext m_context;
     std::map<std::string, State> m_states;
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -12,6 +12,7 @@
 using decisions::StatementKind;
 
 static constexpr milliseconds kRetryPause { 15 }; // before members that all said no are asked again
+static constexpr double kOwnDistanceGuessMs = 10; // to a member in another data centre from here: some ms each way on the sites that were seen
 
 void Runner::run(Run run, RunDone done)
 {
@@ -19,21 +20,22 @@
     attempt(shared, std::move(done));
 }
 
+// Whether the host is up and has not said lately that it cannot reach the member.
+bool Runner::mayCarry(const std::string& host, const MemberBelief& member) const
+{
+    if (host == m_context.name)
+        return !m_context.isTroubled(member.getTarget());
+    if (!m_context.peers.isUp(host) || m_context.peers.isLeaving(host))
+        return false;
+    auto load = m_context.peers.getLoad(host, member.listed.id);
+    return !load || !load->unreachable();
+}
+
 std::string Runner::chooseCarrier(const MemberBelief& member) const
 {
-    std::vector<decisions::CarrierHost> hosts;
-    for (auto& [name, host] : m_context.world.hosts) {
-        bool isUp = name == m_context.name;
-        if (isUp)
-            isUp = !m_context.isTroubled(member.getTarget());
-        else if (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name)) {
-            auto load = m_context.peers.getLoad(name, member.listed.id);
-            isUp = !load || !load->unreachable();
-        }
-        hosts.push_back({ name, host.dataCentre, isUp });
-    }
-    auto ranked = decisions::rankCarriers(member.listed.id, member.listed.dataCentre, hosts);
-    return ranked.empty() ? m_context.name : ranked.front();
+    auto& ranked = getCarriers(m_context.world, member);
+    auto first = std::ranges::find_if(ranked, [&](const std::string& host) { return mayCarry(host, member); });
+    return first == ranked.end() ? m_context.name : *first;
 }
 
 decisions::Candidate Runner::makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const
@@ -51,7 +53,7 @@
         auto load = m_context.getPool(member.getTarget())->getLoad();
         candidate.queued = load.waiting + load.running;
         candidate.workMs = load.workMs;
-        candidate.distanceMs = member.listed.dataCentre == m_context.dataCentre ? 0 : 10;
+        candidate.distanceMs = member.listed.dataCentre == m_context.dataCentre ? 0 : kOwnDistanceGuessMs;
     } else {
         candidate.distanceMs = m_context.peers.getDistanceMs(carrier);
         if (auto load = m_context.peers.getLoad(carrier, member.listed.id)) {
--- a/src/gateway/world.cpp
+++ b/src/gateway/world.cpp
@@ -19,9 +19,45 @@
     group.pendingUntil = now + kPromotionTakes;
 }
 
+void takeHost(World& world, const links::ListedHost& host)
+{
+    world.hosts[host.name] = host;
+    world.ranked.clear();
+}
+
+void dropHost(World& world, const std::string& name)
+{
+    world.hosts.erase(name);
+    world.ranked.clear();
+}
+
+static const std::vector<std::string>& getRanked(World& world, const std::string& key, const std::string& dataCentre)
+{
+    auto [it, isNew] = world.ranked.try_emplace(key);
+    if (isNew) {
+        std::vector<decisions::CarrierHost> hosts;
+        for (auto& [name, host] : world.hosts)
+            hosts.push_back({ name, host.dataCentre });
+        it->second = decisions::rankCarriers(key, dataCentre, hosts);
+    }
+    return it->second;
+}
+
+const std::vector<std::string>& getCarriers(World& world, const MemberBelief& member)
+{
+    return getRanked(world, member.listed.id, member.listed.dataCentre);
+}
+
+const std::vector<std::string>& getRankedHosts(World& world, const std::string& group)
+{
+    return getRanked(world, group, "");
+}
+
 void takeMember(World& world, const links::ListedMember& listed)
 {
     auto& member = world.members[listed.id];
+    if (member.listed.dataCentre != listed.dataCentre)
+        world.ranked.erase(listed.id);
     member.listed = listed;
     member.unlistedAt.reset();
     auto& group = world.groups[listed.group];
@@ -50,6 +86,7 @@
         std::erase(group.members, id);
         group.lead = decisions::takeDenial(group.lead, id);
         world.members.erase(id);
+        world.ranked.erase(id);
     }
     return forgotten;
 }
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -31,7 +31,8 @@
     links::GatewayConfiguration configuration {};
     std::map<std::string, MemberBelief> members {}; // by id
     std::map<std::string, GroupBelief> groups {};
-    std::map<std::string, links::ListedHost> hosts {}; // by name, this one included
+    std::map<std::string, links::ListedHost> hosts {}; // by name, this one included; changed through takeHost() and dropHost()
+    std::map<std::string, std::vector<std::string>> ranked {}; // by member or group: see getCarriers() and getRankedHosts()
     bool hasMembers { false }; // the list of members was read at least once
 };
 
@@ -42,6 +43,15 @@
 
 inline constexpr milliseconds kPromotionTakes { 1500 }; // the platform names some hundred ms; the slowest site that was seen takes 1,000
 
+void takeHost(World& world, const links::ListedHost& host);
+void dropHost(World& world, const std::string& name);
+
+// All hosts in the order in which they are asked to carry to a member, be they up or not: that differs from moment to moment, the
+// order only when a host comes or goes. Statements ask for it, so it is kept.
+const std::vector<std::string>& getCarriers(World& world, const MemberBelief& member);
+// All hosts in the order in which they are asked to be in charge of a group.
+const std::vector<std::string>& getRankedHosts(World& world, const std::string& group);
+
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
 void takeMember(World& world, const links::ListedMember& listed);
 void takeMemberGone(World& world, const std::string& id, TimePoint now);
