Turns before a busy member leave room for the way back; refused connections are logged

All statements were then served 5 to 35 ms too late: half of the late ones at 484 to 520 ms with an objective of 500. Not solved: the primary alone cannot serve the group. Test: turns/* (the overload's seen to fail with a margin of one usual time).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,6 +202,9 @@
         if (m_world.groups[target.group].lead.member == target.member)
             raiseAlarm(target.group, reason);
     };
+    observer.onRefused = [](const TargetAddress& target, size_t open, const std::string& reason) {
+        base::logEvent(LogClass::State, "connection-refused", { { "member", std::string_view(target.member) }, { "group", std::string_view(target.group) }, { "open", static_cast<int64_t>(open) }, { "reason", std::string_view(reason) } });
+    };
     return observer;
 }
 
@@ -338,6 +341,7 @@
         auto before = wasKnown ? m_world.members[member.id].listed : links::ListedMember {};
         takeMember(m_world, member);
         takeRoleChange(before, member);
+        m_partnersDue = m_partnersDue || !wasKnown;
         if (before != member)
             base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary } });
     };
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -12,6 +12,7 @@
 using decisions::StatementKind;
 
 static constexpr milliseconds kRetryPause { 15 }; // before members that all said no are asked again
+static constexpr milliseconds kCallerWay { 2 }; // between caller and host, there and back, on the sites that were seen
 static constexpr double kOwnDistanceGuessMs = 10; // to a member in another data centre from here: some ms each way on the sites that were seen
 
 void Runner::run(Run run, RunDone done)
@@ -86,6 +87,13 @@
     return m_context.world.members.at(group->second.members[*best]).getTarget();
 }
 
+// What an answer still has to travel once the carrier has it.
+TimePoint::duration Runner::getWayBack(const std::string& carrier) const
+{
+    auto toHereMs = carrier == m_context.name ? 0 : m_context.peers.getDistanceMs(carrier) / 2;
+    return kCallerWay + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(toHereMs));
+}
+
 void Runner::attempt(const std::shared_ptr<Run>& run, RunDone done)
 {
     auto now = Clock::now();
@@ -111,6 +119,7 @@
     auto carrier = chooseCarrier(member);
     auto order = run->order;
     order.atLeast = run->need;
+    order.objective -= getWayBack(carrier);
     if (order.kind == OrderKind::Single && run->needsLeader && !order.statement.isWrite)
         order.kind = OrderKind::ProvenSingle;
     std::optional<TransactionHandle> transaction;
--- a/src/gateway/runner.h
+++ b/src/gateway/runner.h
@@ -62,6 +62,7 @@
         TimePoint notBefore;
     };
 
+    TimePoint::duration getWayBack(const std::string& carrier) const;
     void attempt(const std::shared_ptr<Run>& run, RunDone done);
     std::optional<TargetAddress> chooseMember(const Run& run) const;
     decisions::Candidate makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_pool.h"
 #include "base/families.h"
+#include "decisions/turns.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
@@ -15,12 +16,10 @@
 static constexpr milliseconds kBrokenPause { 100 }; // after a connection could not be had
 static constexpr milliseconds kKeepAliveAfter { 1000 }; // an idle connection that was quiet for this long is asked something
 static constexpr milliseconds kSilentLimit { 300 }; // for questions that need no work at the target
-static constexpr double kWorthSending = 1.5; // of a statement's usual time must be left when it is sent: else it uses a slot for nothing
 static constexpr double kWorkSmoothing = 0.1; // weight of the newest statement in the running mean
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
 static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
 static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
-static constexpr double kFeasible = 2; // of a statement's usual time must be left to its objective: else it goes behind those that can meet theirs
 static constexpr double kStalledTimes = 8; // of the usual time: a statement's answer may be lost; the slowest usual ones take five times
 static constexpr milliseconds kStalledLeast { 150 }; // below this a hiccup of the network would count
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
@@ -39,26 +38,17 @@
     return { static_cast<unsigned>(m_waiting.size()), countRunning(), m_workMs };
 }
 
-// Statements of open transactions go first: each holds a connection that others wait for. Then the caller's priority,
-// then whoever's objective ends first. Those that cannot meet theirs any more go last: before others, they would make these miss theirs too.
-static bool isBefore(const Order& a, const Order& b, TimePoint now, double workMs)
+static decisions::Turn getTurn(const Order& order)
 {
-    auto soonest = now + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(kFeasible * workMs));
-    auto rank = [soonest](const Order& it) {
-        return std::tuple(it.kind != OrderKind::Continue, it.objective < soonest, it.priority, it.objective);
-    };
-    return rank(a) < rank(b);
+    return { order.kind == OrderKind::Continue, order.priority, order.objective, order.deadline };
 }
 
 // A statement whose turn cannot come before its deadline is refused now: its caller can ask elsewhere or again while that is of use.
 bool TargetPool::isAdmitted(const Order& order, TimePoint now) const
 {
-    if (order.kind == OrderKind::Continue)
-        return true;
-    auto ahead = std::ranges::count_if(m_waiting, [&](const JobPtr& it) { return isBefore(it->order, order, now, m_workMs); });
-    auto wait = static_cast<double>(ahead) * m_workMs / std::max(1U, m_limits.running);
-    std::chrono::duration<double, std::milli> toDeadline = order.deadline - now;
-    return wait <= toDeadline.count() - kWorthSending * m_workMs;
+    auto turn = getTurn(order);
+    auto ahead = std::ranges::count_if(m_waiting, [&](const JobPtr& it) { return decisions::goesBefore(getTurn(it->order), turn, now, m_workMs); });
+    return decisions::comesInTime(turn, static_cast<size_t>(ahead), m_limits.running, now, m_workMs);
 }
 
 void TargetPool::submit(Order order, OrderDone done)
@@ -105,7 +95,7 @@
 {
     auto best = m_waiting.end();
     for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        if (isRunnable(**it, now) && (best == m_waiting.end() || isBefore((*it)->order, (*best)->order, now, m_workMs)))
+        if (isRunnable(**it, now) && (best == m_waiting.end() || decisions::goesBefore(getTurn((*it)->order), getTurn((*best)->order), now, m_workMs)))
             best = it;
     }
     if (best == m_waiting.end())
@@ -123,8 +113,7 @@
         auto job = popNext(now);
         if (!job)
             break;
-        std::chrono::duration<double, std::milli> left = job->order.deadline - now;
-        if (left.count() < kWorthSending * m_workMs && job->order.statement.kind != StatementKind::Commit) {
+        if (!decisions::isWorthSending(getTurn(job->order), now, m_workMs) && job->order.statement.kind != StatementKind::Commit) {
             finish(job, decisions::makeFailure(ErrorKind::Overloaded, "its turn came too late to be answered in time"));
             continue;
         }
@@ -174,7 +163,9 @@
             if (outcome.error) {
                 bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
                 self->m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
-                if (!isRefused)
+                if (isRefused)
+                    self->m_observer.onRefused(self->m_target, self->m_sessions.size(), outcome.error->message);
+                else
                     self->m_observer.onTrouble(self->m_target, outcome.error->message);
                 // Without any connection nobody can be served: say so at once, they may try elsewhere.
                 if (self->m_sessions.empty()) {
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -43,6 +43,8 @@
     // A connection could not be opened, or one that was asked broke or fell silent.
     std::function<void(const TargetAddress&, const std::string& reason)> onTrouble;
     std::function<void(const TargetAddress&)> onAnswer;
+    // A target took no further connection while this host has `open`.
+    std::function<void(const TargetAddress&, size_t open, const std::string& reason)> onRefused;
 };
 
 struct PoolLimits {
--- /dev/null
+++ b/tests/unit/turns_test.cpp
@@ -0,0 +1,107 @@
+// Whose turn it is before a busy member: the rules, and what they make of an overload that lasts, played in virtual time.
+#include "decisions/turns.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <vector>
+
+using namespace alderward;
+using namespace alderward::decisions;
+using base::milliseconds;
+using base::TimePoint;
+
+namespace {
+
+TimePoint at(double ms) { return TimePoint(std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(1e6 + ms))); }
+
+struct Overload {
+    double workMs { 15 };
+    unsigned slots { 3 };
+    double load { 1.3 }; // arrivals as a multiple of what the member can run
+    double objectiveMs { 500 };
+    double deadlineMs { 800 };
+};
+
+struct Served {
+    unsigned inTime { 0 };
+    unsigned late { 0 };
+    unsigned refused { 0 };
+    double possible { 0 }; // what the member can run in that time
+};
+
+// Plays 20 seconds: exponential gaps and times, each slot takes the next turn when it is free.
+Served play(const Overload& overload)
+{
+    std::mt19937 random(7); // fixed, so that the verdict is
+    std::exponential_distribution<double> gap(overload.load * overload.slots / overload.workMs);
+    std::exponential_distribution<double> work(1 / overload.workMs);
+    constexpr double kEndMs = 20000;
+    Served served;
+    served.possible = kEndMs * overload.slots / overload.workMs;
+    std::vector<double> freeAt(overload.slots, 0);
+    std::vector<Turn> waiting;
+    double arrival = gap(random);
+    for (double now = 0; now < kEndMs;) {
+        auto slot = std::ranges::min_element(freeAt);
+        if (arrival <= *slot || waiting.empty()) {
+            now = arrival;
+            waiting.push_back({ false, 0, at(now + overload.objectiveMs), at(now + overload.deadlineMs) });
+            arrival += gap(random);
+            continue;
+        }
+        now = std::max(now, *slot);
+        auto next = std::ranges::min_element(waiting, [&](const Turn& a, const Turn& b) { return goesBefore(a, b, at(now), overload.workMs); });
+        auto turn = *next;
+        waiting.erase(next);
+        if (!isWorthSending(turn, at(now), overload.workMs)) {
+            ++served.refused;
+            continue;
+        }
+        *slot = now + work(random);
+        ++(at(*slot) <= turn.objective ? served.inTime : served.late);
+    }
+    return served;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(turns)
+
+BOOST_AUTO_TEST_CASE(continuations_then_those_in_time_then_priority_then_the_soonest)
+{
+    auto now = at(0);
+    Turn soon { false, 1, at(100), at(1000) };
+    Turn later { false, 1, at(200), at(1000) };
+    Turn urgent { false, 0, at(300), at(1000) };
+    Turn missed { false, 0, at(10), at(1000) };
+    Turn continuation { true, 5, at(10), at(1000) };
+    BOOST_TEST(goesBefore(soon, later, now, 10));
+    BOOST_TEST(goesBefore(urgent, soon, now, 10));
+    BOOST_TEST(goesBefore(later, missed, now, 10));
+    BOOST_TEST(goesBefore(continuation, urgent, now, 10));
+    BOOST_TEST(!goesBefore(soon, soon, now, 10));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_answered_in_time_is_refused_at_once)
+{
+    Turn turn { false, 0, at(500), at(1000) };
+    BOOST_TEST(comesInTime(turn, 100, 3, at(0), 15)); // 500 ms of waiting
+    BOOST_TEST(!comesInTime(turn, 200, 3, at(0), 15)); // 1000 ms
+    turn.isContinuation = true;
+    BOOST_TEST(comesInTime(turn, 200, 3, at(0), 15));
+    BOOST_TEST(isWorthSending(turn, at(900), 15));
+    BOOST_TEST(!isWorthSending(turn, at(990), 15));
+}
+
+// Statements are not all served just too late: most of what the member can run meets its objective.
+BOOST_AUTO_TEST_CASE(a_lasting_overload_is_answered_in_time_for_most_that_the_member_can_run)
+{
+    for (double load : { 1.15, 1.3, 2.0 }) {
+        auto served = play({ .load = load });
+        BOOST_TEST_CONTEXT("load " << load << ": " << served.inTime << " in time, " << served.late << " late, " << served.refused << " refused of " << served.possible)
+        BOOST_TEST(served.inTime > 0.85 * served.possible);
+    }
+    BOOST_TEST(play({ .load = 0.7 }).late < 0.01 * play({ .load = 0.7 }).possible);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
