A starting host reads the list of hosts before that of members

Cause: between reading members and reading hosts a starting host knew no other host and took itself for the carrier of every member. After a restart of all hosts each connected to every primary: members refused 269 to 303 connections, among them those of the hosts that carry, which then waited 300 ms (event connection-refused: 28 hosts a primary within 0.2 s). Change: hosts first. Test: platform/a_starting_host_connects_to_no_member_that_another_host_carries_to (seen to fail first).

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -133,8 +133,9 @@
     m_listed.clear();
     std::optional<uint64_t> least;
     std::vector<std::string> prefixes;
-    prefixes.push_back(m_platform.getMembersPrefix());
+    // Hosts before members: whoever knows members and no other host takes itself for the one that carries to all of them.
     prefixes.emplace_back(kOwnPrefix);
+    prefixes.push_back(m_platform.getMembersPrefix());
     for (auto& prefix : prefixes) {
         auto revision = co_await readPrefix(prefix);
         if (!revision)
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -152,6 +152,22 @@
         BOOST_TEST(meanwhile.ask("WRITE x " + std::to_string(i)).isOk());
 }
 
+// Found at the bench: after a restart of all hosts each took itself for the only one until it had read the list of hosts, and
+// connected to every primary. The members refused what the hosts that carry needed.
+BOOST_AUTO_TEST_CASE(a_starting_host_connects_to_no_member_that_another_host_carries_to)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    auto carrier = rig.call([&] { return rig.getGroup().getPrimary(); });
+    BOOST_REQUIRE(carrier == "g0-a"); // in the data centre of the first host
+    rig.getHost(1).kill();
+    rig.call([&] { rig.getStore().faults.delay = milliseconds(150); });
+    rig.beginHost(1);
+    BOOST_REQUIRE(rig.waitReady(1));
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_TEST(rig.getMetrics(1).find("alderward_connections_opened_total{member=\"g0-a\"") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing_and_gives_transactions_half_of_the_time)
 {
     GatewayRig rig;
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -227,6 +227,8 @@
         auto answer = promote(request);
         co_return faults.losesPromotions ? dropped : answer;
     }
+    if (faults.delay.count() > 0)
+        co_await alderward::base::sleepFor(faults.delay);
     if (faults.isSilent)
         co_return dropped;
     if (faults.status != 0)
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -12,6 +12,7 @@
 struct StoreFaults {
     unsigned status { 0 }; // every call gets this one instead of an answer; 0: none
     bool isSilent { false }; // no call is answered
+    milliseconds delay { 0 }; // each call is answered this much later
     int lostAnswers { 0 }; // so many of the next changes are made and not answered
     bool silentWatches { false }; // watches that wait are never answered
     std::set<std::string> refusedKeys {}; // reads of these keys get 503
