The gateway checks rules of its own: connections, values, tokens

Checked now: a connection is given to one holder only, a statement runs in its own transaction and with its session's values, tokens for promotions rise. A broken one is counted (alderward_invariant_violations_total), logged (invariant-broken) and ends builds for tests, through checkInvariant(), which the HTTP carrier uses already.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -32,6 +32,7 @@
     FamilyRow { Family::ConfigurationVersion, "alderward_configuration_version", FamilyType::Gauge, "", "version in force" },
     FamilyRow { Family::Sessions, "alderward_sessions", FamilyType::Gauge, "", "callers' sessions" },
     FamilyRow { Family::Ready, "alderward_ready", FamilyType::Gauge, "", "1 if this host takes callers" },
+    FamilyRow { Family::InvariantViolations, "alderward_invariant_violations_total", FamilyType::Counter, "", "rules of the program itself that were found broken; any is a bug (event invariant-broken)" },
     FamilyRow { Family::LogLines, "alderward_log_lines", FamilyType::Gauge, "result", "log lines since the start, written and left out" },
     FamilyRow { Family::ResidentBytes, "process_resident_memory_bytes", FamilyType::Gauge, "", "resident memory" },
     FamilyRow { Family::CpuSeconds, "process_cpu_seconds", FamilyType::Gauge, "", "processor time since the start" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -33,6 +33,7 @@
     ConfigurationVersion,
     Sessions,
     Ready,
+    InvariantViolations,
     LogLines,
     ResidentBytes,
     CpuSeconds,
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -1,4 +1,5 @@
 #include "base/metrics.h"
+#include "base/event_log.h"
 #include "base/timeline.h"
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
@@ -78,6 +79,7 @@
         return;
     count(Counter::InvariantViolations);
     getTimeline().add("invariant-violated", group, what);
+    logEvent(LogClass::State, "invariant-broken", { { "group", std::string_view(group) }, { "what", std::string_view(what) } });
 #ifdef ALDERWARD_ABORT_ON_VIOLATION
     std::abort();
 #endif
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 #include "base/event_log.h"
 #include "base/families.h"
+#include "base/metrics.h"
 #include "base/random.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -99,6 +100,7 @@
     base::setTo(Family::ConfigurationVersion, {}, static_cast<double>(m_world.configuration.version));
     base::setTo(Family::Sessions, {}, static_cast<double>(m_sessions.size()));
     base::setTo(Family::Ready, {}, isReady() ? 1 : 0);
+    base::setTo(Family::InvariantViolations, {}, static_cast<double>(base::getCount(base::Counter::InvariantViolations)));
     auto lines = base::getLogCounts();
     base::setTo(Family::LogLines, { { "result", "written" } }, static_cast<double>(lines.written));
     base::setTo(Family::LogLines, { { "result", "left-out" } }, static_cast<double>(lines.leftOut));
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/promoter.h"
 #include "base/event_log.h"
 #include "base/families.h"
+#include "base/metrics.h"
 #include "gateway/directory.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -392,6 +393,8 @@
     if (!token)
         co_return false;
     ++state.decisions;
+    base::checkInvariant(*token > state.lastToken, "a token for a promotion was not above the one before", group);
+    state.lastToken = *token;
     for (int i = 0; i < kOrderTries; ++i) {
         auto askedAt = Clock::now();
         // A named value: g++ 12 destroys aggregates that are made within a co_await expression twice.
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -44,7 +44,8 @@
         uint64_t revision { 0 }; // of the record in the store; 0: there is none
         bool isWriting { false };
         bool isWorking { false }; // a change of primary is under way here
-        uint64_t decisions { 0 }; // tokens of ours that were used
+        uint64_t decisions { 0 }; // tokens of ours that were used since the succession changed
+        uint64_t lastToken { 0 }; // that this process used for the group
         TimePoint alarmedAt {}; // zero: no alarm stands
         TimePoint startedAt {}; // when this host began to look at the group
         TimePoint notBefore {};
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_pool.h"
 #include "base/families.h"
+#include "base/metrics.h"
 #include "decisions/turns.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -188,6 +189,8 @@
 {
     job->startedAt = Clock::now();
     base::observe(base::Family::QueueSeconds, { { "member", m_target.member } }, std::chrono::duration<double>(job->startedAt - job->submittedAt).count());
+    bool isOwn = job->order.kind == OrderKind::Continue;
+    base::checkInvariant(!session->isBusy && (session->transaction != 0) == isOwn, "a connection was given away that somebody else holds", m_target.member);
     session->isBusy = true;
     m_running.emplace_back(job, session);
     prepareSession(*job, session);
@@ -249,6 +252,8 @@
 void TargetPool::runStatement(const JobPtr& job, const SessionPtr& session)
 {
     auto& order = job->order;
+    base::checkInvariant(session->transaction == order.transaction || order.kind == OrderKind::Single || order.kind == OrderKind::ProvenSingle, "a statement was about to run in another transaction than its own", m_target.member);
+    base::checkInvariant(session->state.values == order.values, "a statement was about to run with values that are not its session's", m_target.member);
     auto atLeast = order.kind == OrderKind::Single ? order.atLeast : Mark {};
     auto bytes = m_codec.formatStatement(order.statement, atLeast, order.shape ? decisions::nameShape(*order.shape) : "");
     auto sentAt = Clock::now();
