--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -24,7 +24,8 @@
     static std::atomic<int> number { 0 };
     m_folder = fmt::format("{}/alderward-rig-{}-{}", std::filesystem::temp_directory_path().string(), getpid(), ++number);
     std::filesystem::create_directories(m_folder);
-    m_ports = findPorts(1 + 3 * m_shape.groups + 4 * m_shape.hosts);
+    auto own = 1 + 3 * m_shape.groups + 4 * m_shape.hosts;
+    m_ports = findPorts(own + (m_shape.hasProxies ? 3 * m_shape.groups + 3 * m_shape.hosts : 0));
     size_t next = 1;
     std::vector<standins::LineGroup*> groups;
     for (unsigned i = 0; i < m_shape.groups; ++i) {
@@ -36,11 +37,43 @@
     }
     m_store = std::make_unique<standins::KvStore>(m_context, m_ports[0], groups);
     m_hosts.resize(m_shape.hosts);
+    for (unsigned i = 0; i < m_shape.hosts; ++i) {
+        m_storeAddresses.push_back(m_store->getAddress());
+        m_callerAddresses.push_back(getHostAddress(i, 0));
+    }
+    if (m_shape.hasProxies)
+        addProxies(own);
     m_thread = std::thread([this] { m_context.run(); });
     call([&] { m_store->listMembers(); });
     configure(1);
 }
 
+std::string GatewayRig::addProxy(unsigned short port, const std::string& address)
+{
+    m_proxies.push_back(std::make_unique<standins::FaultProxy>(m_context, port, address));
+    return m_proxies.back()->getAddress();
+}
+
+void GatewayRig::addProxies(size_t firstPort)
+{
+    auto port = firstPort;
+    for (unsigned i = 0; i < m_shape.hosts; ++i) {
+        m_storeAddresses[i] = addProxy(m_ports[port++], m_store->getAddress());
+        m_callerAddresses[i] = addProxy(m_ports[port++], getHostAddress(i, 0));
+        m_store->advertised[getHostAddress(i, 1)] = addProxy(m_ports[port++], getHostAddress(i, 1));
+    }
+    for (auto& group : m_groups) {
+        for (auto& id : group->getIds())
+            m_store->advertised[group->getAddress(id)] = addProxy(m_ports[port++], group->getAddress(id));
+    }
+}
+
+// Services: 0 callers, 1 other hosts, 2 readiness, 3 metrics.
+std::string GatewayRig::getHostAddress(unsigned index, unsigned service) const
+{
+    return fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index + service]);
+}
+
 GatewayRig::~GatewayRig()
 {
     m_hosts.clear();
@@ -78,28 +111,27 @@
 
 std::string GatewayRig::getCallerAddress(unsigned index) const
 {
-    return fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index]);
+    return m_callerAddresses.at(index);
 }
 
 void GatewayRig::beginHost(unsigned index)
 {
-    auto base = 1 + 3 * m_shape.groups + 4 * index;
     std::ofstream file(getSettingsPath(index));
-    file << fmt::format("[gateway]\nname = h{}\ndata_centre = dc-{}\ncaller_address = 127.0.0.1:{}\npeer_address = 127.0.0.1:{}\nready_address = 127.0.0.1:{}\nmetrics_address = 127.0.0.1:{}\n", index, static_cast<char>('a' + index % 3), m_ports[base], m_ports[base + 1], m_ports[base + 2], m_ports[base + 3]);
-    file << fmt::format("[platform]\nstore_address = {}\norders_address = {}\n[stop]\ngrace_ms = {}\n[log]\nlines_per_second = 10000\n{}", m_store->getAddress(), m_store->getAddress(), m_shape.graceMs, m_shape.extraSettings);
+    file << fmt::format("[gateway]\nname = h{}\ndata_centre = dc-{}\ncaller_address = {}\npeer_address = {}\nready_address = {}\nmetrics_address = {}\n", index, static_cast<char>('a' + index % 3), getHostAddress(index, 0), getHostAddress(index, 1), getHostAddress(index, 2), getHostAddress(index, 3));
+    file << fmt::format("[platform]\nstore_address = {}\norders_address = {}\n[stop]\ngrace_ms = {}\n[log]\nlines_per_second = 10000\n{}", m_storeAddresses[index], m_storeAddresses[index], m_shape.graceMs, m_shape.extraSettings);
     file.close();
     m_hosts[index] = std::make_unique<Process>(std::vector<std::string> { getDaemon(), "--settings", getSettingsPath(index) }, getLogPath(index));
 }
 
 bool GatewayRig::isReady(unsigned index)
 {
-    Client client(fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index + 2]));
+    Client client(getHostAddress(index, 2));
     return client.get("/-/readiness", milliseconds(500)).status == 200;
 }
 
 std::string GatewayRig::getMetrics(unsigned index) const
 {
-    Client client(fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_shape.groups + 4 * index + 3]));
+    Client client(getHostAddress(index, 3));
     return client.getText("/metrics");
 }
 
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -1,6 +1,7 @@
 // Gateways as separate processes against stand-ins of the users' platform that run in a thread of the test.
 #pragma once
 #include "harness/harness.h"
+#include "standins/fault_proxy.h"
 #include "standins/kv_store.h"
 #include "standins/line_group.h"
 #include <boost/asio/executor_work_guard.hpp>
@@ -17,6 +18,7 @@
     unsigned connections { 24 }; // of a member
     int graceMs { 4000 };
     std::string extraSettings {}; // lines of INI
+    bool hasProxies { false }; // all connections pass through one that can harm them
 };
 
 class GatewayRig {
@@ -49,10 +51,16 @@
     }
     standins::LineGroup& getGroup(unsigned index = 0) { return *m_groups.at(index); }
     standins::KvStore& getStore() { return *m_store; }
+    // Before callers' addresses, each host's address for other hosts, its way to the store, and members; empty without proxies.
+    const std::vector<std::unique_ptr<standins::FaultProxy>>& getProxies() const { return m_proxies; }
     // Writes a configuration; databases db0-primary, db0-bounded, db0-own and so on for each group.
     void configure(uint64_t version, int timeoutMs = 1500, const std::string& extraDatabase = {});
 
 private:
+    std::string getHostAddress(unsigned index, unsigned service) const;
+    std::string addProxy(unsigned short port, const std::string& address);
+    void addProxies(size_t firstPort);
+
     RigShape m_shape;
     std::string m_folder;
     boost::asio::io_context m_context { 1 };
@@ -60,6 +68,9 @@
     std::vector<unsigned short> m_ports;
     std::vector<std::unique_ptr<standins::LineGroup>> m_groups;
     std::unique_ptr<standins::KvStore> m_store;
+    std::vector<std::unique_ptr<standins::FaultProxy>> m_proxies;
+    std::vector<std::string> m_storeAddresses; // by host
+    std::vector<std::string> m_callerAddresses; // by host
     std::vector<std::unique_ptr<Process>> m_hosts;
     std::thread m_thread;
 };
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -71,6 +71,10 @@
 {
     auto& item = m_items[key];
     item.value = value;
+    for (auto& [from, to] : advertised) {
+        if (auto at = item.value.find('"' + from + '"'); at != std::string::npos)
+            item.value.replace(at + 1, from.size(), to);
+    }
     item.lease = lease;
     item.revision = ++m_revision;
     if (item.created == 0)
@@ -98,6 +102,9 @@
     for (auto* group : m_groups) {
         for (auto& id : group->getIds()) {
             json::object entry { { "Service", group->getName() }, { "Address", group->getAddress(id) }, { "Zone", "dc-" + id.substr(id.size() - 1) }, { "Version", "v1" }, { "Slots", 4 }, { "State", m_leaving.contains(id) ? "draining" : "ready" }, { "ColdLeftMs", 0 }, { "DbRole", group->getPrimary() == id ? "primary" : "replica" }, { "Sequence", 1 } };
+            auto address = advertised.find(group->getAddress(id));
+            if (address != advertised.end())
+                entry["Address"] = address->second;
             auto value = json::serialize(entry);
             auto it = m_items.find("servers/" + id);
             if (it == m_items.end() || it->second.value != value)
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -33,6 +33,7 @@
 
     std::string getAddress() const { return m_address; }
     StoreFaults faults {};
+    std::map<std::string, std::string> advertised {}; // addresses in values and what stands in their place: proxies before them
     void put(const std::string& key, const std::string& value, uint64_t lease = 0);
     void remove(const std::string& key);
     bool has(const std::string& key) const { return m_items.contains(key); }
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -454,6 +454,14 @@
     return true;
 }
 
+// Bound and not listening: connections are refused, and nobody else gets the port meanwhile.
+static void bindPort(asio::io_context& context, Member& member)
+{
+    member.acceptor = std::make_unique<tcp::acceptor>(context, tcp::v4());
+    member.acceptor->set_option(tcp::acceptor::reuse_address(true));
+    member.acceptor->bind({ asio::ip::address_v4::loopback(), member.port });
+}
+
 void LineGroup::kill(const std::string& id)
 {
     auto& member = m_impl->members.at(id);
@@ -461,7 +469,7 @@
     if (member.acceptor) {
         boost::system::error_code ec;
         member.acceptor->close(ec);
-        member.acceptor.reset();
+        bindPort(m_impl->context, member);
     }
     auto connections = member.connections;
     for (auto& it : connections)
@@ -471,8 +479,11 @@
 void LineGroup::begin(const std::string& id)
 {
     auto& member = m_impl->members.at(id);
-    tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), member.port);
-    member.acceptor = std::make_unique<tcp::acceptor>(m_impl->context, endpoint);
+    if (member.isRunning)
+        return;
+    if (!member.acceptor)
+        bindPort(m_impl->context, member);
+    member.acceptor->listen();
     member.isRunning = true;
     member.received = member.applied = std::min(member.applied, m_impl->log.size());
     m_impl->accept(member);
