Successions are looked at ten times a second, and only by the host that may write them

Change: a host that is not first in a group's order makes no list; the look is due each 100 ms; links are copied as pointers.

--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -548,8 +548,11 @@
 
 void Peers::sweep(TimePoint now)
 {
-    auto links = m_links;
-    for (auto& [name, link] : links) {
+    std::vector<LinkPtr> links; // callbacks may change the map
+    for (auto& [name, link] : m_links)
+        links.push_back(link);
+    for (auto& link : links) {
+        auto& name = link->host.name;
         if (!link->channel) {
             if (!link->isPartner && now - link->usedAt > kUnusedFor)
                 m_links.erase(name);
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -20,6 +20,7 @@
 using decisions::MemberFinding;
 using links::PromotionResult;
 
+static constexpr milliseconds kCheckInterval { 100 }; // between two looks at a succession; hosts come and go more seldom
 static constexpr milliseconds kStoreLimit { 600 }; // a change of the succession that takes longer is tried again
 static constexpr milliseconds kOrderLimit { 800 }; // an order is answered within tens of ms; without an answer the member itself is asked
 static constexpr milliseconds kRetryPause { 150 }; // between orders of one decision
@@ -32,12 +33,24 @@
 static constexpr size_t kWitnesses = 6; // besides this host: a primary that is cut off from two thirds of the hosts is taken for dead once in twenty times
 static constexpr int kOrderTries = 8; // of one decision while no clear answer comes
 
+bool Promoter::isLive(const std::string& host) const
+{
+    return host == m_context.self.host || (m_context.peers.isUp(host) && !m_context.peers.isLeaving(host));
+}
+
+// Whether this host is the first of those that live in the group's order.
+bool Promoter::isFirst(const std::string& group) const
+{
+    auto& ranked = getRankedHosts(m_context.world, group);
+    auto first = std::ranges::find_if(ranked, [this](const std::string& host) { return isLive(host); });
+    return first != ranked.end() && *first == m_context.self.host;
+}
+
 std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
 {
     std::vector<decisions::RankedHost> ranked;
     for (auto& name : getRankedHosts(m_context.world, group)) {
-        bool isUp = name == m_context.self.host || (m_context.peers.isUp(name) && !m_context.peers.isLeaving(name));
-        if (!isUp)
+        if (!isLive(name))
             continue;
         auto& host = m_context.world.hosts.at(name);
         ranked.push_back({ { name, host.incarnation }, host.dataCentre });
@@ -151,13 +164,16 @@
 
 void Promoter::keepSuccession(const std::string& group, State& state, TimePoint now)
 {
-    if (state.isWriting || state.isWorking || m_context.isDraining || now - state.startedAt < kStoreLimit)
+    if (state.isWriting || state.isWorking || m_context.isDraining || now - state.startedAt < kStoreLimit || now - state.checkedAt < kCheckInterval)
+        return;
+    state.checkedAt = now;
+    if (!isFirst(group))
         return;
     auto ranked = rankLive(group);
     std::vector<decisions::Orderer> live;
     for (auto& it : ranked)
         live.push_back(it.orderer);
-    if (!decisions::isSuccessionDue(state.succession, live) || live.empty() || live.front() != m_context.self)
+    if (!decisions::isSuccessionDue(state.succession, live))
         return;
     state.isWriting = true;
     asio::co_spawn(m_context.context, writeSuccession(group, decisions::makeSuccession(state.succession, ranked), state.revision), asio::detached);
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -48,11 +48,14 @@
         uint64_t lastToken { 0 }; // that this process used for the group
         TimePoint alarmedAt {}; // zero: no alarm stands
         TimePoint startedAt {}; // when this host began to look at the group
+        TimePoint checkedAt {}; // when it last looked whether the succession is due
         TimePoint notBefore {};
         TimePoint leaderlessSince {};
         std::string alarm {};
     };
 
+    bool isLive(const std::string& host) const;
+    bool isFirst(const std::string& group) const;
     std::vector<decisions::RankedHost> rankLive(const std::string& group) const;
     bool isInCharge(const State& state) const;
     bool mustHandOver(const GroupBelief& belief) const;
