One latch for waiting on several answers; names for the promoter's figures

A replica's belief is passed to the question about it by value: the member could be forgotten before the coroutine began. No change of behaviour.

--- /dev/null
+++ b/src/base/latch.cpp
@@ -0,0 +1,39 @@
+#include "base/latch.h"
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace alderward::base {
+
+Latch::Latch(boost::asio::any_io_executor executor, size_t count)
+    : m_timer(std::move(executor))
+    , m_count(count)
+{
+}
+
+void Latch::countDown()
+{
+    if (m_count > 0 && --m_count == 0)
+        m_timer.cancel();
+}
+
+void Latch::open()
+{
+    m_count = 0;
+    m_timer.cancel();
+}
+
+boost::asio::awaitable<void> Latch::wait()
+{
+    return waitFor(std::chrono::duration_cast<milliseconds>(std::chrono::hours(1))); // nothing that is waited for takes that long
+}
+
+boost::asio::awaitable<void> Latch::waitFor(milliseconds limit)
+{
+    if (m_count == 0)
+        co_return;
+    m_timer.expires_after(limit);
+    boost::system::error_code ec; // cancelled: open
+    co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+}
+
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,7 @@
 static constexpr milliseconds kUnlistedFor { 4000 }; // an unlisted member is forgotten then; entries that lapsed are back before
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
+static constexpr milliseconds kLastAnswers { 50 }; // for bytes that wait in sockets before the process ends
 static constexpr milliseconds kNewsFor { 1000 }; // a proof of ours is told to others this long
 static constexpr milliseconds kProofMissed { 1000 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, floors each 500
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
@@ -39,9 +40,7 @@
     , m_peers(context, m_settings.name, makePeerService())
     , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); } })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
-    , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) {
-            if (auto it = m_pools.find(member); it != m_pools.end())
-                it->second->holdWrites(Clock::now() + time); }, m_isDraining })
+    , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
 {
@@ -226,6 +225,12 @@
     }
 }
 
+void Gateway::holdWrites(const std::string& member, milliseconds time)
+{
+    if (auto it = m_pools.find(member); it != m_pools.end())
+        it->second->holdWrites(Clock::now() + time);
+}
+
 void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
 {
     auto& current = m_world.groups[group].lead;
@@ -293,10 +298,7 @@
         if (m_world.groups[group].lead.member == member || member.empty())
             m_promoter.raiseAlarm(group, reason);
     };
-    service.onHoldWrites = [this](const std::string&, const std::string& member, milliseconds time) {
-        if (auto it = m_pools.find(member); it != m_pools.end())
-            it->second->holdWrites(Clock::now() + time);
-    };
+    service.onHoldWrites = [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); };
     service.onLead = [this](const std::string& group, const std::string& member, uint64_t term) {
         if (!m_world.members.contains(member))
             return;
@@ -567,7 +569,7 @@
     auto cut = static_cast<int64_t>(m_sessions.size());
     m_peers.stop();
     co_await m_directory.end();
-    co_await base::sleepFor(milliseconds(50)); // the last answers leave
+    co_await base::sleepFor(kLastAnswers);
     base::logEvent(LogClass::State, "stop", { { "sessions_cut", cut } });
     base::flushEventLog();
     m_context.stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,6 +33,7 @@
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
     void inquire(const TargetAddress& target, std::function<void(const Finding&)> done);
+    void holdWrites(const std::string& member, milliseconds time);
     void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -1,14 +1,12 @@
 #include "gateway/promoter.h"
 #include "base/event_log.h"
 #include "base/families.h"
+#include "base/latch.h"
 #include "base/metrics.h"
 #include "gateway/directory.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <set>
 
@@ -26,11 +24,15 @@
 static constexpr milliseconds kRetryPause { 150 }; // between orders of one decision
 static constexpr milliseconds kPauseAfter { 400 }; // after an attempt that ended, good or bad, or a primary that was found alive
 static constexpr milliseconds kCatchUpLimit { 800 }; // a planned change waits this long for a replica
+static constexpr milliseconds kHeardAfter { 60 }; // until all hosts have heard that writes wait, and what they had sent has run: one way is 20 ms at most on the sites that were seen
+static constexpr milliseconds kCatchUpPause { 30 }; // between two looks at the replicas, which are 50 ms behind in calm
 static constexpr milliseconds kHoldTime { 1800 }; // writes wait this long at most in a planned change
 static constexpr milliseconds kLeaderlessLimit { 600 }; // without a known primary for this long, one is looked for
 static constexpr milliseconds kListedAgainLimit { 2500 }; // entries that lapsed with the store are back by then
 static constexpr milliseconds kDeputyPause { 300 }; // each deputy waits this much longer than the one before
 static constexpr size_t kWitnesses = 6; // besides this host: a primary that is cut off from two thirds of the hosts is taken for dead once in twenty times
+static constexpr milliseconds kAnswerLimit { 1000 }; // an inquiry ends by itself before; this bounds a host that freezes
+static constexpr size_t kFarWitnesses = 2; // of other data centres, asked about replicas too
 static constexpr int kOrderTries = 8; // of one decision while no clear answer comes
 
 bool Promoter::isLive(const std::string& host) const
@@ -198,27 +200,32 @@
     state.isWriting = false;
 }
 
+// What one host found out about one member.
+struct Answer {
+    explicit Answer(asio::any_io_executor executor)
+        : latch(std::move(executor), 1)
+    {
+    }
+    base::Latch latch;
+    Finding finding {};
+};
+
 asio::awaitable<Finding> Promoter::ask(std::string host, TargetAddress target)
 {
-    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
-    auto result = std::make_shared<std::optional<Finding>>();
-    auto done = [timer, result](const Finding& finding) {
-        *result = finding;
-        timer->cancel();
+    auto answer = std::make_shared<Answer>(m_context.context.get_executor());
+    auto done = [answer](const Finding& finding) {
+        answer->finding = finding;
+        answer->latch.countDown();
     };
     if (host == m_context.self.host)
         m_context.inquire(target, done);
     else
         m_context.peers.inquire(host, target, done);
-    if (!*result) {
-        timer->expires_after(milliseconds(1000)); // an inquiry ends by itself before; this bounds a host that freezes
-        boost::system::error_code ec;
-        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-    co_return result->value_or(Finding {});
+    co_await answer->latch.waitFor(kAnswerLimit);
+    co_return answer->finding;
 }
 
-// Up to two hosts besides this one, of other data centres if there are any.
+// A few hosts besides this one, of other data centres if there are any.
 std::vector<std::string> Promoter::chooseWitnesses() const
 {
     std::vector<std::string> witnesses;
@@ -231,7 +238,7 @@
         for (auto& name : up) {
             auto host = m_context.world.hosts.find(name);
             bool isIn = std::ranges::find(witnesses, name) != witnesses.end();
-            if (host == m_context.world.hosts.end() || isIn || witnesses.size() >= 2)
+            if (host == m_context.world.hosts.end() || isIn || witnesses.size() >= kFarWitnesses)
                 continue;
             if (!anyDataCentre && used.contains(host->second.dataCentre))
                 continue;
@@ -242,6 +249,29 @@
     return witnesses;
 }
 
+// What witnesses found out about a primary; open as soon as one reached it.
+struct Promoter::Examination {
+    Examination(asio::any_io_executor executor, size_t witnesses)
+        : latch(std::move(executor), witnesses)
+    {
+    }
+    base::Latch latch;
+    std::string reachedBy {};
+    std::string deniedBy {}; // it answered there that it does not lead
+};
+
+asio::awaitable<void> Promoter::examine(std::string witness, TargetAddress leader, std::shared_ptr<Examination> examination)
+{
+    auto finding = co_await ask(witness, leader);
+    bool isDenied = finding.status.term != 0 && !finding.status.isPrimary;
+    if (finding.wasReached)
+        (isDenied ? examination->deniedBy : examination->reachedBy) = witness;
+    if (finding.wasReached && !isDenied)
+        examination->latch.open();
+    else
+        examination->latch.countDown();
+}
+
 // Dead is what nobody reaches: a primary that only some hosts cannot reach still serves through the others.
 asio::awaitable<bool> Promoter::isDead(std::string group, TargetAddress leader)
 {
@@ -255,31 +285,18 @@
             witnesses.push_back(name);
     }
     witnesses.push_back(m_context.self.host);
-    auto pending = std::make_shared<size_t>(witnesses.size());
-    auto reachedBy = std::make_shared<std::string>();
-    auto deniedBy = std::make_shared<std::string>();
-    auto timer = std::make_shared<asio::steady_timer>(m_context.context, asio::steady_timer::time_point::max());
-    for (auto& name : witnesses) {
-        asio::co_spawn(
-            m_context.context, [this, name, leader, pending, reachedBy, deniedBy, timer]() -> asio::awaitable<void> {
-                auto finding = co_await ask(name, leader);
-                if (finding.wasReached)
-                    *(finding.status.term != 0 && !finding.status.isPrimary ? deniedBy : reachedBy) = name;
-                if (--*pending == 0 || !reachedBy->empty())
-                    timer->cancel();
-            },
-            asio::detached);
-    }
-    if (*pending > 0) {
-        boost::system::error_code ec;
-        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-    base::logEvent(LogClass::State, "primary-examined", { { "group", std::string_view(group) }, { "member", std::string_view(leader.member) }, { "witnesses", static_cast<int64_t>(witnesses.size()) }, { "reached_by", std::string_view(*reachedBy) }, { "denied_to", std::string_view(*deniedBy) } });
-    if (reachedBy->empty() && !deniedBy->empty()) {
+    auto examination = std::make_shared<Examination>(m_context.context.get_executor(), witnesses.size());
+    for (auto& name : witnesses)
+        asio::co_spawn(m_context.context, examine(name, leader, examination), asio::detached);
+    co_await examination->latch.wait();
+    auto& reachedBy = examination->reachedBy;
+    auto& deniedBy = examination->deniedBy;
+    base::logEvent(LogClass::State, "primary-examined", { { "group", std::string_view(group) }, { "member", std::string_view(leader.member) }, { "witnesses", static_cast<int64_t>(witnesses.size()) }, { "reached_by", std::string_view(reachedBy) }, { "denied_to", std::string_view(deniedBy) } });
+    if (reachedBy.empty() && !deniedBy.empty()) {
         denyLead(m_context.world.groups[group], leader.member, Clock::now());
         co_return false;
     }
-    co_return reachedBy->empty();
+    co_return reachedBy.empty();
 }
 
 // Members that the store lists: those that are gone from it have ended, or lost it for longer than a short cut takes.
@@ -291,46 +308,35 @@
 
 // Replicas are asked while the primary is examined, so that a dead one costs one wait, not two.
 struct Promoter::Replicas {
-    explicit Replicas(asio::io_context& context)
-        : timer(context, asio::steady_timer::time_point::max())
-    {
-    }
-    asio::awaitable<void> wait()
+    explicit Replicas(asio::any_io_executor executor)
+        : latch(std::move(executor), 1) // until askReplicas() knows how many there are
     {
-        boost::system::error_code ec;
-        if (pending > 0)
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    asio::steady_timer timer;
-    std::vector<MemberFinding> findings;
-    size_t pending { 1 }; // until askReplicas() knows
+    base::Latch latch;
+    std::vector<MemberFinding> findings {};
 };
 
-asio::awaitable<void> Promoter::askReplica(std::string id, std::shared_ptr<Replicas> replicas)
+asio::awaitable<void> Promoter::askReplica(MemberBelief member, std::shared_ptr<Replicas> replicas)
 {
-    auto& member = m_context.world.members.at(id);
     bool mayLead = !member.listed.isLeaving && !member.unlistedAt;
     auto target = member.getTarget();
     auto finding = co_await ask(m_context.self.host, target);
     auto witnesses = chooseWitnesses(); // a path may be broken for this host only
     if (!finding.wasReached && !witnesses.empty())
         finding = co_await ask(witnesses.front(), target);
-    replicas->findings.push_back({ id, finding.wasReached, finding.status.isPrimary, finding.status.term, finding.status.received, mayLead });
-    if (--replicas->pending == 0)
-        replicas->timer.cancel();
+    replicas->findings.push_back({ member.listed.id, finding.wasReached, finding.status.isPrimary, finding.status.term, finding.status.received, mayLead });
+    replicas->latch.countDown();
 }
 
-asio::awaitable<void> Promoter::askReplicas(std::string group, std::string leader, std::shared_ptr<Replicas> replicas)
+void Promoter::askReplicas(const std::string& group, const std::string& leader, const std::shared_ptr<Replicas>& replicas)
 {
     for (auto& id : m_context.world.groups[group].members) {
         if (id == leader)
             continue;
-        ++replicas->pending;
-        asio::co_spawn(m_context.context, askReplica(id, replicas), asio::detached);
+        replicas->latch.add();
+        asio::co_spawn(m_context.context, askReplica(m_context.world.members.at(id), replicas), asio::detached);
     }
-    if (--replicas->pending == 0)
-        replicas->timer.cancel();
-    co_return;
+    replicas->latch.countDown();
 }
 
 // Writes wait at all hosts until the best replica holds what the primary holds, so that the change takes nothing back.
@@ -343,19 +349,19 @@
     if (primary == m_context.world.members.end())
         co_return;
     auto target = primary->second.getTarget();
-    co_await base::sleepFor(milliseconds(60)); // until the hosts have heard, and what they had sent has run
+    co_await base::sleepFor(kHeardAfter);
     while (Clock::now() < until) {
         auto now = co_await ask(m_context.self.host, target);
         if (!now.wasReached)
             co_return;
-        auto replicas = std::make_shared<Replicas>(m_context.context);
-        co_await askReplicas(group, leader, replicas);
-        co_await replicas->wait();
+        auto replicas = std::make_shared<Replicas>(m_context.context.get_executor());
+        askReplicas(group, leader, replicas);
+        co_await replicas->latch.wait();
         for (auto& it : replicas->findings) {
             if (it.wasReached && it.mayLead && it.received >= now.status.received)
                 co_return;
         }
-        co_await base::sleepFor(milliseconds(30));
+        co_await base::sleepFor(kCatchUpPause);
     }
 }
 
@@ -369,13 +375,13 @@
     auto member = m_context.world.members.find(lead.member);
     if (isPlanned)
         co_await waitForReplica(group, lead.member);
-    auto replicas = std::make_shared<Replicas>(m_context.context);
+    auto replicas = std::make_shared<Replicas>(m_context.context.get_executor());
     // A leaving primary counts among those that are reached, though it may not lead.
-    asio::co_spawn(m_context.context, askReplicas(group, isPlanned ? "" : lead.member, replicas), asio::detached);
+    askReplicas(group, isPlanned ? "" : lead.member, replicas);
     if (member != m_context.world.members.end() && !isPlanned)
         isDue = co_await isDead(group, member->second.getTarget());
     if (isDue)
-        co_await replicas->wait();
+        co_await replicas->latch.wait();
     if (isDue) {
         auto& findings = replicas->findings;
         auto leading = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term && it.member != lead.member; });
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -64,8 +64,10 @@
     boost::asio::awaitable<void> replace(std::string group, bool isPlanned, std::string cause);
     boost::asio::awaitable<bool> isDead(std::string group, TargetAddress leader);
     struct Replicas;
-    boost::asio::awaitable<void> askReplicas(std::string group, std::string leader, std::shared_ptr<Replicas> replicas);
-    boost::asio::awaitable<void> askReplica(std::string id, std::shared_ptr<Replicas> replicas);
+    void askReplicas(const std::string& group, const std::string& leader, const std::shared_ptr<Replicas>& replicas);
+    boost::asio::awaitable<void> askReplica(MemberBelief member, std::shared_ptr<Replicas> replicas);
+    struct Examination;
+    boost::asio::awaitable<void> examine(std::string witness, TargetAddress leader, std::shared_ptr<Examination> examination);
     boost::asio::awaitable<void> waitForReplica(std::string group, std::string leader);
     boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm);
     boost::asio::awaitable<Finding> ask(std::string host, TargetAddress target);
