--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -1,17 +1,71 @@
 // The platform misbehaves: the store, the configuration, hosts that restart.
+#include "decisions/placement.h"
 #include "harness/gateway_rig.h"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 using namespace harness;
 
+// An address at which connecting hangs, as at a machine without power: it listens, and its queue is full.
+class DarkAddress {
+public:
+    DarkAddress()
+    {
+        m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        sockaddr_in own {};
+        own.sin_family = AF_INET;
+        own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(m_sockets[0], reinterpret_cast<sockaddr*>(&own), sizeof own);
+        ::listen(m_sockets[0], 0);
+        socklen_t size = sizeof own;
+        ::getsockname(m_sockets[0], reinterpret_cast<sockaddr*>(&own), &size);
+        m_port = ntohs(own.sin_port);
+        for (int i = 0; i < 3; ++i) {
+            m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+            ::connect(m_sockets.back(), reinterpret_cast<sockaddr*>(&own), sizeof own);
+        }
+    }
+    ~DarkAddress()
+    {
+        for (auto it : m_sockets)
+            ::close(it);
+    }
+    std::string getAddress() const { return fmt::format("127.0.0.1:{}", m_port); }
+
+private:
+    std::vector<int> m_sockets;
+    unsigned m_port { 0 };
+};
+
 BOOST_AUTO_TEST_SUITE(platform)
 
+// Found at the bench: after the power of all hosts was off, the store still listed those that were not up again, and statements for
+// members that these carry to waited 700 ms for a connection.
+BOOST_AUTO_TEST_CASE(a_listed_host_that_swallows_connections_is_passed_over_at_once)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    std::string name = "x";
+    while (alderward::decisions::getHostWeight("g0-a", name) < alderward::decisions::getHostWeight("g0-a", "h0"))
+        name += "x"; // until it is the one that carries to the primary
+    DarkAddress dark;
+    rig.call([&] { rig.getStore().put("alderward/hosts/" + name, fmt::format(R"({{"address":"{}","dataCentre":"dc-a","incarnation":7}})", dark.getAddress())); });
+    BOOST_REQUIRE(waitUntil(milliseconds(3000), [&] { return rig.getLog(1).find("\"peer\":\"" + name + "\"") != std::string::npos || !LineCaller(rig.getCallerAddress(1), "db0-primary").ask("READ x", milliseconds(50)).isOk(); }));
+    // From here on statements went to it. Within less than the 700 ms they go elsewhere.
+    auto until = std::chrono::steady_clock::now() + milliseconds(500);
+    unsigned served = 0;
+    while (std::chrono::steady_clock::now() < until)
+        served += LineCaller(rig.getCallerAddress(1), "db0-primary").ask("READ x", milliseconds(100)).isOk();
+    BOOST_TEST(served > 0u);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_in_force_everywhere_and_never_goes_back)
 {
     GatewayRig rig;
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <set>
 #include <sstream>
+#include <thread>
 
 namespace standins {
 
@@ -464,7 +465,16 @@
 {
     member.acceptor = std::make_unique<tcp::acceptor>(context, tcp::v4());
     member.acceptor->set_option(tcp::acceptor::reuse_address(true));
-    member.acceptor->bind({ asio::ip::address_v4::loopback(), member.port });
+    // A process that is just being started holds copies of all sockets until it closes them: some ms on a busy machine.
+    boost::system::error_code ec;
+    for (int i = 0; i < 200; ++i) {
+        member.acceptor->bind({ asio::ip::address_v4::loopback(), member.port }, ec);
+        if (ec != asio::error::address_in_use)
+            break;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    if (ec)
+        throw boost::system::system_error(ec, "port of a stand-in member");
 }
 
 void LineGroup::kill(const std::string& id)
