--- a/src/base/latch.cpp
+++ b/src/base/latch.cpp
@@ -4,8 +4,8 @@
 
 namespace alderward::base {
 
-Latch::Latch(boost::asio::any_io_executor executor, size_t count)
-    : m_timer(std::move(executor))
+Latch::Latch(const boost::asio::any_io_executor& executor, size_t count)
+    : m_timer(executor)
     , m_count(count)
 {
 }
--- a/src/base/latch.h
+++ b/src/base/latch.h
@@ -9,7 +9,7 @@
 class Latch {
 public:
     // Opens after `count` calls of countDown().
-    Latch(boost::asio::any_io_executor executor, size_t count);
+    Latch(const boost::asio::any_io_executor& executor, size_t count);
     void add() { ++m_count; } // one more to wait for
     void countDown();
     void open(); // without waiting for the rest
--- a/src/decisions/turns.cpp
+++ b/src/decisions/turns.cpp
@@ -5,8 +5,6 @@
 
 namespace alderward::decisions {
 
-using base::TimePoint;
-
 // Of a statement's usual time must be left to its objective. In a long overload all statements are served just before they count as
 // too late for it; a margin of less than the slow tenth of them takes (2.3 times the mean, if times are exponential) makes most miss it.
 static constexpr double kFeasible = 3;
--- a/src/decisions/turns.h
+++ b/src/decisions/turns.h
@@ -1,6 +1,6 @@
 // Whose turn it is before a busy member, and which statements cannot be answered in time any more.
 #pragma once
-#include "base/clock.h"
+#include "decisions/freshness.h"
 
 namespace alderward::decisions {
 
@@ -8,20 +8,20 @@
 struct Turn {
     bool isContinuation { false }; // the next statement of an open transaction, which holds a connection that others wait for
     int priority { 0 }; // 0 goes first
-    base::TimePoint objective {}; // its answer must leave the member's connection by then to be in time
-    base::TimePoint deadline {}; // an answer after this is worth nothing
+    TimePoint objective {}; // its answer must leave the member's connection by then to be in time
+    TimePoint deadline {}; // an answer after this is worth nothing
 };
 
 // Whether a statement that is sent now will probably meet its objective. `workMs` is a statement's usual time at the member.
-bool canMeetObjective(const Turn& turn, base::TimePoint now, double workMs);
+bool canMeetObjective(const Turn& turn, TimePoint now, double workMs);
 // A member's usual time after one more statement took `tookMs`. Follows the median, so that a member on which less than half of the
 // statements hang is not taken for one on which all are slow.
 double takeWorkTime(double workMs, double tookMs);
 // Whether there is still time for a statement to be worth sending.
-bool isWorthSending(const Turn& turn, base::TimePoint now, double workMs);
+bool isWorthSending(const Turn& turn, TimePoint now, double workMs);
 // Whether a goes before b: continuations first, then those that can still meet their objective, by priority, the soonest first.
-bool goesBefore(const Turn& a, const Turn& b, base::TimePoint now, double workMs);
+bool goesBefore(const Turn& a, const Turn& b, TimePoint now, double workMs);
 // Whether a statement with `ahead` others before it gets its turn while that is of use, where `places` statements run at a time.
-bool comesInTime(const Turn& turn, size_t ahead, unsigned places, base::TimePoint now, double workMs);
+bool comesInTime(const Turn& turn, size_t ahead, unsigned places, TimePoint now, double workMs);
 
 }
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -202,8 +202,8 @@
 
 // What one host found out about one member.
 struct Answer {
-    explicit Answer(asio::any_io_executor executor)
-        : latch(std::move(executor), 1)
+    explicit Answer(const asio::any_io_executor& executor)
+        : latch(executor, 1)
     {
     }
     base::Latch latch;
@@ -251,8 +251,8 @@
 
 // What witnesses found out about a primary; open as soon as one reached it.
 struct Promoter::Examination {
-    Examination(asio::any_io_executor executor, size_t witnesses)
-        : latch(std::move(executor), witnesses)
+    Examination(const asio::any_io_executor& executor, size_t witnesses)
+        : latch(executor, witnesses)
     {
     }
     base::Latch latch;
@@ -308,8 +308,8 @@
 
 // Replicas are asked while the primary is examined, so that a dead one costs one wait, not two.
 struct Promoter::Replicas {
-    explicit Replicas(asio::any_io_executor executor)
-        : latch(std::move(executor), 1) // until askReplicas() knows how many there are
+    explicit Replicas(const asio::any_io_executor& executor)
+        : latch(executor, 1) // until askReplicas() knows how many there are
     {
     }
     base::Latch latch;
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -7,8 +7,6 @@
 
 using namespace alderward;
 using namespace alderward::decisions;
-using base::milliseconds;
-using base::TimePoint;
 
 namespace {
 
