--- a/src/decisions/turns.h
+++ b/src/decisions/turns.h
@@ -4,6 +4,8 @@
 
 namespace alderward::decisions {
 
+inline constexpr unsigned kBusyTries = 8; // of a statement that members turn away; one that turns away half of them then takes all but 0.4%
+
 // What decides a waiting statement's turn.
 struct Turn {
     bool isContinuation { false }; // the next statement of an open transaction, which holds a connection that others wait for
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -420,7 +420,7 @@
             if (name == m_self.name)
                 break;
             partners.insert(name);
-            if (m_peers.isUp(name) && !m_peers.isLeaving(name))
+            if (m_peers.isUsable(name))
                 break;
         }
     }
@@ -476,7 +476,7 @@
 bool Gateway::isCarrier(const MemberBelief& member)
 {
     auto& ranked = getCarriers(m_world, member);
-    auto first = std::ranges::find_if(ranked, [this](const std::string& name) { return name == m_self.name ? !m_isDraining : m_peers.isUp(name) && !m_peers.isLeaving(name); });
+    auto first = std::ranges::find_if(ranked, [this](const std::string& name) { return name == m_self.name ? !m_isDraining : m_peers.isUsable(name); });
     return first != ranked.end() && *first == m_self.name;
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -52,6 +52,8 @@
     // Whether the host answered lately on a connection of ours.
     bool isAnswering(const std::string& host) const;
     bool isLeaving(const std::string& host) const;
+    // Up and not leaving: new work may be given to it.
+    bool isUsable(const std::string& host) const { return isUp(host) && !isLeaving(host); }
     // There and back, smoothed; a guess before the first answer.
     double getDistanceMs(const std::string& host) const;
     // What the host last said of its connections to a member.
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -37,7 +37,7 @@
 
 bool Promoter::isLive(const std::string& host) const
 {
-    return host == m_context.self.host || (m_context.peers.isUp(host) && !m_context.peers.isLeaving(host));
+    return host == m_context.self.host || m_context.peers.isUsable(host);
 }
 
 // Whether this host is the first of those that live in the group's order.
@@ -126,7 +126,7 @@
         auto& it = state.succession.orderers[i];
         auto host = m_context.world.hosts.find(it.host);
         bool isSame = host != m_context.world.hosts.end() && host->second.incarnation == it.incarnation;
-        if (isSame && m_context.peers.isUp(it.host) && !m_context.peers.isLeaving(it.host))
+        if (isSame && m_context.peers.isUsable(it.host))
             return false;
     }
     return true;
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/runner.h"
 #include "base/event_log.h"
 #include "base/families.h"
+#include "decisions/turns.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -12,7 +13,6 @@
 using decisions::StatementKind;
 
 static constexpr milliseconds kRetryPause { 15 }; // before members that all said no are asked again
-static constexpr unsigned kBusyTries = 8; // of a statement that members turn away; one that turns away half of them then takes all but 0.4%
 static constexpr milliseconds kCallerWay { 2 }; // between caller and host, there and back, on the sites that were seen
 static constexpr double kOwnDistanceGuessMs = 10; // to a member in another data centre from here: some ms each way on the sites that were seen
 
@@ -27,7 +27,7 @@
 {
     if (host == m_context.name)
         return !m_context.isTroubled(member.getTarget());
-    if (!m_context.peers.isUp(host) || m_context.peers.isLeaving(host))
+    if (!m_context.peers.isUsable(host))
         return false;
     auto load = m_context.peers.getLoad(host, member.listed.id);
     return !load || !load->unreachable();
@@ -148,7 +148,7 @@
     run->lastReason = outcome.error->message;
     run->wasTurnedAway = kind == ErrorKind::Overloaded && outcome.wasSent;
     bool isQueueFull = kind == ErrorKind::Overloaded && !outcome.wasSent;
-    run->wasOverloaded = run->wasOverloaded || isQueueFull || (run->wasTurnedAway && run->attempts >= kBusyTries);
+    run->wasOverloaded = run->wasOverloaded || isQueueFull || (run->wasTurnedAway && run->attempts >= decisions::kBusyTries);
     if (kind == ErrorKind::NotPrimary)
         denyLead(m_context.world.groups[target.group], target.member, now);
     if (kind == ErrorKind::TooStale && m_context.world.members.contains(target.member))
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -23,7 +23,6 @@
 static constexpr double kStalledTimes = 8; // of the usual time: a statement's answer may be lost; the slowest usual ones take five times
 static constexpr milliseconds kStalledLeast { 150 }; // below this a hiccup of the network would count
 static constexpr milliseconds kBusyPause { 15 }; // before a target that was busy is asked again: about one statement's time
-static constexpr unsigned kBusyTries = 8; // of one statement; a target that turns away half of them then takes all but 0.4%
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
@@ -325,7 +324,7 @@
 {
     bool wasBusy = outcome.error && outcome.error->kind == ErrorKind::Overloaded && outcome.wasSent;
     bool isInTransaction = job.order.kind == OrderKind::Continue && session->isOpen() && session->getTargetState() == decisions::SessionState::InTransaction;
-    return wasBusy && isInTransaction && !job.isDone() && job.timesBusy < kBusyTries && Clock::now() + kBusyPause < job.order.deadline;
+    return wasBusy && isInTransaction && !job.isDone() && job.timesBusy < decisions::kBusyTries && Clock::now() + kBusyPause < job.order.deadline;
 }
 
 // Only a connection on which no transaction is open may serve another caller: a statement that a target failed to run, be it our
--- a/tests/gateway/input_test.cpp
+++ b/tests/gateway/input_test.cpp
@@ -1,21 +1,10 @@
 // Bad input of callers: a clear answer or a close, nothing run, no growth of memory.
 #include "harness/gateway_rig.h"
 #include <boost/test/unit_test.hpp>
-#include <fstream>
 #include <sys/resource.h>
 
 using namespace harness;
 
-static size_t getResidentKb(pid_t id)
-{
-    std::ifstream file("/proc/" + std::to_string(id) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with("VmRSS:"))
-            return std::stoul(line.substr(6));
-    }
-    return 0;
-}
-
 // Raises the limit of descriptors for this process and those it starts. Returns how many sessions it allows, `wanted` at most.
 static unsigned allowDescriptors(unsigned wanted)
 {
--- a/tests/gateway/soak_test.cpp
+++ b/tests/gateway/soak_test.cpp
@@ -8,7 +8,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
 #include <random>
 #include <regex>
 #include <set>
@@ -479,17 +478,6 @@
     return complaints;
 }
 
-size_t getMemoryKb(pid_t id)
-{
-    std::ifstream file(fmt::format("/proc/{}/status", id));
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with("VmRSS:"))
-            return std::stoul(line.substr(6));
-    }
-    return 0;
-}
-
 // With all faults over, each host serves each database again, and nothing has leaked.
 void checkRecovery(GatewayRig& rig)
 {
@@ -500,7 +488,7 @@
             BOOST_TEST(waitUntil(kRecovery, [&] { return LineCaller(rig.getCallerAddress(host), fmt::format("db{}-bounded", group)).ask("READ recovered").isOk(); }));
         }
         BOOST_TEST(rig.getHost(host).isRunning());
-        BOOST_TEST(getMemoryKb(rig.getHost(host).getId()) < kMemoryKb);
+        BOOST_TEST(getResidentKb(rig.getHost(host).getId()) < kMemoryKb);
         std::smatch violations;
         auto metrics = rig.getMetrics(host);
         bool isFound = std::regex_search(metrics, violations, std::regex("\nalderward_invariant_violations_total ([0-9]+)"));
@@ -549,12 +537,6 @@
     BOOST_TEST(served > 100u);
 }
 
-int getNumberFrom(const char* name, int fallback)
-{
-    auto* text = std::getenv(name);
-    return text ? std::atoi(text) : fallback;
-}
-
 }
 
 BOOST_AUTO_TEST_SUITE(soak)
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -237,6 +237,22 @@
     return ports;
 }
 
+int getNumberFrom(const char* name, int fallback)
+{
+    auto* text = std::getenv(name);
+    return text ? std::atoi(text) : fallback;
+}
+
+size_t getResidentKb(pid_t id)
+{
+    std::ifstream file(fmt::format("/proc/{}/status", id));
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmRSS:"))
+            return std::stoul(line.substr(6));
+    }
+    return 0;
+}
+
 static std::string findBinaries()
 {
     if (auto* path = std::getenv("ALDERWARD_BINARIES"))
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -168,6 +168,10 @@
 
 // Free ports on loopback, different ones.
 std::vector<unsigned short> findPorts(size_t count);
+// A number from the environment, for runs by hand.
+int getNumberFrom(const char* name, int fallback);
+// Memory of a process that is in use now, in KB; 0 if it does not run.
+size_t getResidentKb(pid_t id);
 
 // Polls until `condition` holds; returns whether it did within the limit.
 bool waitUntil(milliseconds limit, const std::function<bool()>& condition);
--- a/tests/process/random_run_test.cpp
+++ b/tests/process/random_run_test.cpp
@@ -18,12 +18,6 @@
 
 namespace {
 
-int getNumberFrom(const char* name, int fallback)
-{
-    auto* text = std::getenv(name);
-    return text ? std::atoi(text) : fallback;
-}
-
 // One write that a caller asked for: a mark appended to the caller's own key.
 struct Attempt {
     std::string mark;
