The queue before a member is kept short while an overload lasts

Cause: when both replicas of a group are behind, its primary carries the group under 1.6 times what it can run. Turns by objective served everybody at the edge of the statement's limit: 600 ms of waiting for who was served, 790 ms for who was refused, and transactions and dear reads took the place of three cheap ones. Change: decisions/member_queue.h: what operations cost is learned by database and whether they are transactions; once the queue was long for 2 s it is kept at an eighth of the objective, dearer kinds come in only while it is shorter still, later statements of a transaction always do; a kind of which less than a tenth gets a turn goes first.

--- /dev/null
+++ b/src/decisions/member_queue.cpp
@@ -0,0 +1,215 @@
+#include "decisions/member_queue.h"
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+namespace alderward::decisions {
+
+static constexpr double kCostStep = 0.1; // weight of the newest operation: some tens of them are followed
+static constexpr milliseconds kCountsHalveIn { 1000 };
+static constexpr double kLeastServed = 0.1; // of a kind's operations get a turn, whatever they cost
+static constexpr double kEnoughOffered = 5; // operations that make that share worth looking at
+static constexpr double kShortOfObjective = 0.125; // of what is left to the objective: a wait that its caller hardly notices; 0.06 to 0.2 serve as many
+static constexpr double kLongTimes = 2; // short waits: a queue that is no longer than this is waited out
+static constexpr double kShortLeast = 4; // statements' usual times: below, the member runs empty between two bursts
+// Of a long queue. Most bursts of callers that come back after a fault are over by then. With half of it, a site whose overloads last for
+// some seconds lost 0.006 of its worth (12 days), one whose overload lasts all day gained nothing.
+static constexpr milliseconds kStandsAfter { 2000 };
+static constexpr milliseconds kCalmAfter { 500 }; // without a refusal
+static constexpr double kWaitsMost = 2; // short waits; entries that others overtook for that long are given up
+
+static double getMs(TimePoint::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+void takeOperation(OperationCosts& costs, const OperationKind& kind, double ms)
+{
+    auto& cost = costs[kind];
+    ms = std::max(0.0, ms);
+    cost.ms = cost.observations == 0 ? ms : cost.ms + kCostStep * (ms - cost.ms);
+    ++cost.observations;
+}
+
+double getCostMs(const OperationCosts& costs, const OperationKind& kind, double workMs)
+{
+    auto it = costs.find(kind);
+    bool isKnown = it != costs.end() && it->second.observations >= kEnoughObservations;
+    return isKnown ? it->second.ms : workMs;
+}
+
+bool isStarved(const OperationCosts& costs, const OperationKind& kind)
+{
+    auto it = costs.find(kind);
+    return it != costs.end() && it->second.offered >= kEnoughOffered && it->second.served < kLeastServed * it->second.offered;
+}
+
+static void halveCounts(MemberQueue& queue, TimePoint now)
+{
+    if (now - queue.countedAt < kCountsHalveIn)
+        return;
+    queue.countedAt = now;
+    for (auto& [kind, cost] : queue.costs) {
+        cost.offered /= 2;
+        cost.served /= 2;
+    }
+}
+
+void noteHeld(MemberQueue& queue, TimePoint now)
+{
+    if (!queue.overload.isStanding)
+        queue.overload.shortAt = now;
+}
+
+Overload observeWait(Overload overload, double waitMs, double shortMs, TimePoint now)
+{
+    bool isShort = waitMs <= (overload.isStanding ? 1 : kLongTimes) * shortMs;
+    if (overload.shortAt == TimePoint {} || isShort)
+        overload.shortAt = now;
+    if (!overload.isStanding && now - overload.shortAt >= kStandsAfter) {
+        overload.isStanding = true;
+        overload.refusedAt = now;
+    }
+    // A queue that is kept short is short: what shows that the load has gone is that nobody had to be refused.
+    if (overload.isStanding && isShort && now - overload.refusedAt >= kCalmAfter)
+        overload.isStanding = false;
+    return overload;
+}
+
+double QueueEntry::getShortMs() const
+{
+    return kShortOfObjective * std::max(0.0, getMs(turn.objective - arrivedAt));
+}
+
+static double getShortMs(const MemberQueue& queue, const QueueEntry& entry)
+{
+    return std::max(entry.getShortMs(), kShortLeast * queue.workMs);
+}
+
+bool goesBefore(const MemberQueue& queue, const QueueEntry& a, const QueueEntry& b, TimePoint now)
+{
+    if (!queue.overload.isStanding)
+        return goesBefore(a.turn, b.turn, now, queue.workMs);
+    auto rank = [&](const QueueEntry& it) { return std::tuple(!it.turn.isContinuation, !isStarved(queue.costs, it.kind), it.turn.priority, it.arrivedAt); };
+    return rank(a) < rank(b);
+}
+
+// The dearer a kind is, the shorter the queue must be for it to come in. So the queue settles where the member is full, whoever is
+// cheaper comes in, and whoever is dearer is refused on arrival and not after some waiting.
+static double getShareOfShort(const MemberQueue& queue, const OperationKind& kind)
+{
+    if (isStarved(queue.costs, kind))
+        return 1;
+    auto own = getCostMs(queue.costs, kind, queue.workMs);
+    double kinds = 1;
+    double dearer = 1;
+    for (auto& [other, cost] : queue.costs) {
+        if (other == kind || cost.offered < kEnoughOffered)
+            continue;
+        ++kinds;
+        dearer += getCostMs(queue.costs, other, queue.workMs) > own ? 1 : 0;
+    }
+    return dearer / kinds;
+}
+
+// A statement that waits stands for its whole operation: the later ones of its transaction come before whoever waits behind it.
+static double getTimeMs(const MemberQueue& queue, const QueueEntry& entry)
+{
+    return entry.turn.isContinuation ? queue.workMs : getCostMs(queue.costs, entry.kind, queue.workMs);
+}
+
+double getWaitMs(const MemberQueue& queue, const QueueEntry& entry, TimePoint now)
+{
+    double aheadMs = 0;
+    for (auto& it : queue.entries) {
+        if (it.number != entry.number && goesBefore(queue, it, entry, now))
+            aheadMs += getTimeMs(queue, it);
+    }
+    return aheadMs / std::max(1U, queue.places);
+}
+
+double getWholeWaitMs(const MemberQueue& queue)
+{
+    double ms = 0;
+    for (auto& it : queue.entries)
+        ms += getTimeMs(queue, it);
+    return ms / std::max(1U, queue.places);
+}
+
+static bool isTooLong(const MemberQueue& queue, const QueueEntry& entry, double waitMs)
+{
+    return !entry.turn.isContinuation && waitMs > getShareOfShort(queue, entry.kind) * getShortMs(queue, entry);
+}
+
+// Refuses whoever would wait for too long of those that came before the load was known to last.
+static std::vector<QueueEntry> shorten(MemberQueue& queue, TimePoint now)
+{
+    std::vector<QueueEntry> refused;
+    std::ranges::sort(queue.entries, [&](const QueueEntry& a, const QueueEntry& b) { return goesBefore(queue, a, b, now); });
+    double aheadMs = 0;
+    std::erase_if(queue.entries, [&](const QueueEntry& it) {
+        bool isRefused = isTooLong(queue, it, aheadMs / std::max(1U, queue.places));
+        if (isRefused)
+            refused.push_back(it);
+        else
+            aheadMs += getTimeMs(queue, it);
+        return isRefused;
+    });
+    return refused;
+}
+
+static bool isAdmitted(const MemberQueue& queue, const QueueEntry& entry, TimePoint now)
+{
+    if (queue.overload.isStanding)
+        return !isTooLong(queue, entry, getWaitMs(queue, entry, now));
+    auto ahead = std::ranges::count_if(queue.entries, [&](const QueueEntry& it) { return goesBefore(queue, it, entry, now); });
+    return comesInTime(entry.turn, static_cast<size_t>(ahead), queue.places, now, queue.workMs);
+}
+
+std::vector<QueueEntry> admit(MemberQueue& queue, const QueueEntry& entry, TimePoint now)
+{
+    halveCounts(queue, now);
+    if (!entry.turn.isContinuation)
+        queue.costs[entry.kind].offered += 1;
+    bool wasStanding = queue.overload.isStanding;
+    queue.overload = observeWait(queue.overload, getWholeWaitMs(queue), getShortMs(queue, entry), now);
+    if (!isAdmitted(queue, entry, now)) {
+        queue.overload.refusedAt = now;
+        return { entry };
+    }
+    queue.entries.push_back(entry);
+    bool hasBegun = queue.overload.isStanding && !wasStanding;
+    return hasBegun ? shorten(queue, now) : std::vector<QueueEntry>();
+}
+
+std::vector<QueueEntry> takeExpired(MemberQueue& queue, TimePoint now)
+{
+    std::vector<QueueEntry> expired;
+    std::erase_if(queue.entries, [&](const QueueEntry& it) {
+        bool isOvertaken = queue.overload.isStanding && !it.turn.isContinuation && getMs(now - it.arrivedAt) > kWaitsMost * getShortMs(queue, it);
+        bool isLate = now >= it.turn.deadline;
+        if (isOvertaken || isLate)
+            expired.push_back(it);
+        return isOvertaken || isLate;
+    });
+    return expired;
+}
+
+std::optional<QueueEntry> takeNext(MemberQueue& queue, TimePoint now, const std::function<bool(const QueueEntry&)>& isRunnable)
+{
+    auto best = queue.entries.end();
+    for (auto it = queue.entries.begin(); it != queue.entries.end(); ++it) {
+        bool isBetter = best == queue.entries.end() || goesBefore(queue, *it, *best, now);
+        if (isBetter && isRunnable(*it))
+            best = it;
+    }
+    if (best == queue.entries.end())
+        return std::nullopt;
+    auto entry = *best;
+    queue.entries.erase(best);
+    if (!entry.turn.isContinuation)
+        queue.costs[entry.kind].served += 1;
+    return entry;
+}
+
+}
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_session.h"
 #include "base/event_log.h"
+#include "decisions/hashing.h"
 
 namespace alderward::gateway {
 
@@ -194,6 +195,7 @@
     run.order.statement = statement;
     run.order.values = m_values;
     run.order.priority = m_route.priority;
+    run.order.database = static_cast<uint32_t>(decisions::getHash(m_route.database));
     run.order.objective = now + m_route.objective;
     run.order.deadline = now + m_route.statementLimit;
     if (statement.kind != StatementKind::Execute)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -293,6 +293,7 @@
     wire.set_objective_us(getLeftUs(order.objective, now));
     wire.set_deadline_us(getLeftUs(order.deadline, now));
     wire.set_transaction(order.transaction);
+    wire.set_database(order.database);
     link->calls[link->lastCall] = { std::move(done), order.deadline + kAnswerSlack };
     sendFrame(*link->channel, frame);
 }
@@ -480,6 +481,7 @@
     order.isReadOnly = wire.is_read_only();
     order.atLeast = getMark(wire.at_least());
     order.priority = wire.priority();
+    order.database = wire.database();
     order.objective = now + microseconds(wire.objective_us());
     order.deadline = now + microseconds(wire.deadline_us());
     return order;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -1,7 +1,8 @@
 #include "gateway/target_pool.h"
 #include "base/families.h"
 #include "base/metrics.h"
-#include "decisions/turns.h"
+#include "base/random.h"
+#include "decisions/limits.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
@@ -24,6 +25,8 @@
 static constexpr milliseconds kStalledLeast { 150 }; // below this a hiccup of the network would count
 static constexpr milliseconds kBusyPause { 15 }; // before a target that was busy is asked again: about one statement's time
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
+static constexpr unsigned kOpeningMost = 2; // connections at a time; each takes a slot of the target for a while
+static constexpr milliseconds kComeBackLeast { 300 }; // told to callers that were refused; less would bring them back into the same queue
 
 TargetPool::TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer)
     : m_executor(std::move(executor))
@@ -36,7 +39,18 @@
 
 PoolLoad TargetPool::getLoad() const
 {
-    return { static_cast<unsigned>(m_waiting.size()), countRunning(), m_workMs };
+    return { static_cast<unsigned>(m_waiting.size()), countRunning(), m_queue.workMs };
+}
+
+void TargetPool::setLimits(const PoolLimits& limits)
+{
+    m_limits = limits;
+    m_queue.places = limits.running;
+}
+
+static bool isInTransaction(OrderKind kind)
+{
+    return kind == OrderKind::Begin || kind == OrderKind::Continue;
 }
 
 static decisions::Turn getTurn(const Order& order)
@@ -44,24 +58,18 @@
     return { order.kind == OrderKind::Continue, order.priority, order.objective, order.deadline };
 }
 
-// A statement whose turn cannot come before its deadline is refused now: its caller can ask elsewhere or again while that is of use.
-bool TargetPool::isAdmitted(const Order& order, TimePoint now) const
+decisions::QueueEntry TargetPool::makeEntry(const Job& job)
 {
-    auto turn = getTurn(order);
-    auto ahead = std::ranges::count_if(m_waiting, [&](const JobPtr& it) { return decisions::goesBefore(getTurn(it->order), turn, now, m_workMs); });
-    return decisions::comesInTime(turn, static_cast<size_t>(ahead), m_limits.running, now, m_workMs);
+    return { job.number, getTurn(job.order), { job.order.database, isInTransaction(job.order.kind) }, job.submittedAt };
 }
 
 void TargetPool::submit(Order order, OrderDone done)
 {
     auto now = Clock::now();
-    bool mayWait = isAdmitted(order, now);
     auto job = std::make_shared<Job>(Job { std::move(order), std::make_shared<OrderDone>(std::move(done)), now });
-    if (!mayWait) {
-        finish(job, decisions::makeFailure(ErrorKind::Overloaded, fmt::format("{} statements wait before it, {:.0f} ms each", m_waiting.size(), m_workMs)));
-        return;
-    }
-    m_waiting.push_back(job);
+    job->number = ++m_lastNumber;
+    m_waiting[job->number] = job;
+    refuse(decisions::admit(m_queue, makeEntry(*job), now), "");
     if (!m_isDispatching) {
         m_isDispatching = true;
         boost::asio::post(m_executor, [self = shared_from_this()] {
@@ -71,15 +79,42 @@
     }
 }
 
-bool TargetPool::isRunnable(const Job& job, TimePoint now) const
+// Past admission: it was admitted before.
+void TargetPool::enqueue(const JobPtr& job)
+{
+    job->number = ++m_lastNumber;
+    m_waiting[job->number] = job;
+    m_queue.entries.push_back(makeEntry(*job));
+}
+
+// Ends jobs that the queue has given up, all of them unsent.
+void TargetPool::refuse(const std::vector<decisions::QueueEntry>& entries, const std::string& reason)
+{
+    for (auto& it : entries) {
+        auto job = m_waiting.at(it.number);
+        m_waiting.erase(it.number);
+        auto wait = milliseconds(static_cast<int64_t>(decisions::getWholeWaitMs(m_queue)));
+        auto comeBack = decisions::spreadRetryAfter(std::max(wait, kComeBackLeast), base::getRandom());
+        finish(job, decisions::makeFailure(ErrorKind::Overloaded, reason.empty() ? fmt::format("{} statements wait before it, {:.0f} ms each{}; come back in {} ms", m_waiting.size(), m_queue.workMs, m_queue.overload.isStanding ? ", for long" : "", comeBack.count()) : reason));
+    }
+}
+
+// A planned change of primary is under way.
+bool TargetPool::isHeld(const Job& job, TimePoint now) const
 {
     auto& order = job.order;
     bool mayWrite = order.statement.isWrite || (order.kind == OrderKind::Begin && !order.isReadOnly) || order.statement.kind == StatementKind::Commit;
-    if (now < job.notBefore || (mayWrite && now < m_holdUntil))
+    return mayWrite && now < m_holdUntil;
+}
+
+bool TargetPool::isRunnable(const Job& job, TimePoint now) const
+{
+    auto& order = job.order;
+    if (now < job.notBefore || isHeld(job, now))
         return false;
     if (order.kind == OrderKind::Continue) {
         auto it = m_transactions.find(order.transaction);
-        return it == m_transactions.end() || !it->second->isBusy;
+        return it == m_transactions.end() || !it->second.session->isBusy;
     }
     if (countFree() == 0)
         return false;
@@ -94,27 +129,30 @@
 
 TargetPool::JobPtr TargetPool::popNext(TimePoint now)
 {
-    auto best = m_waiting.end();
-    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        if (isRunnable(**it, now) && (best == m_waiting.end() || decisions::goesBefore(getTurn((*it)->order), getTurn((*best)->order), now, m_workMs)))
-            best = it;
-    }
-    if (best == m_waiting.end())
+    auto next = decisions::takeNext(m_queue, now, [&](const decisions::QueueEntry& it) { return isRunnable(*m_waiting.at(it.number), now); });
+    if (!next)
         return nullptr;
-    auto job = *best;
-    m_waiting.erase(best);
+    auto job = m_waiting.at(next->number);
+    m_waiting.erase(next->number);
     return job;
 }
 
 void TargetPool::dispatch()
 {
     auto now = Clock::now();
-    std::erase_if(m_waiting, [](const JobPtr& it) { return it->isDone(); }); // repeated, and the first one was answered after all
+    std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) {
+        bool isDone = m_waiting.at(it.number)->isDone(); // repeated, and the first one was answered after all
+        if (isDone)
+            m_waiting.erase(it.number);
+        return isDone;
+    });
+    if (now < m_holdUntil)
+        decisions::noteHeld(m_queue, now);
     while (!m_waiting.empty() && countRunning() < m_limits.running) {
         auto job = popNext(now);
         if (!job)
             break;
-        if (!decisions::isWorthSending(getTurn(job->order), now, m_workMs) && job->order.statement.kind != StatementKind::Commit) {
+        if (!decisions::isWorthSending(getTurn(job->order), now, m_queue.workMs) && job->order.statement.kind != StatementKind::Commit) {
             finish(job, decisions::makeFailure(ErrorKind::Overloaded, "its turn came too late to be answered in time"));
             continue;
         }
@@ -124,9 +162,21 @@
         else // its transaction lost its connection while it waited
             finish(job, decisions::makeFailure(ErrorKind::TransactionAborted, "the connection of the transaction was lost"));
     }
-    auto needsConnection = std::ranges::count_if(m_waiting, [](const JobPtr& it) { return it->order.kind != OrderKind::Continue; });
-    auto wanted = std::min<size_t>(needsConnection, m_limits.running) + m_transactions.size() + m_running.size();
-    while (needsConnection > 0 && m_sessions.size() + m_opening < std::min<size_t>(wanted, m_limits.connections) && countFree() + m_opening < static_cast<unsigned>(needsConnection) && m_opening < 2 && now >= m_noNewBefore)
+    openSessions(now);
+}
+
+size_t TargetPool::countWaitingForConnection() const
+{
+    return static_cast<size_t>(std::ranges::count_if(m_queue.entries, [](const decisions::QueueEntry& it) { return !it.turn.isContinuation; }));
+}
+
+// As many connections as statements wait for, within the limits.
+void TargetPool::openSessions(TimePoint now)
+{
+    auto needed = countWaitingForConnection();
+    auto wanted = std::min<size_t>(needed, m_limits.running) + m_transactions.size() + m_running.size();
+    auto most = std::min<size_t>(wanted, m_limits.connections);
+    while (countFree() + m_opening < needed && m_sessions.size() + m_opening < most && m_opening < kOpeningMost && now >= m_noNewBefore)
         openSession();
 }
 
@@ -135,7 +185,7 @@
 {
     if (job.order.kind == OrderKind::Continue) {
         auto it = m_transactions.find(job.order.transaction);
-        return it == m_transactions.end() ? nullptr : it->second;
+        return it == m_transactions.end() ? nullptr : it->second.session;
     }
     SessionPtr best;
     size_t bestCost = 0;
@@ -170,10 +220,7 @@
                     self->m_observer.onTrouble(self->m_target, outcome.error->message);
                 // Without any connection nobody can be served: say so at once, they may try elsewhere.
                 if (self->m_sessions.empty()) {
-                    auto waiting = std::move(self->m_waiting);
-                    self->m_waiting.clear();
-                    for (auto& it : waiting)
-                        self->finish(it, decisions::makeFailure(outcome.error->kind, outcome.error->message));
+                    self->failWaiting(*outcome.error);
                 }
                 return;
             }
@@ -228,7 +275,7 @@
     bool isReadOnly = job->order.kind == OrderKind::Begin && job->order.isReadOnly;
     if (job->order.kind == OrderKind::Begin) {
         session->transaction = job->order.transaction;
-        m_transactions[job->order.transaction] = session;
+        m_transactions[job->order.transaction] = { session, { job->order.database, true } };
     }
     session->ask(m_codec.formatBegin(isReadOnly, job->order.atLeast), [self = shared_from_this(), job, session, sentAt, isReadOnly](const Outcome& outcome) {
         if (!outcome.error) {
@@ -239,8 +286,7 @@
             self->runStatement(job, session);
             return;
         }
-        self->m_transactions.erase(session->transaction);
-        session->transaction = 0;
+        self->closeTransaction(session);
         auto refused = outcome;
         refused.wasSent = false; // only the BEGIN was
         if (refused.error->kind == ErrorKind::OutcomeUnknown)
@@ -260,13 +306,13 @@
     session->ask(bytes, [self = shared_from_this(), job, session, sentAt](const Outcome& outcome) {
         auto& order = job->order;
         bool isCommit = order.statement.kind == StatementKind::Commit;
+        if (!outcome.error)
+            self->takeWorkTime(*job);
         // A write and its commit succeed at a target that leads only.
         if (!outcome.error && order.kind == OrderKind::Single && order.statement.isWrite)
             self->takeProof(outcome, sentAt);
-        if (isCommit && !self->mayAskAgain(*job, session, outcome)) {
-            self->m_transactions.erase(session->transaction);
-            session->transaction = 0;
-        }
+        if (isCommit && !self->mayAskAgain(*job, session, outcome))
+            self->closeTransaction(session);
         self->endJob(job, session, outcome);
     });
     if (order.kind == OrderKind::ProvenSingle)
@@ -282,6 +328,29 @@
     });
 }
 
+// What a statement took, and with it the operation that it belongs to.
+void TargetPool::takeWorkTime(const Job& job)
+{
+    std::chrono::duration<double, std::milli> took = Clock::now() - job.startedAt;
+    m_queue.workMs = decisions::takeWorkTime(m_queue.workMs, took.count());
+    if (!isInTransaction(job.order.kind))
+        decisions::takeOperation(m_queue.costs, { job.order.database, false }, took.count());
+    else if (auto it = m_transactions.find(job.order.transaction); it != m_transactions.end())
+        it->second.spentMs += took.count();
+}
+
+// The transaction holds its connection no longer, however it ended.
+void TargetPool::closeTransaction(const SessionPtr& session)
+{
+    auto it = m_transactions.find(session->transaction);
+    session->transaction = 0;
+    if (it == m_transactions.end())
+        return;
+    if (it->second.spentMs > 0)
+        decisions::takeOperation(m_queue.costs, it->second.kind, it->second.spentMs);
+    m_transactions.erase(it);
+}
+
 void TargetPool::takeProof(const Outcome& outcome, TimePoint sentAt)
 {
     m_provedAt = std::max(m_provedAt, sentAt);
@@ -297,8 +366,6 @@
         std::chrono::duration<double, std::milli> took = Clock::now() - job->startedAt;
         m_answeredAt = Clock::now();
         base::observe(base::Family::TargetSeconds, { { "member", m_target.member } }, took.count() / 1000);
-        if (!outcome.error)
-            m_workMs = decisions::takeWorkTime(m_workMs, took.count());
         m_observer.onAnswer(m_target);
         if (outcome.position.term != 0)
             m_observer.onPosition(m_target, outcome.position);
@@ -313,7 +380,7 @@
         ++job->timesBusy;
         job->notBefore = Clock::now() + kBusyPause;
         job->isStalled = false;
-        m_waiting.push_back(job);
+        enqueue(job);
     } else
         finish(job, outcome);
     dispatch();
@@ -361,9 +428,8 @@
     auto it = m_transactions.find(transaction);
     if (it == m_transactions.end())
         return;
-    auto session = it->second;
-    m_transactions.erase(it);
-    session->transaction = 0;
+    auto session = it->second.session;
+    closeTransaction(session);
     if (session->isBusy) { // a statement is at the target: only closing ends it
         dropSession(session, "its transaction was given up");
         return;
@@ -379,9 +445,7 @@
         return;
     m_sessions.erase(it);
     base::addTo(base::Family::ConnectionsClosed, { { "member", m_target.member } });
-    if (session->transaction != 0)
-        m_transactions.erase(session->transaction);
-    session->transaction = 0;
+    closeTransaction(session);
     bool wasAsked = session->getPending() > 0;
     auto askedAt = session->getAskedAt();
     // Its jobs end through their answers, or here if they had none yet.
@@ -400,12 +464,18 @@
     dispatch();
 }
 
-void TargetPool::shutDown(const std::string& reason)
+void TargetPool::failWaiting(const decisions::Error& error)
 {
     auto waiting = std::move(m_waiting);
     m_waiting.clear();
-    for (auto& it : waiting)
-        finish(it, decisions::makeFailure(ErrorKind::TargetUnreachable, reason));
+    m_queue.entries.clear();
+    for (auto& [number, job] : waiting)
+        finish(job, decisions::makeFailure(error.kind, error.message));
+}
+
+void TargetPool::shutDown(const std::string& reason)
+{
+    failWaiting({ ErrorKind::TargetUnreachable, reason });
     auto sessions = m_sessions;
     for (auto& it : sessions)
         dropSession(it, reason);
@@ -430,7 +500,7 @@
 
 milliseconds TargetPool::getStalledLimit() const
 {
-    return std::max(kStalledLeast, milliseconds(static_cast<int64_t>(kStalledTimes * m_workMs)));
+    return std::max(kStalledLeast, milliseconds(static_cast<int64_t>(kStalledTimes * m_queue.workMs)));
 }
 
 // A few hung statements can hold all connections. While others wait for one, the statement that has hung longest gives its connection up,
@@ -439,8 +509,7 @@
 void TargetPool::freeStalled(TimePoint now)
 {
     bool isScarce = countFree() == 0 && m_sessions.size() + m_opening >= m_limits.connections;
-    bool isWaitedFor = std::ranges::any_of(m_waiting, [](const JobPtr& it) { return it->order.kind != OrderKind::Continue; });
-    if (!isScarce || !isWaitedFor)
+    if (!isScarce || countWaitingForConnection() == 0)
         return;
     for (auto& [job, session] : m_running) { // in the order in which they were started
         auto& order = job->order;
@@ -475,21 +544,13 @@
             continue;
         auto again = std::make_shared<Job>(*job);
         again->isStalled = false;
-        m_waiting.push_back(std::move(again));
+        enqueue(again);
     }
 }
 
 void TargetPool::endOverdue(TimePoint now)
 {
-    std::vector<JobPtr> late;
-    std::erase_if(m_waiting, [&](const JobPtr& it) {
-        bool isLate = now >= it->order.deadline;
-        if (isLate)
-            late.push_back(it);
-        return isLate;
-    });
-    for (auto& it : late)
-        finish(it, decisions::makeFailure(ErrorKind::Overloaded, "no turn came in time"));
+    refuse(decisions::takeExpired(m_queue, now), "no turn came in time");
     auto running = m_running;
     for (auto& [job, session] : running) {
         if (now < job->order.deadline)
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -5,6 +5,7 @@
 // COMMON MISTAKES
 //   - Sending a statement right behind the BEGIN of its transaction. If the BEGIN is refused, the statement runs outside of it.
 #pragma once
+#include "decisions/member_queue.h"
 #include "gateway/target_session.h"
 #include <memory>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 
 struct Order {
     OrderKind kind { OrderKind::Single };
+    uint32_t database { 0 }; // hash of its name; what its operations cost is learned by it
     decisions::Statement statement {};
     std::optional<decisions::PreparedShape> shape {}; // of an Execute
     decisions::SessionValues values {};
@@ -63,7 +65,7 @@
 public:
     TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string from, PoolObserver observer);
 
-    void setLimits(const PoolLimits& limits) { m_limits = limits; }
+    void setLimits(const PoolLimits& limits);
     uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
     // Every order ends with exactly one call of `done`, never from within submit().
     void submit(Order order, OrderDone done);
@@ -85,7 +87,7 @@
 
     const TargetAddress& getTarget() const { return m_target; }
     PoolLoad getLoad() const;
-    bool isIdle() const { return m_waiting.empty() && m_sessions.empty(); }
+    bool isIdle() const { return m_queue.entries.empty() && m_sessions.empty(); }
     size_t getOpen() const { return m_sessions.size(); }
 
 private:
@@ -96,14 +98,25 @@
         TimePoint startedAt {};
         TimePoint notBefore {}; // the target was busy: it is asked again then
         unsigned timesBusy { 0 };
+        uint64_t number { 0 }; // in the queue
         bool isStalled { false }; // its answer seems to be lost: it takes no place among those at the target any more
         bool isDone() const { return !*done; }
     };
     using JobPtr = std::shared_ptr<Job>;
     using SessionPtr = std::shared_ptr<TargetSession>;
+    struct OpenTransaction {
+        SessionPtr session;
+        decisions::OperationKind kind;
+        double spentMs { 0 }; // of a place at the target so far
+    };
 
-    bool isAdmitted(const Order& order, TimePoint now) const;
+    static decisions::QueueEntry makeEntry(const Job& job);
+    void enqueue(const JobPtr& job);
+    void refuse(const std::vector<decisions::QueueEntry>& entries, const std::string& reason);
+    size_t countWaitingForConnection() const;
+    bool isHeld(const Job& job, TimePoint now) const;
     void dispatch();
+    void openSessions(TimePoint now);
     JobPtr popNext(TimePoint now);
     bool isRunnable(const Job& job, TimePoint now) const;
     SessionPtr findSession(const Job& job) const;
@@ -117,8 +130,11 @@
     bool mayAskAgain(const Job& job, const SessionPtr& session, const Outcome& outcome) const;
     void endJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome);
     void finish(const JobPtr& job, Outcome outcome);
+    void failWaiting(const decisions::Error& error);
     void freeSession(const SessionPtr& session);
     void takeProof(const Outcome& outcome, TimePoint sentAt);
+    void takeWorkTime(const Job& job);
+    void closeTransaction(const SessionPtr& session);
     // `isTrouble`: an answer that is missing counts against the target.
     void dropSession(const SessionPtr& session, const std::string& reason, bool isTrouble = true);
     void proveLead(TimePoint now);
@@ -137,17 +153,18 @@
     std::string m_from;
     PoolObserver m_observer;
     PoolLimits m_limits;
-    std::vector<JobPtr> m_waiting;
+    decisions::MemberQueue m_queue;
+    std::unordered_map<uint64_t, JobPtr> m_waiting; // by number in the queue
+    uint64_t m_lastNumber { 0 };
     std::vector<std::pair<JobPtr, SessionPtr>> m_running;
     std::vector<SessionPtr> m_sessions; // open
     unsigned m_opening { 0 };
-    std::unordered_map<uint64_t, SessionPtr> m_transactions;
+    std::unordered_map<uint64_t, OpenTransaction> m_transactions;
     uint64_t m_lastTransaction { 0 };
     TimePoint m_noNewBefore {}; // no connection is opened before this
     TimePoint m_provedAt {};
     TimePoint m_holdUntil {};
     milliseconds m_proofInterval { 0 };
-    double m_workMs { 10 };
     TimePoint m_answeredAt {}; // the last answer to a statement or a proof
     bool m_isDispatching { false };
     bool m_isCarrier { true };
--- /dev/null
+++ b/tests/unit/member_queue_test.cpp
@@ -0,0 +1,394 @@
+// The queue before one member under loads that last and loads that pass, played in virtual time: what callers get.
+#include "decisions/member_queue.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <queue>
+#include <random>
+
+using namespace alderward;
+using namespace alderward::decisions;
+
+namespace {
+
+TimePoint at(double ms) { return TimePoint(std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(1e6 + ms))); }
+
+// Operations of one database.
+struct Kind {
+    double share { 1 }; // of all operations
+    double workMs { 9 }; // of one statement, mean
+    double transactions { 0.12 }; // share of operations
+    int priority { 0 };
+    double objectiveMs { 1000 };
+    double limitMs { 800 }; // of one statement
+};
+
+struct Load {
+    std::vector<Kind> kinds { { 0.15, 3, 0.4, 1, 600, 800 }, { 0.15, 15, 0.1, 2, 800, 1200 }, { 0.7, 9, 0.12, 2, 1000, 800 } };
+    unsigned slots { 2 };
+    double load { 1.6 }; // what callers ask for as a multiple of what the member can run
+    double endMs { 20000 };
+    double loadEndMs { 20000 }; // 0.6 of the capacity is asked for from then on
+    unsigned statements { 4 }; // of a transaction
+    double pauseMs { 30 }; // between them
+    unsigned retries { 2 };
+    double retryPauseMs { 100 };
+    bool isKeptShort { true }; // false: as it would be without any notion of a load that lasts
+    unsigned seed { 7 };
+};
+
+struct Result {
+    double owed { 0 };
+    double inTime { 0 };
+    double late { 0 };
+    double failed { 0 };
+    std::vector<double> refusedAfterMs {};
+    std::vector<double> waitedMs {}; // of first statements that were sent
+    std::vector<double> inTimeOf {}; // by kind, share
+    double busy { 0 }; // share of the member's slots
+
+    double getMedian(std::vector<double> values) const
+    {
+        std::ranges::sort(values);
+        return values.empty() ? 0 : values[values.size() / 2];
+    }
+};
+
+struct Operation {
+    size_t kind { 0 };
+    bool isTransaction { false };
+    double beganMs { 0 };
+    unsigned done { 0 };
+    unsigned tries { 0 };
+    double spentMs { 0 }; // of a place at the member
+};
+
+// One member, its queue and its callers.
+class Play {
+public:
+    explicit Play(const Load& load)
+        : m_load(load)
+        , m_random(load.seed)
+    {
+        m_queue.places = load.slots + 1;
+        m_result.inTimeOf.resize(load.kinds.size());
+        m_owedOf.resize(load.kinds.size());
+    }
+
+    Result run()
+    {
+        double meanMs = 0;
+        for (auto& it : m_load.kinds)
+            meanMs += it.share * it.workMs * (1 - it.transactions + it.transactions * m_load.statements);
+        double capacity = m_load.slots / meanMs;
+        for (double t = draw(1 / (m_load.load * capacity)); t < m_load.endMs; t += draw(1 / ((t < m_load.loadEndMs ? m_load.load : 0.6) * capacity)))
+            schedule(t, [this] { begin(); });
+        for (double t = 0; t < m_load.endMs; t += 20)
+            schedule(t, [this] { refuse(takeExpired(m_queue, at(m_now))); });
+        while (!m_events.empty()) {
+            auto event = m_events.top();
+            m_events.pop();
+            m_now = event.ms;
+            event.run();
+            dispatch();
+        }
+        for (size_t i = 0; i < m_owedOf.size(); ++i)
+            m_result.inTimeOf[i] /= std::max(1.0, m_owedOf[i]);
+        m_result.busy = m_busyMs / (m_load.slots * m_load.endMs);
+        return m_result;
+    }
+
+private:
+    struct Event {
+        double ms;
+        uint64_t number;
+        std::function<void()> run;
+        bool operator<(const Event& other) const { return std::tie(ms, number) > std::tie(other.ms, other.number); }
+    };
+
+    double draw(double mean) { return std::exponential_distribution<double>(1 / mean)(m_random); }
+    void schedule(double ms, std::function<void()> run) { m_events.push({ ms, ++m_lastEvent, std::move(run) }); }
+
+    void begin()
+    {
+        std::vector<double> shares;
+        for (auto& it : m_load.kinds)
+            shares.push_back(it.share);
+        Operation operation;
+        operation.kind = std::discrete_distribution<size_t>(shares.begin(), shares.end())(m_random);
+        operation.isTransaction = std::bernoulli_distribution(m_load.kinds[operation.kind].transactions)(m_random);
+        operation.beganMs = m_now;
+        ++m_result.owed;
+        ++m_owedOf[operation.kind];
+        submit(operation);
+    }
+
+    void submit(const Operation& operation)
+    {
+        auto& kind = m_load.kinds[operation.kind];
+        QueueEntry entry;
+        entry.number = ++m_lastEntry;
+        entry.arrivedAt = at(m_now);
+        entry.kind = { static_cast<uint32_t>(operation.kind), operation.isTransaction };
+        entry.turn = { operation.done > 0, kind.priority, at(m_now + kind.objectiveMs), at(m_now + kind.limitMs) };
+        m_operations[entry.number] = operation;
+        m_submittedMs[entry.number] = m_now;
+        auto refused = admit(m_queue, entry, at(m_now));
+        if (!m_load.isKeptShort)
+            m_queue.overload = {};
+        refuse(refused);
+    }
+
+    void refuse(const std::vector<QueueEntry>& entries)
+    {
+        for (auto& it : entries) {
+            m_result.refusedAfterMs.push_back(m_now - m_submittedMs[it.number]);
+            retry(m_operations[it.number]);
+        }
+    }
+
+    void retry(Operation operation)
+    {
+        if (operation.tries >= m_load.retries) {
+            ++m_result.failed;
+            return;
+        }
+        ++operation.tries;
+        operation.done = 0;
+        operation.spentMs = 0;
+        schedule(m_now + draw(m_load.retryPauseMs), [this, operation] { submit(operation); });
+    }
+
+    void dispatch()
+    {
+        while (m_sent.size() + m_running < m_queue.places) {
+            auto next = takeNext(m_queue, at(m_now), [](const QueueEntry&) { return true; });
+            if (!next)
+                break;
+            if (!isWorthSending(next->turn, at(m_now), m_queue.workMs) && !next->turn.isContinuation) {
+                refuse({ *next });
+                continue;
+            }
+            if (!next->turn.isContinuation)
+                m_result.waitedMs.push_back(m_now - m_submittedMs[next->number]);
+            m_sent.push_back({ *next, m_now });
+        }
+        while (m_running < m_load.slots && !m_sent.empty()) {
+            auto [entry, sentMs] = m_sent.front();
+            m_sent.erase(m_sent.begin());
+            ++m_running;
+            auto workMs = draw(m_load.kinds[m_operations[entry.number].kind].workMs);
+            m_busyMs += m_now < m_load.endMs ? workMs : 0;
+            schedule(m_now + workMs, [this, entry, sentMs] { end(entry, m_now - sentMs); });
+        }
+    }
+
+    void end(const QueueEntry& entry, double tookMs)
+    {
+        --m_running;
+        m_queue.workMs = takeWorkTime(m_queue.workMs, tookMs);
+        auto operation = m_operations[entry.number];
+        operation.spentMs += tookMs;
+        ++operation.done;
+        if (operation.isTransaction && operation.done < m_load.statements) {
+            schedule(m_now + draw(m_load.pauseMs), [this, operation] { submit(operation); });
+            return;
+        }
+        takeOperation(m_queue.costs, entry.kind, operation.spentMs);
+        auto pauses = operation.isTransaction ? m_load.pauseMs * (m_load.statements - 1) : 0;
+        bool isInTime = m_now - operation.beganMs - pauses <= m_load.kinds[operation.kind].objectiveMs;
+        ++(isInTime ? m_result.inTime : m_result.late);
+        m_result.inTimeOf[operation.kind] += isInTime ? 1 : 0;
+    }
+
+    Load m_load;
+    std::mt19937 m_random;
+    MemberQueue m_queue;
+    Result m_result;
+    std::vector<double> m_owedOf;
+    std::priority_queue<Event> m_events;
+    std::map<uint64_t, Operation> m_operations;
+    std::map<uint64_t, double> m_submittedMs;
+    std::vector<std::pair<QueueEntry, double>> m_sent;
+    unsigned m_running { 0 };
+    double m_now { 0 };
+    double m_busyMs { 0 };
+    uint64_t m_lastEvent { 0 };
+    uint64_t m_lastEntry { 0 };
+};
+
+Result play(const Load& load) { return Play(load).run(); }
+
+std::ostream& operator<<(std::ostream& out, const Result& it)
+{
+    out << "in time " << it.inTime / it.owed << ", late " << it.late / it.owed << ", failed " << it.failed / it.owed << ", wait " << it.getMedian(it.waitedMs) << " ms, refused after " << it.getMedian(it.refusedAfterMs) << " ms (" << it.refusedAfterMs.size() << "), busy " << it.busy << ", by kind";
+    for (auto share : it.inTimeOf)
+        out << ' ' << share;
+    return out;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(member_queue)
+
+// Seed 7, load 1.6: with two retries 0.518 in time where the queue is not kept short, after 640 ms of waiting at the median, and 0.766
+// after 110 ms where it is; without retries 0.626 and 0.794, and who is refused hears it after 790 ms or at once.
+BOOST_AUTO_TEST_CASE(a_load_that_lasts_is_served_in_time_for_a_quarter_more)
+{
+    for (unsigned seed : { 7U, 8U, 9U }) {
+        for (unsigned retries : { 0U, 2U }) {
+            Load load { .endMs = 40000, .loadEndMs = 40000, .retries = retries, .seed = seed };
+            auto now = play(load);
+            load.isKeptShort = false;
+            auto before = play(load);
+            BOOST_TEST_CONTEXT("seed " << seed << ", " << retries << " retries\n  before: " << before << "\n  now:    " << now)
+            {
+                BOOST_TEST(now.inTime > (retries == 0 ? 1.15 : 1.25) * before.inTime);
+                BOOST_TEST(now.busy > 0.98);
+                BOOST_TEST(now.getMedian(now.waitedMs) < 150);
+                BOOST_TEST(now.getMedian(now.refusedAfterMs) < 50);
+                BOOST_TEST(now.late < 0.01 * now.owed);
+                BOOST_TEST(now.inTimeOf[0] > 0.99); // goes first, by the operators' word
+                BOOST_TEST(now.inTimeOf[1] > 0.2); // the dearest
+            }
+        }
+    }
+}
+
+// 0.81 of them in time where the queue is not kept short, 0.78 where it is (seed 7).
+BOOST_AUTO_TEST_CASE(a_burst_of_a_second_is_waited_out)
+{
+    Load load { .load = 2.5, .endMs = 6000, .loadEndMs = 1000 };
+    double now = 0;
+    double before = 0;
+    for (unsigned seed : { 7U, 8U, 9U, 10U, 11U }) {
+        load.seed = seed;
+        load.isKeptShort = true;
+        auto kept = play(load);
+        now += kept.inTime / kept.owed / 5;
+        load.isKeptShort = false;
+        auto left = play(load);
+        before += left.inTime / left.owed / 5;
+    }
+    BOOST_TEST_CONTEXT("before " << before << ", now " << now)
+    BOOST_TEST(now > before - 0.03);
+}
+
+BOOST_AUTO_TEST_CASE(a_load_that_the_member_can_run_is_refused_nothing)
+{
+    for (double load : { 0.7, 0.9, 1.05 }) {
+        auto result = play({ .load = load });
+        BOOST_TEST_CONTEXT("load " << load << ": " << result)
+        BOOST_TEST(result.inTime > 0.99 * result.owed);
+    }
+}
+
+// Each is played at twice of what the member can run.
+BOOST_AUTO_TEST_CASE(unusual_members_and_databases_are_kept_full)
+{
+    Kind plain { 1, 9, 0, 0, 1000, 800 };
+    Kind transactionsOnly { 1, 9, 1, 0, 1000, 800 };
+    Kind instant { 1, 0.01, 0, 0, 1000, 800 };
+    Kind tight { 1, 9, 0, 0, 1, 800 };
+    struct Case {
+        std::string name;
+        Load load;
+        double served; // of what is asked for, at least
+    };
+    std::vector<Case> cases {
+        { "one slot", { .kinds = { plain }, .slots = 1, .load = 2 }, 0.45 },
+        { "eight slots", { .kinds = { plain }, .slots = 8, .load = 2 }, 0.45 },
+        { "every operation is a transaction of twelve", { .kinds = { transactionsOnly }, .load = 2, .statements = 12 }, 0.4 },
+        { "a member that answers at once", { .kinds = { instant }, .load = 2, .endMs = 200, .loadEndMs = 200 }, 0.9 },
+        { "an objective that nothing can meet", { .kinds = { tight }, .load = 2 }, 0 },
+    };
+    for (auto& it : cases) {
+        auto result = play(it.load);
+        BOOST_TEST_CONTEXT(it.name << ": " << result)
+        {
+            BOOST_TEST(result.inTime >= it.served * result.owed);
+            BOOST_TEST(result.inTime + result.late + result.failed == result.owed);
+            BOOST_TEST(result.inTime + result.late >= 0.4 * result.owed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(no_database_starves_behind_one_that_goes_first)
+{
+    Kind first { 0.8, 9, 0, 0, 1000, 800 };
+    Kind second { 0.2, 9, 0, 5, 1000, 800 };
+    auto result = play({ .kinds = { first, second }, .load = 2, .retries = 0 });
+    BOOST_TEST_CONTEXT(result)
+    {
+        BOOST_TEST(result.inTimeOf[1] > 0.08);
+        BOOST_TEST(result.inTimeOf[0] > result.inTimeOf[1]);
+    }
+}
+
+static QueueEntry makeEntry(uint64_t number, double objectiveMs, bool isContinuation = false)
+{
+    return { number, { isContinuation, 0, at(objectiveMs), at(10000) }, {}, at(0) };
+}
+
+BOOST_AUTO_TEST_CASE(a_transaction_that_began_is_never_refused_for_the_length_of_the_queue)
+{
+    MemberQueue queue;
+    queue.overload = { true, at(0), at(0) };
+    for (uint64_t i = 1; i <= 200; ++i) {
+        auto refused = admit(queue, makeEntry(i, 1000, true), at(0));
+        BOOST_TEST(refused.empty());
+    }
+    BOOST_TEST(takeExpired(queue, at(5000)).empty());
+    auto refused = admit(queue, makeEntry(201, 1000), at(0));
+    BOOST_TEST(refused.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(absurd_times_refuse_and_serve_without_harm)
+{
+    MemberQueue queue;
+    queue.workMs = 0;
+    queue.places = 0;
+    BOOST_TEST(admit(queue, makeEntry(1, -5000), at(0)).empty());
+    BOOST_TEST(getWaitMs(queue, queue.entries.front(), at(0)) == 0);
+    auto next = takeNext(queue, at(0), [](const QueueEntry&) { return true; });
+    BOOST_REQUIRE(next);
+    BOOST_TEST(next->number == 1U);
+    BOOST_TEST(!takeNext(queue, at(0), [](const QueueEntry&) { return true; }));
+    takeOperation(queue.costs, {}, -3);
+    BOOST_TEST(getCostMs(queue.costs, {}, 7) == 7); // too few were seen
+    for (unsigned i = 0; i < kEnoughObservations; ++i)
+        takeOperation(queue.costs, {}, 20);
+    BOOST_TEST(getCostMs(queue.costs, {}, 7) > 7);
+}
+
+BOOST_AUTO_TEST_CASE(an_overload_begins_after_two_seconds_and_ends_once_nobody_is_refused)
+{
+    Overload overload;
+    overload = observeWait(overload, 50, 100, at(0));
+    overload = observeWait(overload, 300, 100, at(100));
+    overload = observeWait(overload, 300, 100, at(1900));
+    BOOST_TEST(!overload.isStanding);
+    overload = observeWait(overload, 300, 100, at(2100));
+    BOOST_TEST(overload.isStanding);
+    overload = observeWait(overload, 50, 100, at(2200));
+    BOOST_TEST(overload.isStanding);
+    overload.refusedAt = at(2500);
+    BOOST_TEST(observeWait(overload, 50, 100, at(2900)).isStanding);
+    BOOST_TEST(!observeWait(overload, 50, 100, at(3000)).isStanding);
+}
+
+// Writes wait up to two seconds while the primary is changed.
+BOOST_AUTO_TEST_CASE(a_queue_that_is_held_back_is_no_overload)
+{
+    MemberQueue queue;
+    for (uint64_t i = 1; i <= 50; ++i) {
+        auto now = at(static_cast<double>(i) * 40);
+        auto entry = makeEntry(i, 1000 + static_cast<double>(i) * 40);
+        entry.arrivedAt = now;
+        noteHeld(queue, now);
+        BOOST_TEST(admit(queue, entry, now).empty());
+    }
+    BOOST_TEST(!queue.overload.isStanding);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
