A starting host reads the store in one list

Cause: three reads in a row (hosts, members, configuration) are 120 ms for a host in a region 20 ms away, of the 180 to 220 ms that it takes to be ready after a restart of all; and three calls of the store in place of one. Ruled out: asking the three at once, which needs more connections and costs as many calls. Change: Directory::readAll() lists all keys, as the watch follows all keys; hosts are still taken before members. Tests: platform/* (12) as they are; platform/a_starting_host_connects_to_no_member_* holds the order.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,6 +1,7 @@
 #include "gateway/directory.h"
 #include "base/event_log.h"
 #include "base/random.h"
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
@@ -105,55 +106,49 @@
     co_return true;
 }
 
-// Pages are no snapshot: changes made meanwhile come again with the watch, which starts at the first page's revision.
-asio::awaitable<std::optional<uint64_t>> Directory::readPrefix(std::string prefix)
+// All keys in one list: a starting host in another region is ready after one exchange with the store in place of three (40 ms each where
+// regions are 20 ms apart). Pages are no snapshot: changes made meanwhile come again with the watch, which starts at the first page's revision.
+asio::awaitable<bool> Directory::readAll()
 {
-    std::string after;
+    std::vector<links::StoreItem> items;
     std::optional<uint64_t> revision;
-    for (;;) {
-        auto page = co_await m_platform.getStore().list(prefix, after, false, getDeadline());
+    for (bool hasMore = true; hasMore;) {
+        auto after = items.empty() ? std::string() : items.back().key;
+        auto page = co_await m_platform.getStore().list("", after, false, getDeadline());
         if (!page) {
             setReachable(false, page.error().reason);
-            co_return std::nullopt;
-        }
-        if (!revision)
-            revision = page->revision;
-        for (auto& it : page->items) {
-            m_listed.insert(it.key);
-            takeItem(it);
+            co_return false;
         }
-        if (!page->hasMore || page->items.empty())
-            co_return revision;
-        after = page->items.back().key;
+        revision = revision.value_or(page->revision);
+        hasMore = page->hasMore && !page->items.empty();
+        std::ranges::move(page->items, std::back_inserter(items));
     }
+    takeAll(items);
+    m_revision = *revision;
+    m_mustList = false;
+    setReachable(true, "listed");
+    m_events.onMembersRead();
+    co_return true;
 }
 
-asio::awaitable<bool> Directory::readAll()
+// Hosts before members: whoever knows members and no other host takes itself for the one that carries to all of them.
+void Directory::takeAll(const std::vector<links::StoreItem>& items)
 {
-    m_listed.clear();
-    std::optional<uint64_t> least;
-    std::vector<std::string> prefixes;
-    // Hosts before members: whoever knows members and no other host takes itself for the one that carries to all of them.
-    prefixes.emplace_back(kOwnPrefix);
-    prefixes.push_back(m_platform.getMembersPrefix());
-    for (auto& prefix : prefixes) {
-        auto revision = co_await readPrefix(prefix);
-        if (!revision)
-            co_return false;
-        least = std::min(least.value_or(*revision), *revision);
+    auto membersPrefix = m_platform.getMembersPrefix();
+    auto isMember = [&](const links::StoreItem& it) { return it.key.starts_with(membersPrefix); };
+    std::set<std::string> listed;
+    for (bool takesMembers : { false, true }) {
+        for (auto& it : items) {
+            listed.insert(it.key);
+            if (isMember(it) == takesMembers)
+                takeItem(it);
+        }
     }
-    if (!co_await readConfiguration())
-        co_return false;
     for (auto& key : std::set(m_known)) {
-        if (!m_listed.contains(key))
+        if (!listed.contains(key))
             takeItem({ .key = key, .isDeleted = true });
     }
-    m_known = m_listed;
-    m_revision = *least;
-    m_mustList = false;
-    setReachable(true, "listed");
-    m_events.onMembersRead();
-    co_return true;
+    m_known = listed;
 }
 
 asio::awaitable<bool> Directory::watchOnce()
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -43,10 +43,10 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<bool> readAll();
     boost::asio::awaitable<bool> readConfiguration();
-    boost::asio::awaitable<std::optional<uint64_t>> readPrefix(std::string prefix);
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> keepEntry();
     boost::asio::awaitable<bool> writeEntry();
+    void takeAll(const std::vector<links::StoreItem>& items);
     void takeItem(const links::StoreItem& item);
     void takeConfiguration(const links::StoreItem& item);
     void takeHost(const links::StoreItem& item);
@@ -61,8 +61,7 @@
     uint64_t m_revision { 0 }; // all changes up to this one are known
     uint64_t m_version { 0 }; // of the configuration
     uint64_t m_lease { 0 }; // 0: no entry of ours is known to stand
-    std::set<std::string> m_listed; // keys seen in the list under way
-    std::set<std::string> m_known; // keys under the prefixes that are listed
+    std::set<std::string> m_known; // keys
     bool m_mustList { true };
     bool m_mustReread { false };
     bool m_isReachable { false };
