A refusal hides no position that was heard before it

A replica's refusal was noted as a position heard just now, so what its carrier had heard a little earlier never counted; and a replica of which nothing was known was asked by each read. Change: a refusal is noted apart from the position; the position that comes with it is taken.

--- a/src/decisions/choice.cpp
+++ b/src/decisions/choice.cpp
@@ -41,7 +41,7 @@
     for (size_t i = 0; i < candidates.size(); ++i) {
         auto& it = candidates[i];
         bool isLeftAlone = it.positionAge < (it.isFarBehind ? kFarBehindFor : kBehindFor);
-        bool isBehind = !it.isLeader && it.position < need && isLeftAlone && it.position.term != 0;
+        bool isBehind = !it.isLeader && it.position < need && isLeftAlone && (it.position.term != 0 || it.wasBehind);
         if (!it.isUsable || it.wasTried || isBehind)
             continue;
         auto cost = getExpectedMs(it) + (it.isLeader ? kLeaderPenalty * it.workMs : 0);
--- a/src/decisions/choice.h
+++ b/src/decisions/choice.h
@@ -40,7 +40,8 @@
     bool isLeader { false };
     bool wasTried { false }; // by this statement
     Mark position {}; // that it is estimated to hold now
-    milliseconds positionAge { 0 }; // since it was last heard of
+    milliseconds positionAge { 0 }; // since it was last heard of, or that it is behind
+    bool wasBehind { false }; // it said so once; counts where its position is not known
     bool isFarBehind { false }; // by more than replicas usually are
     double distanceMs { 0 }; // there and back, with the host that carries it
     unsigned queued { 0 }; // statements waiting or running there
--- a/src/decisions/progress.cpp
+++ b/src/decisions/progress.cpp
@@ -29,6 +29,13 @@
     return next;
 }
 
+Progress takeRefusal(const Progress& progress, TimePoint at)
+{
+    auto next = progress;
+    next.behindAt = std::max(progress.behindAt, at);
+    return next;
+}
+
 Mark estimatePosition(const Progress& progress, TimePoint now)
 {
     std::chrono::duration<double> passed = now - progress.at;
--- a/src/decisions/progress.h
+++ b/src/decisions/progress.h
@@ -13,6 +13,7 @@
     Mark countedFrom {}; // where the present count of its speed began
     TimePoint countedAt {};
     double perSecond { 0 }; // positions; as of the last count
+    TimePoint behindAt {}; // when the member last said that it lacks what a read needs
     friend bool operator==(const Progress&, const Progress&) = default;
 };
 
@@ -21,6 +22,8 @@
 // The member's log stood at `position` at `at`. What is older than what is known changes nothing. A log that went back, as after a change of
 // primary, is followed.
 Progress takePosition(const Progress& progress, const Mark& position, TimePoint at);
+// The member lacked what a read needed at `at`. Says nothing of where the log stands, and hides nothing that is heard of that.
+Progress takeRefusal(const Progress& progress, TimePoint at);
 // Where the log stands by now if it goes on at its speed.
 Mark estimatePosition(const Progress& progress, TimePoint now);
 
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -48,7 +48,8 @@
     candidate.isLeader = member.listed.id == leader;
     candidate.wasTried = std::ranges::find(run.tried, member.listed.id) != run.tried.end();
     candidate.position = decisions::estimatePosition(member.progress, now);
-    candidate.positionAge = std::chrono::duration_cast<milliseconds>(now - member.progress.at);
+    candidate.positionAge = std::chrono::duration_cast<milliseconds>(now - std::max(member.progress.at, member.progress.behindAt));
+    candidate.wasBehind = member.progress.behindAt != TimePoint {};
     candidate.isFarBehind = isFarBehind(m_context.world.groups.at(member.listed.group), member, now);
     candidate.slots = std::max(1U, member.listed.slots);
     auto carrier = chooseCarrier(member);
@@ -138,6 +139,17 @@
         m_context.peers.sendOrder(carrier, *target, order, onOutcome);
 }
 
+void Runner::noteBehind(const TargetAddress& target, const Mark& position, TimePoint now)
+{
+    auto it = m_context.world.members.find(target.member);
+    if (it == m_context.world.members.end())
+        return;
+    auto& progress = it->second.progress;
+    if (position.term != 0)
+        progress = decisions::takePosition(progress, position, now);
+    progress = decisions::takeRefusal(progress, now);
+}
+
 void Runner::takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done)
 {
     if (!outcome.error) {
@@ -152,8 +164,8 @@
     run->wasOverloaded = run->wasOverloaded || isQueueFull || (run->wasTurnedAway && run->attempts >= decisions::kBusyTries);
     if (kind == ErrorKind::NotPrimary)
         denyLead(m_context.world.groups[target.group], target.member, now);
-    if (auto member = m_context.world.members.find(target.member); kind == ErrorKind::TooStale && member != m_context.world.members.end())
-        member->second.progress = decisions::takePosition(member->second.progress, member->second.progress.position, now);
+    if (kind == ErrorKind::TooStale)
+        noteBehind(target, outcome.position, now);
     if (transaction)
         end(*transaction);
     auto& statement = run->order.statement;
--- a/src/gateway/runner.h
+++ b/src/gateway/runner.h
@@ -69,6 +69,7 @@
     decisions::Candidate makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const;
     bool mayCarry(const std::string& host, const MemberBelief& member) const;
     std::string chooseCarrier(const MemberBelief& member) const;
+    void noteBehind(const TargetAddress& target, const Mark& position, TimePoint now);
     void takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done);
     void finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target);
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -118,6 +118,14 @@
     BOOST_TEST((*chooseReader(candidates, { 1, 10 }) == 1u));
     candidates[1].positionAge = milliseconds(200); // it may have caught up
     BOOST_TEST((*chooseReader(candidates, { 1, 11 }) == 1u));
+    candidates[1].isFarBehind = true; // its carrier tells all when it has
+    BOOST_TEST((*chooseReader(candidates, { 1, 11 }) == 2u));
+    candidates[1] = {};
+    candidates[1].positionAge = milliseconds(20); // all that is known is that it was behind
+    candidates[1].wasBehind = true;
+    BOOST_TEST((*chooseReader(candidates, { 1, 11 }) == 2u));
+    candidates[1].wasBehind = false;
+    BOOST_TEST((*chooseReader(candidates, { 1, 11 }) == 1u));
     for (auto& it : candidates)
         it.isUsable = false;
     BOOST_TEST(!chooseReader(candidates, {}));
--- a/tests/unit/progress_test.cpp
+++ b/tests/unit/progress_test.cpp
@@ -44,4 +44,14 @@
     BOOST_TEST((estimatePosition(seen, at(1800)) == Mark { 1, 200 }));
 }
 
+// Found by path/replicas_that_are_far_behind_*, once in four runs: refusals were noted as positions heard just now, so what a carrier had heard a
+// little earlier never counted, and a replica of which nothing was known was asked by each read.
+BOOST_AUTO_TEST_CASE(a_refusal_hides_no_position_that_was_heard_before_it)
+{
+    auto refused = takeRefusal({}, at(1000));
+    auto told = takePosition(refused, { 1, 40 }, at(900));
+    BOOST_TEST((told.position == Mark { 1, 40 }));
+    BOOST_TEST((told.behindAt == at(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
