A host that has lost most others replaces no primary, and tells callers at once

Two of nine hosts, cut off with two of three members, replaced a primary that the other seven still reached; these had none for 6 s. Their own statements waited 800 ms for connections that could not be opened. Ruled out: the choice of the member (a majority of members was reached, rightly); a lost message (the links of seven hosts were silent). Change: decisions::mayJudge(): whoever has lost more of the hosts heard within 10 s than it hears does not take a primary for dead; a pool whose last attempt to connect failed refuses at once; a cut off host does not wait for a primary.

--- a/src/decisions/succession.cpp
+++ b/src/decisions/succession.cpp
@@ -82,6 +82,11 @@
     return succession;
 }
 
+bool mayJudge(const HostsInReach& hosts)
+{
+    return hosts.answering + 1 >= hosts.lost; // itself included; a tie is decided for acting
+}
+
 std::optional<std::string> chooseSuccessor(const std::vector<MemberFinding>& replicas, unsigned synchronousReplicas, size_t listedMembers)
 {
     auto reached = static_cast<size_t>(std::ranges::count_if(replicas, &MemberFinding::wasReached));
--- a/src/decisions/succession.h
+++ b/src/decisions/succession.h
@@ -55,6 +55,20 @@
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
 
+// The other hosts as one host sees them.
+struct HostsInReach {
+    size_t answering { 0 };
+    size_t lost { 0 }; // answered within kLostCountsFor and do not any more; not those that stopped as planned
+    friend bool operator==(const HostsInReach&, const HostsInReach&) = default;
+};
+
+// A host that died counts as lost for this long: a change of primary is over within 12 s also if most hosts died together with the primary.
+inline constexpr milliseconds kLostCountsFor { 10000 };
+
+// Whether a host may take a primary that it does not reach for dead. One that has lost most of the others is probably cut off itself,
+// and the primary serves those others: replacing it would leave most callers without one.
+bool mayJudge(const HostsInReach& hosts);
+
 // What one host found when it asked a member for its status.
 struct MemberFinding {
     std::string member {};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,7 +39,7 @@
     , m_platform(std::move(platform))
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerService())
-    , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); } })
+    , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); } })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
     , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
     , m_acceptor(context)
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -34,7 +34,8 @@
     bool isLeaving { false };
     TimePoint usedAt {}; // when something other than a ping was last sent
     bool wasHeard { false };
-    TimePoint heardAt {};
+    TimePoint heardAt {}; // on the present connection
+    TimePoint pongAt {}; // on any
     TimePoint pingedAt {};
     TimePoint connectedAt {};
     TimePoint noConnectBefore {};
@@ -248,6 +249,21 @@
     return names;
 }
 
+decisions::HostsInReach Peers::countInReach() const
+{
+    decisions::HostsInReach hosts;
+    auto now = Clock::now();
+    for (auto& [name, link] : m_links) {
+        bool isAnswering = link->isUp && link->wasHeard;
+        bool wasAnswering = link->pongAt != TimePoint {} && now - link->pongAt < decisions::kLostCountsFor;
+        if (isAnswering)
+            ++hosts.answering;
+        else if (wasAnswering && !link->isLeaving)
+            ++hosts.lost;
+    }
+    return hosts;
+}
+
 Peers::LinkPtr Peers::findUp(const std::string& host)
 {
     auto it = m_links.find(host);
@@ -409,6 +425,7 @@
     auto now = Clock::now();
     auto sentAt = it->second;
     link->pings.erase(link->pings.begin(), std::next(it));
+    link->pongAt = now;
     std::chrono::duration<double, std::milli> took = now - sentAt;
     link->distanceMs = link->wasHeard ? link->distanceMs + kDistanceSmoothing * (took.count() - link->distanceMs) : took.count();
     link->isLeaving = pong.is_leaving();
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -3,6 +3,7 @@
 // COMMON MISTAKES
 //   - Taking a lost connection for "not run". An order that was sent may run as long as its host lives.
 #pragma once
+#include "decisions/succession.h"
 #include "gateway/target_pool.h"
 #include "gateway/world.h"
 #include "generated/gateway.pb.h"
@@ -59,6 +60,7 @@
     // What the host last said of its connections to a member.
     std::optional<peer::Load> getLoad(const std::string& host, const std::string& member) const;
     std::vector<std::string> getUpHosts() const;
+    decisions::HostsInReach countInReach() const;
 
     // Each order ends with one call of `done`. Returns the number of its transaction on the link for later orders.
     void sendOrder(const std::string& host, const TargetAddress& target, const Order& order, OrderDone done);
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -380,6 +380,12 @@
     askReplicas(group, isPlanned ? "" : lead.member, replicas);
     if (member != m_context.world.members.end() && !isPlanned)
         isDue = co_await isDead(group, member->second.getTarget());
+    // Only now: a cut shows in the links to other hosts no sooner than in the silence of those that were asked.
+    auto inReach = m_context.peers.countInReach();
+    if (isDue && !isPlanned && !decisions::mayJudge(inReach)) {
+        isDue = false;
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("most other hosts are out of reach") }, { "hosts_answering", static_cast<int64_t>(inReach.answering) }, { "hosts_lost", static_cast<int64_t>(inReach.lost) } });
+    }
     if (isDue)
         co_await replicas->latch.wait();
     if (isDue) {
--- a/src/gateway/runner.cpp
+++ b/src/gateway/runner.cpp
@@ -97,29 +97,48 @@
     return kCallerWay + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(toHereMs));
 }
 
-void Runner::attempt(const std::shared_ptr<Run>& run, RunDone done)
+void Runner::giveUp(const std::shared_ptr<Run>& run, RunDone done, ErrorKind kind)
+{
+    boost::asio::post(m_context.context, [this, run, done = std::move(done), kind] {
+        finish(*run, decisions::makeFailure(kind, run->lastReason.empty() ? "no member can serve this now" : run->lastReason), std::nullopt, done, {});
+    });
+}
+
+// No member is left to ask. A primary may come back or be replaced while there is time; on a host that is cut off the caller is told at
+// once, as others may reach the primary. Where two of nine hosts were cut off for 7 s, 262 of their statements waited 800 ms in vain.
+void Runner::waitOrGiveUp(const std::shared_ptr<Run>& run, RunDone done)
 {
     auto now = Clock::now();
+    if (run->wasOverloaded) {
+        giveUp(run, std::move(done), ErrorKind::Overloaded);
+        return;
+    }
+    if (now + kRetryPause >= run->order.deadline || m_context.isCutOff()) {
+        giveUp(run, std::move(done), run->needsLeader ? ErrorKind::NoPrimary : ErrorKind::TooStale);
+        return;
+    }
+    if (run->needsLeader && !run->wasTurnedAway)
+        m_context.onNoLeader(run->route.group);
+    run->tried.clear();
+    m_waiting.push_back({ run, std::move(done), now + kRetryPause });
+}
+
+void Runner::attempt(const std::shared_ptr<Run>& run, RunDone done)
+{
     auto target = chooseMember(*run);
     if (!target) {
-        if (run->wasOverloaded || now + kRetryPause >= run->order.deadline) {
-            auto kind = run->wasOverloaded ? ErrorKind::Overloaded : run->needsLeader ? ErrorKind::NoPrimary
-                                                                                      : ErrorKind::TooStale;
-            boost::asio::post(m_context.context, [this, run, done, kind] {
-                finish(*run, decisions::makeFailure(kind, run->lastReason.empty() ? "no member can serve this now" : run->lastReason), std::nullopt, done, {});
-            });
-            return;
-        }
-        if (run->needsLeader && !run->wasTurnedAway)
-            m_context.onNoLeader(run->route.group);
-        run->tried.clear();
-        m_waiting.push_back({ run, std::move(done), now + kRetryPause });
+        waitOrGiveUp(run, std::move(done));
         return;
     }
     ++run->attempts;
     run->tried.push_back(target->member);
     auto& member = m_context.world.members.at(target->member);
     auto carrier = chooseCarrier(member);
+    if (!mayCarry(carrier, member) && m_context.isCutOff()) {
+        run->lastReason = "the member is out of reach";
+        attempt(run, std::move(done));
+        return;
+    }
     auto order = run->order;
     order.atLeast = run->need;
     order.objective -= getWayBack(carrier);
--- a/src/gateway/runner.h
+++ b/src/gateway/runner.h
@@ -39,6 +39,7 @@
     std::function<std::shared_ptr<TargetPool>(const TargetAddress&)> getPool;
     std::function<bool(const TargetAddress&)> isTroubled; // this host cannot reach the target
     std::function<void(const std::string& group)> onNoLeader;
+    std::function<bool()> isCutOff; // this host has lost most others: they may reach what it does not
 };
 
 class Runner {
@@ -65,6 +66,8 @@
 
     TimePoint::duration getWayBack(const std::string& carrier) const;
     void attempt(const std::shared_ptr<Run>& run, RunDone done);
+    void waitOrGiveUp(const std::shared_ptr<Run>& run, RunDone done);
+    void giveUp(const std::shared_ptr<Run>& run, RunDone done, decisions::ErrorKind kind);
     std::optional<TargetAddress> chooseMember(const Run& run) const;
     decisions::Candidate makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const;
     bool mayCarry(const std::string& host, const MemberBelief& member) const;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -67,6 +67,12 @@
 {
     auto now = Clock::now();
     auto job = std::make_shared<Job>(Job { std::move(order), std::make_shared<OrderDone>(std::move(done)), now });
+    if (m_isSuspect && m_sessions.empty()) { // the next attempt takes as long as the last: nobody waits for it
+        if (m_opening == 0 && now >= m_noNewBefore)
+            openSession();
+        finish(job, decisions::makeFailure(ErrorKind::TargetUnreachable, "no connection to the target could be opened"));
+        return;
+    }
     job->number = ++m_lastNumber;
     m_waiting[job->number] = job;
     refuse(decisions::admit(m_queue, makeEntry(*job), now), "");
@@ -211,6 +217,7 @@
         m_target, m_from, kConnectLimit, [self, session](const Outcome& outcome) {
             --self->m_opening;
             base::addTo(base::Family::ConnectionsOpened, { { "member", self->m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
+            self->m_isSuspect = outcome.error.has_value();
             if (outcome.error) {
                 bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
                 self->m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -167,6 +167,7 @@
     std::unordered_map<uint64_t, OpenTransaction> m_transactions;
     uint64_t m_lastTransaction { 0 };
     TimePoint m_noNewBefore {}; // no connection is opened before this
+    bool m_isSuspect { false }; // the last attempt to open one failed
     TimePoint m_provedAt {};
     TimePoint m_holdUntil {};
     milliseconds m_proofInterval { 0 };
--- a/tests/gateway/failover_test.cpp
+++ b/tests/gateway/failover_test.cpp
@@ -170,4 +170,28 @@
     BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, holder); }));
 }
 
+// Found at the bench: two of nine hosts, cut off together with two of three members, made one of these the primary; the other seven, which
+// still reached the old one, had none for six seconds. To whoever is left here it looks the same. Before, a promotion came within a second.
+BOOST_AUTO_TEST_CASE(a_host_that_has_lost_most_others_replaces_no_primary_until_they_count_as_gone)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    BOOST_TEST(canWrite(rig, 0));
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return rig.countEvents("host-regained") >= 6; }));
+    rig.getHost(1).signal(SIGSTOP);
+    rig.getHost(2).signal(SIGSTOP);
+    rig.call([&] { rig.getGroup().kill("g0-a"); });
+    std::this_thread::sleep_for(milliseconds(3000));
+    auto askedAt = std::chrono::steady_clock::now();
+    BOOST_TEST(!canWrite(rig, 0));
+    BOOST_TEST((std::chrono::steady_clock::now() - askedAt < milliseconds(200))); // the caller may find another host that reaches the primary; 1,500 ms before
+    std::this_thread::sleep_for(milliseconds(2000));
+    BOOST_TEST(getPromotions(rig).empty());
+    BOOST_TEST(waitUntil(milliseconds(9000), [&] { return canWrite(rig, 0); })); // they may have died with the primary
+    rig.getHost(1).signal(SIGCONT);
+    rig.getHost(2).signal(SIGCONT);
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, i); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -267,6 +267,17 @@
     BOOST_TEST(chooseSuccessor(found, 0, 3).has_value());
 }
 
+// Found at the bench (phewa-huts, scale-2): two of nine hosts, cut off together with two of three members, made one of these the primary;
+// the other seven hosts, which still reached the old one, had none for six seconds.
+BOOST_AUTO_TEST_CASE(a_host_that_has_lost_most_others_takes_no_primary_for_dead)
+{
+    BOOST_TEST(!mayJudge({ .answering = 1, .lost = 7 }));
+    BOOST_TEST(!mayJudge({ .answering = 0, .lost = 2 }));
+    BOOST_TEST(mayJudge({ .answering = 0, .lost = 0 })); // the only host
+    BOOST_TEST(mayJudge({ .answering = 0, .lost = 1 })); // one of two
+    BOOST_TEST(mayJudge({ .answering = 6, .lost = 2 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(connections)
