A few hosts of each data centre look at the store often

Ruled out: the renewals of leases (a tenth of a call each 3 s); the list at the start (one call since the list is one). Change: decisions/watching.h: two usable hosts of each data centre watch as before, the others for 25 s; pings name the newest change that the sender has seen, and a watch that has not brought it for 1.5 s is begun anew; changes in a row are taken after 250, 500, 1,000 ms; failed calls are repeated after 0.2 to 1 s, spread. Tests: watching/* (new); platform/* and failover/* hold, among them changes through lost history and silent watches.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -77,6 +77,7 @@
         { "platform", "orders_address", &S::ordersAddress, 3, kNoMost, "ip:port", "where promotions are ordered" },
         { "platform", "call_limit_ms", &S::callLimitMs, 100, 60000, "ms", "a call to the store without an answer has failed after this" },
         { "platform", "watch_wait_ms", &S::watchWaitMs, 100, 30000, "ms", "longest wait of one watch; a silent connection is noticed after about this" },
+        { "platform", "long_watch_wait_ms", &S::longWatchWaitMs, 100, 30000, "ms", "the same on hosts that hear of changes from others; those that do are told when theirs is silent" },
         { "platform", "lease_ms", &S::leaseMs, 1000, 600000, "ms", "after this long without a renewal the store drops this host's entry" },
         { "stop", "grace_ms", &S::graceMs, 500, 600000, "ms", "from the signal to stop to the forced end" },
         { "log", "lines_per_second", &S::logLinesPerSecond, 1, 100000, "count", "request lines a second; changes of state have as many for themselves" },
--- /dev/null
+++ b/src/decisions/watching.h
@@ -0,0 +1,40 @@
+// How a host follows the platform's store at a price that grows with data centres and changes, not with hosts: a few hosts of each data
+// centre look often, the others hold one long watch and hear from the rest, with pings that are sent anyway, that something changed.
+#pragma once
+#include "decisions/freshness.h"
+#include <string>
+#include <vector>
+
+namespace alderward::decisions {
+
+// Hosts of a data centre that look often: one may be frozen or cut off from the store while another finds a watch that has fallen silent.
+inline constexpr size_t kWatchersOfDataCentre = 2;
+
+// Whether `self` is one of the watchers. `ranked`: the usable hosts of its data centre, in an order that all agree on.
+bool isWatcher(const std::string& self, const std::vector<std::string>& ranked);
+
+// The pause after a watch that answered, before the next. Changes that come in a row, as when all hosts start, are taken together: `wasAtOnce`,
+// they stood ready when the watch was sent. Members that register within five seconds of a start cost each host five calls in place of twenty.
+milliseconds getWatchPause(milliseconds previous, bool wasAtOnce);
+inline constexpr milliseconds kWatchPauseLeast { 250 };
+inline constexpr milliseconds kWatchPauseMost { 1000 };
+
+// The pause after `failures` failed calls in a row, spread by `random` in [0, 1) so that hosts do not come together. A store that turns calls
+// away at once would else be asked four times a second by each host, for nothing.
+milliseconds getRetryPause(unsigned failures, double random);
+
+// What others have said of changes in the store that this host has not seen.
+struct HeardChange {
+    uint64_t change { 0 }; // revision; 0: none
+    TimePoint at {}; // when it was first heard of
+    friend bool operator==(const HeardChange&, const HeardChange&) = default;
+};
+
+// A watch brings changes within tens of ms and the longest pause: one that others know for longer shows that ours has fallen silent.
+inline constexpr milliseconds kChangeLate { 1500 };
+
+// Another host knows of `change`; `seen` is the newest that this host knows.
+HeardChange takeHeard(const HeardChange& heard, uint64_t change, uint64_t seen, TimePoint now);
+bool isWatchSilent(const HeardChange& heard, uint64_t seen, TimePoint now);
+
+}
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -17,23 +17,13 @@
 using base::TimePoint;
 using links::StoreErrorKind;
 
-static constexpr double kRetryLeastMs = 100; // pause after a failed call; spread, so that hosts do not come together
-static constexpr double kRetryMostMs = 350;
-
-// After changes came, before the next watch: changes that come in a row, as when all hosts start, cost one call together.
-static constexpr milliseconds kWatchPause { 250 };
-
+static constexpr milliseconds kAtOnce { 100 }; // an answer to a watch within this stood ready: one way there and back is 40 ms at most on the sites that were seen
 // A host that starts serves nobody until it has read the store, so it asks more often, and gives up sooner on a call that may have been lost with
 // the store's absence: on a store that came back 0.7 s after all hosts, the first was ready after 0.6 s, the last after 1.1 s without this.
 static constexpr milliseconds kStartCallLimit { 400 }; // ten times an answer from another region, and more than a slow store's 60 times 4 ms
 static constexpr unsigned kStartShortCalls = 2; // in a row, then one with the whole limit: a store may be slower than that
 static constexpr double kStartRetryMs = 60; // pause, spread by half
 
-static milliseconds getRetryPause()
-{
-    return milliseconds(static_cast<int64_t>(kRetryLeastMs + base::getRandom() * (kRetryMostMs - kRetryLeastMs)));
-}
-
 static milliseconds getStartRetryPause()
 {
     return milliseconds(static_cast<int64_t>(kStartRetryMs * (0.5 + base::getRandom())));
@@ -89,6 +79,31 @@
     m_platform.getStore().interruptWatch();
 }
 
+void Directory::setWatcher(bool isWatcher)
+{
+    if (isWatcher && !m_isWatcher)
+        interruptWatch();
+    m_isWatcher = isWatcher;
+}
+
+void Directory::interruptWatch()
+{
+    m_isInterrupted = true;
+    m_platform.getStore().interruptWatch();
+}
+
+void Directory::hearChange(uint64_t change)
+{
+    auto now = Clock::now();
+    auto seen = std::max(m_newestChange, m_revision);
+    m_heard = decisions::takeHeard(m_heard, change, seen, now);
+    if (!decisions::isWatchSilent(m_heard, seen, now))
+        return;
+    base::logEvent(LogClass::State, "watch-silent", { { "here", static_cast<int64_t>(seen) }, { "elsewhere", static_cast<int64_t>(m_heard.change) } });
+    m_heard = {};
+    interruptWatch();
+}
+
 void Directory::setReachable(bool isReachable, const std::string& reason)
 {
     if (isReachable == m_isReachable)
@@ -107,8 +122,9 @@
         }
         if (isGood)
             isGood = m_mustList ? co_await readAll() : co_await watchOnce();
+        m_failures = isGood ? 0 : m_failures + 1;
         if (!isGood)
-            co_await base::sleepFor(m_version == 0 ? getStartRetryPause() : getRetryPause());
+            co_await base::sleepFor(m_version == 0 ? getStartRetryPause() : decisions::getRetryPause(m_failures, base::getRandom()));
     }
 }
 
@@ -170,17 +186,23 @@
 
 asio::awaitable<bool> Directory::watchOnce()
 {
-    auto changes = co_await m_platform.getStore().watch("", m_revision, m_timings.watchWait);
+    m_isInterrupted = false;
+    auto askedAt = Clock::now();
+    auto changes = co_await m_platform.getStore().watch("", m_revision, m_isWatcher ? m_timings.watchWait : std::max(m_timings.watchWait, m_timings.longWatchWait));
     if (changes) {
         setReachable(true, "watch answered");
-        for (auto& it : changes->items)
+        for (auto& it : changes->items) {
+            m_newestChange = std::max(m_newestChange, it.revision);
             takeItem(it);
+        }
         m_revision = std::max(m_revision, changes->revision);
-        if (!changes->items.empty())
-            co_await base::sleepFor(kWatchPause);
+        if (!changes->items.empty()) {
+            m_watchPause = decisions::getWatchPause(m_watchPause, Clock::now() - askedAt < kAtOnce);
+            co_await base::sleepFor(m_watchPause);
+        }
         co_return true;
     }
-    if (m_mustReread) // we broke it off ourselves
+    if (m_mustReread || m_isInterrupted) // we broke it off ourselves
         co_return true;
     if (changes.error().kind == StoreErrorKind::HistoryLost) {
         base::logEvent(LogClass::State, "history-lost", { { "revision", static_cast<int64_t>(m_revision) } });
@@ -288,7 +310,7 @@
             bool isWritten = co_await writeEntry();
             renewedAt = Clock::now();
             if (!isWritten)
-                co_await base::sleepFor(getRetryPause());
+                co_await base::sleepFor(decisions::getRetryPause(m_entryTries, base::getRandom()));
             continue;
         }
         co_await base::sleepFor(step);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,5 +1,6 @@
 // Follows the platform's store: reads everything once, then waits for changes; keeps this host's own entry there under a lease.
 #pragma once
+#include "decisions/watching.h"
 #include "links/directory.h"
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -25,6 +26,7 @@
 struct DirectoryTimings {
     base::milliseconds callLimit { 1000 };
     base::milliseconds watchWait { 2000 };
+    base::milliseconds longWatchWait { 25000 }; // of hosts that hear of changes from others
     base::milliseconds lease { 6000 };
 };
 
@@ -37,6 +39,12 @@
     boost::asio::awaitable<void> end();
     // Another host has a newer configuration than this one: look at once.
     void hurry(uint64_t version);
+    // Whether this host looks often itself.
+    void setWatcher(bool isWatcher);
+    // The newest change that this host has seen, for other hosts.
+    uint64_t getNewestChange() const { return m_newestChange; }
+    // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
+    void hearChange(uint64_t change);
     bool isReachable() const { return m_isReachable; }
 
 private:
@@ -46,6 +54,7 @@
     boost::asio::awaitable<bool> watchOnce();
     boost::asio::awaitable<void> keepEntry();
     boost::asio::awaitable<bool> writeEntry();
+    void interruptWatch();
     void takeAll(const std::vector<links::StoreItem>& items);
     void takeItem(const links::StoreItem& item);
     void takeConfiguration(const links::StoreItem& item);
@@ -63,6 +72,12 @@
     uint64_t m_version { 0 }; // of the configuration
     uint64_t m_lease { 0 }; // 0: no entry of ours is known to stand
     std::set<std::string> m_known; // keys
+    uint64_t m_newestChange { 0 }; // revision of the newest change that a watch brought; the store's own revision moves with more than these
+    decisions::HeardChange m_heard {};
+    base::milliseconds m_watchPause { 0 }; // the last
+    unsigned m_failures { 0 }; // in a row
+    bool m_isWatcher { true };
+    bool m_isInterrupted { false };
     unsigned m_listTries { 0 }; // while nothing was read yet
     unsigned m_entryTries { 0 }; // since the entry was last written
     bool m_mustList { true };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,7 +41,7 @@
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerService())
     , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); } })
-    , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
+    , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
     , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
@@ -257,6 +257,7 @@
 void Gateway::fillNews(peer::Pong& message, TimePoint now) const
 {
     message.set_configuration(m_world.configuration.version);
+    message.set_change(m_directory.getNewestChange());
     message.set_is_leaving(m_isDraining);
     // Only what this host has seen for itself: whoever needs a group's floor asks the host that carries to its primary.
     for (auto& [name, group] : m_world.groups) {
@@ -290,6 +291,7 @@
 void Gateway::takeNews(const peer::Pong& message, TimePoint sentAt)
 {
     m_directory.hurry(message.configuration());
+    m_directory.hearChange(message.change());
     for (auto& it : message.leads()) {
         auto& lead = m_world.groups[it.group()].lead;
         if (m_world.members.contains(it.member()))
@@ -328,6 +330,7 @@
     };
     service.fillPing = [this](peer::Ping& ping) {
         ping.set_configuration(m_world.configuration.version);
+        ping.set_change(m_directory.getNewestChange());
         ping.set_is_leaving(m_isDraining);
     };
     service.fillPong = [this](peer::Pong& pong) {
@@ -347,7 +350,10 @@
             tellPosition(wire, now);
         }
     };
-    service.onPing = [this](const std::string&, const peer::Ping& ping) { m_directory.hurry(ping.configuration()); };
+    service.onPing = [this](const std::string&, const peer::Ping& ping) {
+        m_directory.hurry(ping.configuration());
+        m_directory.hearChange(ping.change());
+    };
     service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeNews(pong, sentAt); };
     service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::addTo(base::Family::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
@@ -428,6 +434,19 @@
     m_partnersDue = false;
     m_partnersAt = now;
     m_peers.setPartners(choosePartners());
+    m_directory.setWatcher(isWatcher());
+}
+
+// Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
+bool Gateway::isWatcher()
+{
+    std::vector<std::string> usable;
+    for (auto& name : getRankedHosts(m_world, "watchers of " + m_settings.dataCentre)) {
+        bool isOfDataCentre = m_world.hosts.at(name).dataCentre == m_settings.dataCentre;
+        if (isOfDataCentre && (name == m_self.name || m_peers.isUsable(name)))
+            usable.push_back(name);
+    }
+    return decisions::isWatcher(m_self.name, usable);
 }
 
 // The hosts that this one needs all the time: those that carry to each member, and the next in turn should one of them be down;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -38,6 +38,7 @@
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
+    bool isWatcher();
     bool isCarrier(const MemberBelief& member);
     void fillNews(peer::Pong& message, TimePoint now) const;
     void tellPosition(peer::Load& load, TimePoint now) const;
--- /dev/null
+++ b/tests/unit/watching_test.cpp
@@ -0,0 +1,56 @@
+// How hosts follow the platform's store.
+#include "decisions/watching.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace alderward;
+using namespace alderward::decisions;
+
+static TimePoint at(int ms) { return TimePoint(milliseconds(1'000'000 + ms)); }
+
+BOOST_AUTO_TEST_SUITE(watching)
+
+BOOST_AUTO_TEST_CASE(the_first_usable_hosts_of_a_data_centre_watch)
+{
+    BOOST_TEST(isWatcher("a", { "a" }));
+    BOOST_TEST(isWatcher("b", { "a", "b", "c" }));
+    BOOST_TEST(!isWatcher("c", { "a", "b", "c" }));
+    BOOST_TEST(isWatcher("c", { "b", "c" })); // the first is gone
+    BOOST_TEST(!isWatcher("x", { "a" }));
+}
+
+BOOST_AUTO_TEST_CASE(changes_in_a_row_are_taken_together)
+{
+    auto pause = getWatchPause(milliseconds(0), false);
+    BOOST_TEST(pause.count() == 250);
+    pause = getWatchPause(pause, true);
+    BOOST_TEST(pause.count() == 500);
+    pause = getWatchPause(getWatchPause(pause, true), true);
+    BOOST_TEST(pause.count() == 1000);
+    BOOST_TEST(getWatchPause(pause, false).count() == 250);
+    BOOST_TEST(getWatchPause(milliseconds(-5), true).count() == 250);
+}
+
+BOOST_AUTO_TEST_CASE(failures_in_a_row_are_asked_after_less_and_less_often)
+{
+    BOOST_TEST(getRetryPause(0, 0.5).count() == 225);
+    BOOST_TEST(getRetryPause(1, 0.5).count() == 225);
+    BOOST_TEST(getRetryPause(2, 0.5).count() == 450);
+    BOOST_TEST(getRetryPause(1'000'000, 0.999).count() <= 1500);
+    BOOST_TEST(getRetryPause(1'000'000, 0).count() >= 500);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_that_others_know_and_ours_does_not_bring_shows_a_silent_watch)
+{
+    auto heard = takeHeard({}, 10, 9, at(0));
+    BOOST_TEST(!isWatchSilent(heard, 9, at(1000)));
+    heard = takeHeard(heard, 12, 9, at(1000)); // a later one does not begin the time anew
+    BOOST_TEST(isWatchSilent(heard, 9, at(1500)));
+    BOOST_TEST(!isWatchSilent(heard, 10, at(1500))); // it came after all
+    heard = takeHeard(heard, 12, 10, at(1600));
+    BOOST_TEST(!isWatchSilent(heard, 10, at(2000)));
+    BOOST_TEST(isWatchSilent(heard, 10, at(3100)));
+    BOOST_TEST((takeHeard(heard, 12, 12, at(3200)) == HeardChange {}));
+    BOOST_TEST((takeHeard({}, 0, 0, at(0)) == HeardChange {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
