An objective belongs to the whole operation

Cause: the later statements of a transaction had a whole objective each; the operators give one to the operation, pauses apart. Ruled out: the pauses (the time between two statements is the caller's own and does not count). Change: CallerSession counts the time under a transaction's statements; getObjectiveEnd() takes it off. Test: turns/the_objective_is_one_for_all_statements_*.

--- a/src/decisions/turns.cpp
+++ b/src/decisions/turns.cpp
@@ -18,6 +18,11 @@
     return std::chrono::duration<double, std::milli>(until - now).count();
 }
 
+TimePoint getObjectiveEnd(TimePoint now, milliseconds objective, TimePoint::duration spent)
+{
+    return now + objective - spent;
+}
+
 bool canMeetObjective(const Turn& turn, TimePoint now, double workMs)
 {
     return getLeftMs(turn.objective, now) >= kFeasible * workMs;
--- a/src/decisions/turns.h
+++ b/src/decisions/turns.h
@@ -14,6 +14,9 @@
     TimePoint deadline {}; // an answer after this is worth nothing
 };
 
+// When the answer of an operation's next statement must be there. The objective is one for the whole operation: `spent` of it have passed under
+// its statements so far, pauses of its caller apart.
+TimePoint getObjectiveEnd(TimePoint now, milliseconds objective, TimePoint::duration spent);
 // Whether a statement that is sent now will probably meet its objective. `workMs` is a statement's usual time at the member.
 bool canMeetObjective(const Turn& turn, TimePoint now, double workMs);
 // A member's usual time after one more statement took `tookMs`. Follows the median, so that a member on which less than half of the
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_session.h"
 #include "base/event_log.h"
 #include "decisions/hashing.h"
+#include "decisions/turns.h"
 
 namespace alderward::gateway {
 
@@ -166,6 +167,7 @@
     m_state = SessionState::InTransaction;
     m_isReadOnly = statement.kind == StatementKind::BeginReadOnly;
     m_hasWritten = false;
+    m_spent = {};
     m_transaction.reset();
     answerOk();
 }
@@ -201,6 +203,7 @@
 bool CallerSession::fillRun(Run& run, const Statement& statement)
 {
     auto now = Clock::now();
+    m_askedAt = now;
     run.route = m_route;
     run.session = m_name;
     run.arrivedAt = now;
@@ -208,7 +211,8 @@
     run.order.values = m_values;
     run.order.priority = m_route.priority;
     run.order.database = static_cast<uint32_t>(decisions::getHash(m_route.database));
-    run.order.objective = now + m_route.objective;
+    bool isInTransaction = m_state == SessionState::InTransaction;
+    run.order.objective = decisions::getObjectiveEnd(now, m_route.objective, isInTransaction ? m_spent : TimePoint::duration());
     run.order.deadline = now + m_route.statementLimit;
     if (statement.kind != StatementKind::Execute)
         return true;
@@ -276,6 +280,7 @@
     if (!answer.error && (isCommit ? m_hasWritten : !wasInTransaction && statement.isWrite))
         m_lastCommit = std::max(m_lastCommit, answer.position);
     if (wasInTransaction) {
+        m_spent += Clock::now() - m_askedAt;
         if (!m_transaction && transaction && !answer.error)
             m_transaction = transaction;
         m_hasWritten = m_hasWritten || statement.isWrite;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -60,6 +60,8 @@
     decisions::SessionState m_state { decisions::SessionState::Idle };
     bool m_isReadOnly { false }; // the transaction
     bool m_hasWritten { false }; // the transaction
+    TimePoint::duration m_spent {}; // under the transaction's statements so far
+    TimePoint m_askedAt {}; // when the statement that runs came
     std::optional<TransactionHandle> m_transaction; // empty until its first statement
     Mark m_lastCommit;
     TimePoint m_restingSince {};
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -123,4 +123,13 @@
     BOOST_TEST(play({ .load = 0.7 }).late < 0.01 * play({ .load = 0.7 }).possible);
 }
 
+// A transaction's later statements had a whole objective each: at equal priority one that had used its time went behind one that had just begun.
+BOOST_AUTO_TEST_CASE(the_objective_is_one_for_all_statements_of_a_transaction)
+{
+    Turn used { true, 0, getObjectiveEnd(at(500), milliseconds(600), milliseconds(400)), at(1300) };
+    Turn fresh { true, 0, getObjectiveEnd(at(490), milliseconds(600), milliseconds(0)), at(1290) };
+    BOOST_TEST(goesBefore(used, fresh, at(500), 10));
+    BOOST_TEST((getObjectiveEnd(at(500), milliseconds(600), milliseconds(900)) == at(200))); // missed
+}
+
 BOOST_AUTO_TEST_SUITE_END()
