--- a/src/decisions/choice.cpp
+++ b/src/decisions/choice.cpp
@@ -17,7 +17,7 @@
     return lead.member == member ? Lead { "", lead.term, false } : lead;
 }
 
-Lead takeWord(const Lead& lead, const std::string& member, uint64_t term)
+Lead takeReport(const Lead& lead, const std::string& member, uint64_t term)
 {
     bool fillsGap = lead.member.empty() && term >= lead.term;
     return term > lead.term || fillsGap ? Lead { member, term, false } : lead;
--- a/src/decisions/choice.h
+++ b/src/decisions/choice.h
@@ -27,7 +27,7 @@
 // The member itself said that it does not lead.
 Lead takeDenial(const Lead& lead, const std::string& member);
 // Another host told us.
-Lead takeWord(const Lead& lead, const std::string& member, uint64_t term);
+Lead takeReport(const Lead& lead, const std::string& member, uint64_t term);
 // The list of members names it; that may be out of date, so it fills a gap only.
 Lead takeListing(const Lead& lead, const std::string& member);
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -48,7 +48,7 @@
 // A host that has just started knows within some tens of ms whether the database exists. Afterwards its store is away, and nobody waits for that.
 bool CallerSession::mustWait() const
 {
-    return m_context.world.configuration.version == 0 && !m_context.isDraining && Clock::now() < m_context.waitsUntil;
+    return m_context.view.configuration.version == 0 && !m_context.isDraining && Clock::now() < m_context.waitsUntil;
 }
 
 void CallerSession::open(const links::OpenSession& message)
@@ -59,7 +59,7 @@
         return;
     }
     m_database = message.database;
-    auto& configuration = m_context.world.configuration;
+    auto& configuration = m_context.view.configuration;
     auto it = configuration.routes.find(m_database);
     std::optional<decisions::Error> refusal;
     if (m_context.isDraining)
@@ -83,8 +83,8 @@
 // Between transactions, the route is the one in force now.
 void CallerSession::refreshRoute()
 {
-    auto it = m_context.world.configuration.routes.find(m_database);
-    if (it != m_context.world.configuration.routes.end())
+    auto it = m_context.view.configuration.routes.find(m_database);
+    if (it != m_context.view.configuration.routes.end())
         m_route = it->second;
     else
         m_route = {};
@@ -179,7 +179,7 @@
         return;
     }
     if (m_transaction)
-        m_context.runner.end(*m_transaction);
+        m_context.router.end(*m_transaction);
     m_transaction.reset();
     m_state = SessionState::Idle;
     answerOk();
@@ -200,60 +200,60 @@
         answerError(ErrorKind::TransactionAborted, "the transaction had failed and was rolled back");
 }
 
-bool CallerSession::fillRun(Run& run, const Statement& statement)
+bool CallerSession::fillRouted(RoutedStatement& routed, const Statement& statement)
 {
     auto now = Clock::now();
     m_askedAt = now;
-    run.route = m_route;
-    run.session = m_name;
-    run.arrivedAt = now;
-    run.order.statement = statement;
-    run.order.values = m_values;
-    run.order.priority = m_route.priority;
-    run.order.database = static_cast<uint32_t>(decisions::getHash(m_route.database));
+    routed.route = m_route;
+    routed.session = m_name;
+    routed.arrivedAt = now;
+    routed.order.statement = statement;
+    routed.order.values = m_values;
+    routed.order.priority = m_route.priority;
+    routed.order.database = static_cast<uint32_t>(decisions::getHash(m_route.database));
     bool isInTransaction = m_state == SessionState::InTransaction;
-    run.order.objective = decisions::getObjectiveEnd(now, m_route.objective, isInTransaction ? m_spent : TimePoint::duration());
-    run.order.deadline = now + m_route.statementLimit;
+    routed.order.objective = decisions::getObjectiveEnd(now, m_route.objective, isInTransaction ? m_spent : TimePoint::duration());
+    routed.order.deadline = now + m_route.statementLimit;
     if (statement.kind != StatementKind::Execute)
         return true;
     auto it = m_prepared.find(statement.name);
     if (it == m_prepared.end())
         return false;
-    run.order.shape = it->second;
-    run.order.statement.isWrite = it->second.isWrite;
+    routed.order.shape = it->second;
+    routed.order.statement.isWrite = it->second.isWrite;
     return true;
 }
 
 void CallerSession::runOnTarget(const Statement& statement)
 {
-    Run run;
+    RoutedStatement routed;
     bool isCommit = statement.kind == StatementKind::Commit;
     if (isCommit && m_state != SessionState::InTransaction) {
         answerError(ErrorKind::BadRequest, "no transaction is open");
         return;
     }
-    if (!fillRun(run, statement)) {
+    if (!fillRouted(routed, statement)) {
         answerError(ErrorKind::UnknownStatement, "nothing is prepared under this name");
         return;
     }
     auto self = shared_from_this();
-    auto ran = run.order.statement;
+    auto ran = routed.order.statement;
     auto done = [self, ran](const Outcome& outcome, const std::optional<TransactionHandle>& transaction) { self->takeOutcome(ran, outcome, transaction); };
     if (m_transaction) {
-        m_context.runner.runNext(*m_transaction, std::move(run), done);
+        m_context.router.runNext(*m_transaction, std::move(routed), done);
         return;
     }
     bool isOpening = m_state == SessionState::InTransaction;
-    run.order.kind = isOpening ? OrderKind::Begin : OrderKind::Single;
+    routed.order.kind = isOpening ? OrderKind::Begin : OrderKind::Single;
     bool readsOnly = isOpening ? m_isReadOnly : !ran.isWrite;
-    run.needsLeader = !readsOnly || m_route.consistency == decisions::Consistency::Primary;
-    if (!run.needsLeader) {
-        auto mark = decisions::getReadMark(m_route, m_context.world.groups[m_route.group].floors, m_lastCommit, run.arrivedAt);
-        run.needsLeader = !mark; // no floor is young enough: the leader itself proves freshness
-        run.need = mark.value_or(Mark {});
+    routed.needsLeader = !readsOnly || m_route.consistency == decisions::Consistency::Primary;
+    if (!routed.needsLeader) {
+        auto mark = decisions::getReadMark(m_route, m_context.view.groups[m_route.group].floors, m_lastCommit, routed.arrivedAt);
+        routed.needsLeader = !mark; // no floor is young enough: the leader itself proves freshness
+        routed.need = mark.value_or(Mark {});
     }
-    run.order.isReadOnly = readsOnly && !run.needsLeader;
-    m_context.runner.run(std::move(run), done);
+    routed.order.isReadOnly = readsOnly && !routed.needsLeader;
+    m_context.router.run(std::move(routed), done);
 }
 
 // What the caller is told. A promise that nothing is kept is made only where no commit can have arrived.
@@ -285,14 +285,14 @@
             m_transaction = transaction;
         m_hasWritten = m_hasWritten || statement.isWrite;
         if (answer.error && m_transaction && !isCommit)
-            m_context.runner.end(*m_transaction);
+            m_context.router.end(*m_transaction);
         if (answer.error || isCommit)
             m_transaction.reset();
         m_state = isCommit ? SessionState::Idle : answer.error ? SessionState::Failed
                                                                : SessionState::InTransaction;
     }
     if (!m_channel->isOpen() && m_transaction) { // the caller left while its statement ran
-        m_context.runner.end(*m_transaction);
+        m_context.router.end(*m_transaction);
         m_transaction.reset();
     }
     send(answer);
@@ -307,7 +307,7 @@
 {
     if (m_state == SessionState::InTransaction && kind != ErrorKind::UnknownStatement) {
         if (m_transaction)
-            m_context.runner.end(*m_transaction);
+            m_context.router.end(*m_transaction);
         m_transaction.reset();
         m_state = SessionState::Failed;
     }
@@ -350,12 +350,12 @@
         open(message);
         return;
     }
-    auto limit = m_context.world.configuration.transactionIdle;
+    auto limit = m_context.view.configuration.transactionIdle;
     bool isResting = m_state == SessionState::InTransaction && !m_isRunning && m_transaction;
     if (limit.count() == 0 || !isResting || now - m_restingSince < limit)
         return;
     base::logEvent(LogClass::Failure, "transaction-ended", { { "session", std::string_view(m_name) }, { "reason", "it rested for too long" } });
-    m_context.runner.end(*m_transaction);
+    m_context.router.end(*m_transaction);
     m_transaction.reset();
     m_state = SessionState::Failed;
 }
@@ -365,7 +365,7 @@
     if (m_channel->isOpen() && !m_isDraining)
         m_channel->finish();
     if (m_transaction && !m_isRunning) {
-        m_context.runner.end(*m_transaction);
+        m_context.router.end(*m_transaction);
         m_transaction.reset();
     }
     auto self = shared_from_this();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -1,14 +1,14 @@
 // A caller's session: one connection, its values, prepared statements and transaction. Answers by itself what no target has to see.
 #pragma once
-#include "gateway/runner.h"
+#include "gateway/statement_router.h"
 
 namespace alderward::gateway {
 
 struct SessionContext {
     boost::asio::io_context& context;
     const links::StatementCodec& codec;
-    World& world;
-    Runner& runner;
+    ClusterView& view;
+    StatementRouter& router;
     const bool& isDraining;
     base::TimePoint waitsUntil; // for the first configuration of this process
     std::function<void(const std::shared_ptr<class CallerSession>&)> onEnd;
@@ -41,7 +41,7 @@
     void rollback(const decisions::Statement& statement);
     void endFailed(const decisions::Statement& statement);
     void runOnTarget(const decisions::Statement& statement);
-    bool fillRun(Run& run, const decisions::Statement& statement);
+    bool fillRouted(RoutedStatement& routed, const decisions::Statement& statement);
     void takeOutcome(const decisions::Statement& statement, const Outcome& outcome, const std::optional<TransactionHandle>& transaction);
     decisions::Error translate(const decisions::Statement& statement, const decisions::Error& error, bool wasSent) const;
     void answerOk();
--- a/src/gateway/world.h
+++ b/src/gateway/cluster_view.h
@@ -1,4 +1,4 @@
-// What a host believes about the world: configuration, members, hosts, who leads, how fresh reads can be. One value, owned by the
+// What a host believes about the cluster: configuration, members, hosts, who leads, how fresh reads can be. One value, owned by the
 // gateway, touched on its executor only.
 #pragma once
 #include "decisions/choice.h"
@@ -33,7 +33,7 @@
     std::vector<std::string> hosts {};
 };
 
-struct World {
+struct ClusterView {
     links::GatewayConfiguration configuration {};
     std::map<std::string, MemberBelief> members {}; // by id
     std::map<std::string, GroupBelief> groups {};
@@ -52,19 +52,19 @@
 
 inline constexpr milliseconds kPromotionTakes { 1500 }; // the platform names some hundred ms; the slowest site that was seen takes 1,000
 
-void takeHost(World& world, const links::ListedHost& host);
-void dropHost(World& world, const std::string& name);
+void takeHost(ClusterView& view, const links::ListedHost& host);
+void dropHost(ClusterView& view, const std::string& name);
 
 // All hosts in the order in which they are asked to carry to a member, be they up or not: that differs from moment to moment, the
 // order only when a host comes or goes. Statements ask for it, so it is kept.
-const std::vector<std::string>& getCarriers(World& world, const MemberBelief& member);
+const std::vector<std::string>& getCarriers(ClusterView& view, const MemberBelief& member);
 // All hosts in the order in which they are asked to be in charge of a group.
-const std::vector<std::string>& getRankedHosts(World& world, const std::string& group);
+const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
-void takeMember(World& world, const links::ListedMember& listed);
-void takeMemberGone(World& world, const std::string& id, TimePoint now);
+void takeMember(ClusterView& view, const links::ListedMember& listed);
+void takeMemberGone(ClusterView& view, const std::string& id, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
-std::vector<std::string> forgetMembers(World& world, milliseconds keep, TimePoint now);
+std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
 
 }
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -70,7 +70,7 @@
     co_await m_platform.getStore().change(std::move(change), getDeadline());
 }
 
-void Directory::hurry(uint64_t version)
+void Directory::refreshConfiguration(uint64_t version)
 {
     if (version <= m_version || m_mustReread)
         return;
@@ -147,7 +147,9 @@
     std::optional<uint64_t> revision;
     for (bool hasMore = true; hasMore;) {
         auto after = items.empty() ? std::string() : items.back().key;
-        auto page = co_await m_platform.getStore().list("", after, false, m_version == 0 ? getStartDeadline(m_listTries++) : getDeadline());
+        auto deadline = m_version == 0 ? getStartDeadline(m_listTries) : getDeadline();
+        ++m_listTries;
+        auto page = co_await m_platform.getStore().list("", after, false, deadline);
         if (!page) {
             setReachable(false, page.error().reason);
             co_return false;
@@ -284,7 +286,9 @@
 asio::awaitable<bool> Directory::writeEntry()
 {
     auto& store = m_platform.getStore();
-    auto lease = co_await store.grantLease(m_timings.lease, getStartDeadline(m_entryTries++));
+    auto deadline = getStartDeadline(m_entryTries);
+    ++m_entryTries;
+    auto lease = co_await store.grantLease(m_timings.lease, deadline);
     if (!lease)
         co_return false;
     links::StoreItem item;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -38,7 +38,7 @@
     // Stops following and withdraws this host's entry.
     boost::asio::awaitable<void> end();
     // Another host has a newer configuration than this one: look at once.
-    void hurry(uint64_t version);
+    void refreshConfiguration(uint64_t version);
     // Whether this host looks often itself.
     void setWatcher(bool isWatcher);
     // The newest change that this host has seen, for other hosts.
@@ -78,7 +78,7 @@
     unsigned m_failures { 0 }; // in a row
     bool m_isWatcher { true };
     bool m_isInterrupted { false };
-    unsigned m_listTries { 0 }; // while nothing was read yet
+    unsigned m_listTries { 0 }; // pages asked for so far
     unsigned m_entryTries { 0 }; // since the entry was last written
     bool m_mustList { true };
     bool m_mustReread { false };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,7 +14,6 @@
 using base::Clock;
 using base::LogClass;
 using decisions::ErrorKind;
-using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
 static constexpr milliseconds kSweepInterval { 20 }; // how late a limit may be noticed
@@ -27,7 +26,6 @@
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
 static constexpr milliseconds kLastAnswers { 50 }; // for bytes that wait in sockets before the process ends
-static constexpr milliseconds kNewsFor { 1000 }; // a proof of ours is told to others this long
 static constexpr milliseconds kProofMissed { 1000 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, floors each 500
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
@@ -40,9 +38,9 @@
     , m_platform(std::move(platform))
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerService())
-    , m_runner({ context, m_world, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); } })
+    , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); } })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
-    , m_promoter({ context, m_world, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const Finding&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
+    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
 {
@@ -53,7 +51,7 @@
 tl::expected<void, std::string> Gateway::begin()
 {
     m_startedAt = Clock::now();
-    takeHost(m_world, m_self);
+    takeHost(m_view, m_self);
     if (auto listening = m_peers.listen(m_settings.peerAddress); !listening)
         return listening;
     if (auto listening = links::beginListening(m_acceptor, m_settings.callerAddress); !listening)
@@ -94,12 +92,12 @@
         base::setTo(Family::PoolWaiting, { { "member", member } }, load.waiting);
         base::setTo(Family::PoolRunning, { { "member", member } }, load.running);
     }
-    for (auto& [name, group] : m_world.groups) {
+    for (auto& [name, group] : m_view.groups) {
         base::setTo(Family::Term, { { "group", name } }, static_cast<double>(group.lead.term));
         if (!group.floors.isEmpty())
             base::setTo(Family::FloorAge, { { "group", name } }, std::chrono::duration<double>(now - group.floors.floors.back().since).count());
     }
-    base::setTo(Family::ConfigurationVersion, {}, static_cast<double>(m_world.configuration.version));
+    base::setTo(Family::ConfigurationVersion, {}, static_cast<double>(m_view.configuration.version));
     base::setTo(Family::Sessions, {}, static_cast<double>(m_sessions.size()));
     base::setTo(Family::Ready, {}, isReady() ? 1 : 0);
     base::setTo(Family::InvariantViolations, {}, static_cast<double>(base::getCount(base::Counter::InvariantViolations)));
@@ -121,7 +119,7 @@
 
 bool Gateway::isReady() const
 {
-    return m_world.configuration.version > 0 && m_world.hasMembers && !m_isDraining;
+    return m_view.configuration.version > 0 && m_view.hasMembers && !m_isDraining;
 }
 
 void Gateway::noteReadiness()
@@ -129,7 +127,7 @@
     if (isReady() == m_wasReady)
         return;
     m_wasReady = isReady();
-    base::logEvent(LogClass::State, "readiness", { { "ready", m_wasReady }, { "configuration", static_cast<int64_t>(m_world.configuration.version) }, { "members", static_cast<int64_t>(m_world.members.size()) }, { "stopping", m_isDraining } });
+    base::logEvent(LogClass::State, "readiness", { { "ready", m_wasReady }, { "configuration", static_cast<int64_t>(m_view.configuration.version) }, { "members", static_cast<int64_t>(m_view.members.size()) }, { "stopping", m_isDraining } });
 }
 
 void Gateway::accept()
@@ -138,7 +136,7 @@
         if (!m_acceptor.is_open())
             return;
         if (!ec) {
-            SessionContext context { m_context, m_platform->getCodec(), m_world, m_runner, m_isEnding, m_startedAt + kStartTakes, [this](const std::shared_ptr<CallerSession>& it) { m_sessions.erase(it); } };
+            SessionContext context { m_context, m_platform->getCodec(), m_view, m_router, m_isEnding, m_startedAt + kStartTakes, [this](const std::shared_ptr<CallerSession>& it) { m_sessions.erase(it); } };
             auto session = std::make_shared<CallerSession>(std::move(context), ++m_lastSession);
             m_sessions.insert(session);
             session->begin(std::move(socket));
@@ -160,10 +158,10 @@
 // Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
 PoolLimits Gateway::getLimits(const TargetAddress& target) const
 {
-    auto group = m_world.configuration.groups.find(target.group);
-    auto most = group == m_world.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
-    auto member = m_world.members.find(target.member);
-    auto slots = member == m_world.members.end() ? 1U : std::max(1U, member->second.listed.slots);
+    auto group = m_view.configuration.groups.find(target.group);
+    auto most = group == m_view.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
+    auto member = m_view.members.find(target.member);
+    auto slots = member == m_view.members.end() ? 1U : std::max(1U, member->second.listed.slots);
     return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 };
 }
 
@@ -171,38 +169,38 @@
 {
     PoolObserver observer;
     observer.onLeads = [this](const TargetAddress& target, const Mark& position, TimePoint sentAt) {
-        takeLead(target.group, decisions::takeProof(m_world.groups[target.group].lead, target.member, position.term), "proof");
-        if (m_world.groups[target.group].lead.member == target.member) {
+        takeLead(target.group, decisions::takeProof(m_view.groups[target.group].lead, target.member, position.term), "proof");
+        if (m_view.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
-            m_world.groups[target.group].provenAt = Clock::now();
-            m_promoter.calm(target.group);
+            m_view.groups[target.group].provenAt = Clock::now();
+            m_promoter.noteProof(target.group);
         }
     };
     observer.onFollows = [this](const TargetAddress& target) {
-        auto group = m_world.groups[target.group];
+        auto group = m_view.groups[target.group];
         denyLead(group, target.member, Clock::now());
         takeLead(target.group, group.lead, "denied");
     };
     observer.onPosition = [this](const TargetAddress& target, const Mark& position) {
-        auto it = m_world.members.find(target.member);
-        if (it == m_world.members.end())
+        auto it = m_view.members.find(target.member);
+        if (it == m_view.members.end())
             return;
         it->second.progress = decisions::takePosition(it->second.progress, position, Clock::now());
     };
     observer.onAnswer = [this](const TargetAddress& target) {
-        auto it = m_world.members.find(target.member);
-        if (it == m_world.members.end())
+        auto it = m_view.members.find(target.member);
+        if (it == m_view.members.end())
             return;
         it->second.answeredAt = Clock::now();
         it->second.troubleAt = {};
     };
     observer.onTrouble = [this](const TargetAddress& target, const std::string& reason) {
-        auto it = m_world.members.find(target.member);
-        if (it == m_world.members.end())
+        auto it = m_view.members.find(target.member);
+        if (it == m_view.members.end())
             return;
         it->second.troubleAt = Clock::now();
         base::logEvent(LogClass::State, "target-trouble", { { "member", std::string_view(target.member) }, { "group", std::string_view(target.group) }, { "reason", std::string_view(reason) } });
-        if (m_world.groups[target.group].lead.member == target.member)
+        if (m_view.groups[target.group].lead.member == target.member)
             raiseAlarm(target.group, reason);
     };
     observer.onRefused = [](const TargetAddress& target, size_t open, const std::string& reason) {
@@ -220,7 +218,7 @@
     if (now - alarmedAt < kAlarmInterval)
         return;
     alarmedAt = now;
-    auto& leader = m_world.groups[group].lead.member;
+    auto& leader = m_view.groups[group].lead.member;
     for (auto& name : m_promoter.getOrderers(group)) {
         if (name != m_self.name)
             m_peers.sendAlarm(name, group, leader, reason);
@@ -235,7 +233,7 @@
 
 void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
 {
-    auto& current = m_world.groups[group].lead;
+    auto& current = m_view.groups[group].lead;
     bool isNews = lead.member != current.member || lead.term != current.term;
     current = lead;
     if (isNews)
@@ -244,64 +242,34 @@
 
 void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
 {
-    auto& floors = m_world.groups[group].floors;
+    auto& floors = m_view.groups[group].floors;
     floors = decisions::takeFloor(std::move(floors), floor);
 }
 
 bool Gateway::isTroubled(const TargetAddress& target) const
 {
-    auto it = m_world.members.find(target.member);
-    return it != m_world.members.end() && it->second.troubleAt != TimePoint {} && Clock::now() - it->second.troubleAt < kTroubleFor;
+    auto it = m_view.members.find(target.member);
+    return it != m_view.members.end() && it->second.troubleAt != TimePoint {} && Clock::now() - it->second.troubleAt < kTroubleFor;
 }
 
-void Gateway::fillNews(peer::Pong& message, TimePoint now) const
+void Gateway::fillStatus(peer::Pong& message, TimePoint now) const
 {
-    message.set_configuration(m_world.configuration.version);
+    message.set_configuration(m_view.configuration.version);
     message.set_change(m_directory.getNewestChange());
     message.set_is_leaving(m_isDraining);
-    // Only what this host has seen for itself: whoever needs a group's floor asks the host that carries to its primary.
-    for (auto& [name, group] : m_world.groups) {
-        if (now - group.provenAt > kNewsFor || group.floors.isEmpty())
-            continue;
-        auto& newest = group.floors.floors.back();
-        auto& floor = *message.add_floors();
-        floor.set_group(name);
-        floor.mutable_mark()->set_term(newest.mark.term);
-        floor.mutable_mark()->set_position(newest.mark.position);
-        floor.set_age_us(static_cast<uint64_t>(duration_cast<microseconds>(now - newest.since).count()));
-        auto& lead = *message.add_leads();
-        lead.set_group(name);
-        lead.set_member(group.lead.member);
-        lead.set_term(group.lead.term);
-    }
-}
-
-// What this host has heard from the member itself.
-void Gateway::tellPosition(peer::Load& load, TimePoint now) const
-{
-    auto it = m_world.members.find(load.member());
-    if (it == m_world.members.end() || it->second.progress.position.term == 0)
-        return;
-    auto& progress = it->second.progress;
-    load.mutable_position()->set_term(progress.position.term);
-    load.mutable_position()->set_position(progress.position.position);
-    load.set_position_age_us(static_cast<uint64_t>(duration_cast<microseconds>(now - progress.at).count()));
+    writeGroups(message, m_view, now);
 }
 
-void Gateway::takeNews(const peer::Pong& message, TimePoint sentAt)
+void Gateway::takeStatus(const peer::Pong& message, TimePoint sentAt)
 {
-    m_directory.hurry(message.configuration());
+    m_directory.refreshConfiguration(message.configuration());
     m_directory.hearChange(message.change());
     for (auto& it : message.leads()) {
-        auto& lead = m_world.groups[it.group()].lead;
-        if (m_world.members.contains(it.member()))
-            takeLead(it.group(), decisions::takeWord(lead, it.member(), it.term()), "told");
-    }
-    for (auto& it : message.loads()) {
-        auto member = m_world.members.find(it.member());
-        if (member != m_world.members.end() && it.has_position())
-            member->second.progress = decisions::takePosition(member->second.progress, { it.position().term(), it.position().position() }, sentAt - microseconds(it.position_age_us()));
+        auto& lead = m_view.groups[it.group()].lead;
+        if (m_view.members.contains(it.member()))
+            takeLead(it.group(), decisions::takeReport(lead, it.member(), it.term()), "told");
     }
+    takePositions(m_view, message, sentAt);
     for (auto& it : message.floors())
         takeFloor(it.group(), { { it.mark().term(), it.mark().position() }, sentAt - microseconds(it.age_us()) });
 }
@@ -310,51 +278,46 @@
 {
     PeerService service;
     service.findPool = [this](const std::string& id) -> std::shared_ptr<TargetPool> {
-        auto member = m_world.members.find(id);
-        return member == m_world.members.end() ? nullptr : getPool(member->second.getTarget());
+        auto member = m_view.members.find(id);
+        return member == m_view.members.end() ? nullptr : getPool(member->second.getTarget());
     };
     service.isTroubled = [this](const TargetAddress& target) { return isTroubled(target); };
-    service.inquire = [this](const TargetAddress& target, std::function<void(const Finding&)> done) { inquire(target, std::move(done)); };
+    service.inquire = [this](const TargetAddress& target, std::function<void(const StatusReport&)> done) { inquire(target, std::move(done)); };
     service.onAlarm = [this](const std::string& group, const std::string& member, const std::string& reason) {
-        if (m_world.groups[group].lead.member == member || member.empty())
+        if (m_view.groups[group].lead.member == member || member.empty())
             m_promoter.raiseAlarm(group, reason);
     };
     service.onHoldWrites = [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); };
     service.onLead = [this](const std::string& group, const std::string& member, uint64_t term) {
-        if (!m_world.members.contains(member))
+        if (!m_view.members.contains(member))
             return;
-        auto belief = m_world.groups[group];
+        auto belief = m_view.groups[group];
         takeOrderedLead(belief, member, term, Clock::now());
-        m_world.groups[group].pendingUntil = belief.pendingUntil;
+        m_view.groups[group].pendingUntil = belief.pendingUntil;
         takeLead(group, belief.lead, "ordered");
     };
     service.fillPing = [this](peer::Ping& ping) {
-        ping.set_configuration(m_world.configuration.version);
+        ping.set_configuration(m_view.configuration.version);
         ping.set_change(m_directory.getNewestChange());
         ping.set_is_leaving(m_isDraining);
     };
     service.fillPong = [this](peer::Pong& pong) {
         auto now = Clock::now();
-        fillNews(pong, now);
+        fillStatus(pong, now);
         for (auto& [member, pool] : m_pools) {
             bool isOfUse = pool->isCarrier() || isTroubled(pool->getTarget());
             if (!isOfUse)
                 continue;
-            auto load = pool->getLoad();
             auto& wire = *pong.add_loads();
-            wire.set_member(member);
-            wire.set_waiting(load.waiting);
-            wire.set_running(load.running);
-            wire.set_work_ms(load.workMs);
-            wire.set_unreachable(isTroubled(pool->getTarget()));
-            tellPosition(wire, now);
+            writeLoad(wire, member, pool->getLoad(), isTroubled(pool->getTarget()));
+            writePosition(wire, m_view, now);
         }
     };
     service.onPing = [this](const std::string&, const peer::Ping& ping) {
-        m_directory.hurry(ping.configuration());
+        m_directory.refreshConfiguration(ping.configuration());
         m_directory.hearChange(ping.change());
     };
-    service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeNews(pong, sentAt); };
+    service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeStatus(pong, sentAt); };
     service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::addTo(base::Family::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
 }
@@ -363,32 +326,32 @@
 {
     DirectoryEvents events;
     events.onConfiguration = [this](const links::GatewayConfiguration& configuration) {
-        base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_world.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
-        m_world.configuration = configuration;
+        base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_view.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
+        m_view.configuration = configuration;
     };
     events.onMember = [this](const links::ListedMember& member) {
-        bool wasKnown = m_world.members.contains(member.id);
-        auto before = wasKnown ? m_world.members[member.id].listed : links::ListedMember {};
-        takeMember(m_world, member);
+        bool wasKnown = m_view.members.contains(member.id);
+        auto before = wasKnown ? m_view.members[member.id].listed : links::ListedMember {};
+        takeMember(m_view, member);
         takeRoleChange(before, member);
         m_partnersDue = m_partnersDue || !wasKnown;
         if (before != member)
             base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary } });
     };
     events.onMemberGone = [this](const std::string& id) {
-        takeMemberGone(m_world, id, Clock::now());
+        takeMemberGone(m_view, id, Clock::now());
         base::logEvent(LogClass::State, "member-unlisted", { { "member", std::string_view(id) } });
     };
-    events.onMembersRead = [this] { m_world.hasMembers = true; };
+    events.onMembersRead = [this] { m_view.hasMembers = true; };
     events.onHost = [this](const links::ListedHost& host) {
         if (host.name == m_self.name)
             return;
         m_hostsGoneAt.erase(host.name);
-        takeHost(m_world, host);
+        takeHost(m_view, host);
         tellPeers();
     };
     events.onHostGone = [this](const std::string& name) {
-        if (name != m_self.name && m_world.hosts.contains(name))
+        if (name != m_self.name && m_view.hosts.contains(name))
             m_hostsGoneAt[name] = Clock::now();
     };
     events.onSuccession = [this](const std::string& group, const links::StoreItem& item) { m_promoter.takeSuccession(group, item); };
@@ -399,7 +362,7 @@
 // was cut off may not know that it was replaced.
 void Gateway::takeRoleChange(const links::ListedMember& before, const links::ListedMember& now)
 {
-    auto& group = m_world.groups[now.group];
+    auto& group = m_view.groups[now.group];
     bool isFresh = !group.floors.isEmpty() && Clock::now() - group.floors.floors.back().since < kProofMissed;
     if (before.saysPrimary == now.saysPrimary || isFresh)
         return;
@@ -412,7 +375,7 @@
 void Gateway::tellPeers()
 {
     std::vector<links::ListedHost> hosts;
-    for (auto& [name, it] : m_world.hosts)
+    for (auto& [name, it] : m_view.hosts)
         hosts.push_back(it);
     m_peers.setHosts(hosts);
     m_partnersDue = true;
@@ -426,60 +389,31 @@
         if (m_peers.isAnswering(name) || (now - since < kListedAgain && m_peers.isUp(name)))
             continue;
         m_hostsGoneAt.erase(name);
-        dropHost(m_world, name);
+        dropHost(m_view, name);
         tellPeers();
     }
     if (!m_partnersDue && now - m_partnersAt < kPartnersInterval)
         return;
     m_partnersDue = false;
     m_partnersAt = now;
-    m_peers.setPartners(choosePartners());
-    m_directory.setWatcher(isWatcher());
-}
-
-// Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
-bool Gateway::isWatcher()
-{
-    std::vector<std::string> usable;
-    for (auto& name : getRankedHosts(m_world, "watchers of " + m_settings.dataCentre)) {
-        bool isOfDataCentre = m_world.hosts.at(name).dataCentre == m_settings.dataCentre;
-        if (isOfDataCentre && (name == m_self.name || m_peers.isUsable(name)))
-            usable.push_back(name);
-    }
-    return decisions::isWatcher(m_self.name, usable);
-}
-
-// The hosts that this one needs all the time: those that carry to each member, and the next in turn should one of them be down;
-// those that come before it where it may have to order a promotion. Bounded by members and orderers, whatever the number of hosts.
-std::set<std::string> Gateway::choosePartners()
-{
-    std::set<std::string> partners = m_promoter.getColleagues();
-    for (auto& [id, member] : m_world.members) {
-        for (auto& name : getCarriers(m_world, member)) {
-            if (name == m_self.name)
-                break;
-            partners.insert(name);
-            if (m_peers.isUsable(name))
-                break;
-        }
-    }
-    partners.erase(m_self.name);
-    return partners;
+    // Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
+    m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOtherOrderers()));
+    m_directory.setWatcher(isStoreWatcher(m_view, m_peers, getPlace()));
 }
 
 // Asks a member for its status on a connection of its own. Any answer to ordinary statements meanwhile shows that it lives, too.
-void Gateway::inquire(const TargetAddress& target, std::function<void(const Finding&)> done)
+void Gateway::inquire(const TargetAddress& target, std::function<void(const StatusReport&)> done)
 {
     auto session = std::make_shared<TargetSession>(m_context.get_executor(), m_platform->getCodec());
     auto began = Clock::now();
-    auto shared = std::make_shared<std::function<void(const Finding&)>>(std::move(done));
+    auto shared = std::make_shared<std::function<void(const StatusReport&)>>(std::move(done));
     auto timer = std::make_shared<asio::steady_timer>(m_context, kInquiryLimit);
-    auto finish = [this, shared, session, timer, target, began](const Finding& finding) {
+    auto finish = [this, shared, session, timer, target, began](const StatusReport& finding) {
         if (!*shared)
             return;
         auto found = finding;
-        auto member = m_world.members.find(target.member);
-        if (member != m_world.members.end() && member->second.answeredAt > began)
+        auto member = m_view.members.find(target.member);
+        if (member != m_view.members.end() && member->second.answeredAt > began)
             found.wasReached = true;
         auto call = std::move(*shared);
         *shared = nullptr;
@@ -495,13 +429,13 @@
         target, m_settings.name, kInquiryLimit, [this, session, finish](const Outcome& outcome) {
             if (outcome.error) {
                 // A member that refuses lives; one that is another than expected does not count.
-                Finding finding;
+                StatusReport finding;
                 finding.wasReached = outcome.error->kind == ErrorKind::TooManyConnections || outcome.error->kind == ErrorKind::Overloaded;
                 finish(finding);
                 return;
             }
             session->ask(m_platform->getCodec().formatStatusQuestion(), [this, finish](const Outcome& answer) {
-                Finding finding;
+                StatusReport finding;
                 finding.wasReached = !answer.error || answer.error->kind == ErrorKind::Overloaded;
                 if (!answer.error && !answer.rows.empty()) {
                     if (auto status = m_platform->getCodec().parseStatus(answer.rows.front()))
@@ -512,13 +446,6 @@
         [finish](const std::string&) { finish({}); });
 }
 
-bool Gateway::isCarrier(const MemberBelief& member)
-{
-    auto& ranked = getCarriers(m_world, member);
-    auto first = std::ranges::find_if(ranked, [this](const std::string& name) { return name == m_self.name ? !m_isDraining : m_peers.isUsable(name); });
-    return first != ranked.end() && *first == m_self.name;
-}
-
 void Gateway::sweep()
 {
     auto now = Clock::now();
@@ -526,7 +453,7 @@
     sweepHosts(now);
     sweepPools(now);
     m_peers.sweep(now);
-    m_runner.sweep(now);
+    m_router.sweep(now);
     m_promoter.sweep(now);
     auto sessions = std::vector(m_sessions.begin(), m_sessions.end());
     for (auto& it : sessions)
@@ -538,27 +465,27 @@
 
 void Gateway::sweepPools(TimePoint now)
 {
-    for (auto& id : forgetMembers(m_world, kUnlistedFor, now)) {
+    for (auto& id : forgetMembers(m_view, kUnlistedFor, now)) {
         auto it = m_pools.find(id);
         if (it == m_pools.end())
             continue;
         it->second->shutDown("the member is gone");
         m_pools.erase(it);
     }
-    for (auto& [id, member] : m_world.members) {
-        bool leads = m_world.groups[member.listed.group].lead.member == id;
-        if (!leads || !isCarrier(member))
+    for (auto& [id, member] : m_view.members) {
+        bool leads = m_view.groups[member.listed.group].lead.member == id;
+        if (!leads || !isCarrier(m_view, m_peers, getPlace(), member))
             continue;
         getPool(member.getTarget());
     }
     for (auto& [id, pool] : m_pools) {
-        auto member = m_world.members.find(id);
-        bool leads = member != m_world.members.end() && m_world.groups[member->second.listed.group].lead.member == id;
+        auto member = m_view.members.find(id);
+        bool leads = member != m_view.members.end() && m_view.groups[member->second.listed.group].lead.member == id;
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
-        bool carries = member != m_world.members.end() && isCarrier(member->second);
+        bool carries = member != m_view.members.end() && isCarrier(m_view, m_peers, getPlace(), member->second);
         pool->setCarrier(carries);
         pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
-        bool isBehind = member != m_world.members.end() && isFarBehind(m_world.groups[member->second.listed.group], member->second, now);
+        bool isBehind = member != m_view.members.end() && isFarBehind(m_view.groups[member->second.listed.group], member->second, now);
         pool->setPositionInterval(isBehind && carries ? kPositionInterval : milliseconds(0));
         pool->sweep(now);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,7 +4,9 @@
 #include "base/settings.h"
 #include "gateway/caller_session.h"
 #include "gateway/directory.h"
+#include "gateway/partners.h"
 #include "gateway/promoter.h"
+#include "gateway/status_exchange.h"
 #include "links/http.h"
 #include <unordered_set>
 
@@ -32,21 +34,18 @@
     PoolObserver makeObserver();
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
-    void inquire(const TargetAddress& target, std::function<void(const Finding&)> done);
+    void inquire(const TargetAddress& target, std::function<void(const StatusReport&)> done);
     void holdWrites(const std::string& member, milliseconds time);
     void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
-    bool isWatcher();
-    bool isCarrier(const MemberBelief& member);
-    void fillNews(peer::Pong& message, TimePoint now) const;
-    void tellPosition(peer::Load& load, TimePoint now) const;
-    void takeNews(const peer::Pong& message, TimePoint sentAt);
+    void fillStatus(peer::Pong& message, TimePoint now) const;
+    void takeStatus(const peer::Pong& message, TimePoint sentAt);
     void takeRoleChange(const links::ListedMember& before, const links::ListedMember& now);
     void tellPeers();
     void sweepHosts(TimePoint now);
-    std::set<std::string> choosePartners();
+    HostPlace getPlace() const { return { m_self.name, m_settings.dataCentre, m_isDraining }; }
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
     void measure() const;
@@ -55,10 +54,10 @@
     boost::asio::io_context& m_context;
     base::GatewaySettings m_settings;
     std::unique_ptr<links::PlatformAdapter> m_platform;
-    World m_world;
+    ClusterView m_view;
     links::ListedHost m_self;
     Peers m_peers;
-    Runner m_runner;
+    StatementRouter m_router;
     Directory m_directory;
     Promoter m_promoter;
     std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
--- /dev/null
+++ b/src/gateway/inbound_peers.h
@@ -0,0 +1,67 @@
+// Connections that other hosts opened to this one: what they order, ask and tell, and the transactions that they hold open here.
+#pragma once
+#include "gateway/peer_codec.h"
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace alderward::gateway {
+
+// What other hosts ask of this one.
+struct PeerService {
+    std::function<std::shared_ptr<TargetPool>(const std::string& member)> findPool; // empty for a member that is not known
+    std::function<bool(const TargetAddress&)> isTroubled; // this host cannot reach the target
+    std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> inquire;
+    std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
+    std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
+    std::function<void(const std::string& group, const std::string& member, uint64_t term)> onLead;
+    // Fills in what this host knows and tells with each exchange.
+    std::function<void(peer::Ping&)> fillPing;
+    std::function<void(peer::Pong&)> fillPong;
+    // Takes what another host tells. `sentAt` is before the time at which it was told.
+    std::function<void(const std::string& host, const peer::Ping&)> onPing;
+    std::function<void(const std::string& host, const peer::Pong&, TimePoint sentAt)> onPong;
+    std::function<void(const std::string& host, bool isUp, const std::string& reason)> onLink;
+};
+
+class InboundPeers {
+public:
+    // `service` must outlive this.
+    InboundPeers(boost::asio::io_context& context, std::string name, const PeerService& service);
+
+    tl::expected<void, std::string> listen(const std::string& address);
+    // Takes no further connection; those that stand go on.
+    void stop();
+
+private:
+    // One connection.
+    struct Peer {
+        std::string host; // empty until its first ping
+        std::shared_ptr<links::Channel> channel;
+        struct HeldTransaction {
+            std::shared_ptr<TargetPool> pool;
+            uint64_t transaction;
+        };
+        std::unordered_map<uint64_t, HeldTransaction> transactions; // by the other host's number
+    };
+    using PeerPtr = std::shared_ptr<Peer>;
+
+    void accept();
+    void takeMessage(const PeerPtr& peer, std::string_view message);
+    void answerPing(const PeerPtr& peer, const peer::Ping& ping);
+    void answerInquiry(const PeerPtr& peer, const peer::Inquiry& inquiry);
+    void endTransaction(const PeerPtr& peer, uint64_t transaction);
+    void serveOrder(const PeerPtr& peer, const peer::Order& wire);
+    bool placeTransaction(const PeerPtr& peer, const std::shared_ptr<TargetPool>& pool, uint64_t theirNumber, Order& order);
+    void answerOrder(const PeerPtr& peer, uint64_t call, const Outcome& outcome, const TargetPool* pool);
+    void lose(const PeerPtr& peer);
+
+    boost::asio::io_context& m_context;
+    std::string m_name;
+    const PeerService& m_service;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::unordered_set<PeerPtr> m_peers;
+};
+
+}
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,13 +1,10 @@
 #include "gateway/peers.h"
-#include "links/http.h"
 #include <algorithm>
 
 namespace alderward::gateway {
 
 using base::Clock;
 using decisions::ErrorKind;
-using std::chrono::duration_cast;
-using std::chrono::microseconds;
 
 static constexpr milliseconds kPingInterval { 250 }; // where orders are under way: bounds how late a silent host is noticed
 static constexpr milliseconds kQuietPingInterval { 500 }; // elsewhere: bounds how old the floors of other hosts get
@@ -43,48 +40,16 @@
     uint64_t lastCall { 0 };
     std::map<uint64_t, TimePoint> pings; // unanswered: when sent
     std::unordered_map<uint64_t, Call> calls;
-    std::unordered_map<uint64_t, std::function<void(const Finding&)>> inquiries;
+    std::unordered_map<uint64_t, std::function<void(const StatusReport&)>> inquiries;
     std::map<std::string, peer::Load> loads;
     double distanceMs { kDistanceGuessMs };
 };
 
-// A connection that another host opened.
-struct Peers::Guest {
-    std::string host;
-    std::shared_ptr<links::Channel> channel;
-    struct Held {
-        std::shared_ptr<TargetPool> pool;
-        uint64_t transaction;
-    };
-    std::unordered_map<uint64_t, Held> transactions; // by the other host's number
-};
-
-static void setMark(peer::Mark* wire, const Mark& mark)
-{
-    wire->set_term(mark.term);
-    wire->set_position(mark.position);
-}
-
-static Mark getMark(const peer::Mark& wire)
-{
-    return { wire.term(), wire.position() };
-}
-
-static int64_t getLeftUs(TimePoint until, TimePoint now)
-{
-    return duration_cast<microseconds>(until - now).count();
-}
-
-static void sendFrame(links::Channel& channel, const peer::Frame& frame)
-{
-    channel.send(links::makeFrame(frame.SerializeAsString()));
-}
-
 Peers::Peers(boost::asio::io_context& context, std::string name, PeerService service)
     : m_context(context)
     , m_name(std::move(name))
     , m_service(std::move(service))
-    , m_acceptor(context)
+    , m_inbound(context, m_name, m_service)
 {
 }
 
@@ -92,26 +57,7 @@
 
 tl::expected<void, std::string> Peers::listen(const std::string& address)
 {
-    if (auto listening = links::beginListening(m_acceptor, address); !listening)
-        return listening;
-    accept();
-    return {};
-}
-
-void Peers::accept()
-{
-    m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
-        if (!m_acceptor.is_open())
-            return;
-        if (!ec) {
-            auto guest = std::make_shared<Guest>();
-            guest->channel = std::make_shared<links::Channel>(m_context.get_executor(), links::ChannelOptions { links::splitFrame });
-            m_guests.insert(guest);
-            guest->channel->begin(
-                std::move(socket), [this, guest](std::string_view message) { takeFromGuest(guest, message); }, [this, guest](const std::string&) { loseGuest(guest); });
-        }
-        accept();
-    });
+    return m_inbound.listen(address);
 }
 
 void Peers::setHosts(const std::vector<links::ListedHost>& hosts)
@@ -282,34 +228,10 @@
         boost::asio::post(m_context, [done = std::move(done), host] { done(decisions::makeFailure(ErrorKind::TargetUnreachable, "host " + host + " is out of reach")); });
         return;
     }
-    auto now = Clock::now();
     peer::Frame frame;
     auto& wire = *frame.mutable_order();
     wire.set_call(++link->lastCall);
-    wire.set_member(target.member);
-    wire.set_kind(static_cast<uint32_t>(order.kind));
-    wire.set_id(order.statement.id);
-    wire.set_statement_kind(static_cast<uint32_t>(order.statement.kind));
-    // What a prepared statement runs is named by its shape; sending its text as well would double the bytes between data centres.
-    if (order.shape)
-        wire.set_argument(order.statement.argument);
-    else
-        wire.set_text(order.statement.text);
-    wire.set_is_write(order.statement.isWrite);
-    if (order.shape) {
-        wire.set_has_shape(true);
-        wire.set_shape(order.shape->shape);
-        wire.set_shape_writes(order.shape->isWrite);
-    }
-    for (auto& [name, value] : order.values)
-        (*wire.mutable_values())[name] = value;
-    wire.set_is_read_only(order.isReadOnly);
-    setMark(wire.mutable_at_least(), order.atLeast);
-    wire.set_priority(order.priority);
-    wire.set_objective_us(getLeftUs(order.objective, now));
-    wire.set_deadline_us(getLeftUs(order.deadline, now));
-    wire.set_transaction(order.transaction);
-    wire.set_database(order.database);
+    writeOrder(wire, target, order, Clock::now());
     link->calls[link->lastCall] = { std::move(done), order.deadline + kAnswerSlack };
     sendFrame(*link->channel, frame);
 }
@@ -324,7 +246,7 @@
     sendFrame(*link->channel, frame);
 }
 
-void Peers::inquire(const std::string& host, const TargetAddress& target, std::function<void(const Finding&)> done)
+void Peers::inquire(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done)
 {
     auto link = findUp(host);
     if (!link) {
@@ -398,14 +320,7 @@
             return; // given up before
         auto done = std::move(it->second.done);
         link->calls.erase(it);
-        Outcome outcome;
-        outcome.rows.assign(answer.rows().begin(), answer.rows().end());
-        outcome.signature = answer.signature();
-        if (answer.has_error())
-            outcome.error = decisions::Error { decisions::parseErrorKind(answer.error()).value_or(ErrorKind::Internal), answer.message() };
-        outcome.position = getMark(answer.position());
-        outcome.wasSent = answer.was_sent();
-        done(outcome);
+        done(readOutcome(answer));
     } else if (frame.has_finding()) {
         auto& wire = frame.finding();
         auto it = link->inquiries.find(wire.call());
@@ -413,7 +328,7 @@
             return;
         auto done = std::move(it->second);
         link->inquiries.erase(it);
-        done({ wire.reached(), { wire.is_primary(), wire.term(), getMark(wire.received()), milliseconds(wire.lag_ms()) } });
+        done(readStatus(wire));
     }
 }
 
@@ -439,132 +354,6 @@
     m_service.onPong(link->host.name, pong, sentAt);
 }
 
-void Peers::takeFromGuest(const GuestPtr& guest, std::string_view message)
-{
-    peer::Frame frame;
-    if (!frame.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
-        guest->channel->close();
-        loseGuest(guest);
-        return;
-    }
-    if (frame.has_order())
-        serveOrder(guest, frame.order());
-    else if (frame.has_end_transaction()) {
-        auto it = guest->transactions.find(frame.end_transaction().transaction());
-        if (it == guest->transactions.end())
-            return;
-        it->second.pool->endTransaction(it->second.transaction);
-        guest->transactions.erase(it);
-    } else if (frame.has_ping()) {
-        guest->host = frame.ping().host();
-        m_service.onPing(guest->host, frame.ping());
-        peer::Frame reply;
-        reply.mutable_pong()->set_number(frame.ping().number());
-        m_service.fillPong(*reply.mutable_pong());
-        sendFrame(*guest->channel, reply);
-    } else if (frame.has_inquiry()) {
-        auto& wire = frame.inquiry();
-        m_service.inquire({ wire.member(), wire.group(), wire.address() }, [guest, call = wire.call()](const Finding& finding) {
-            peer::Frame reply;
-            auto& found = *reply.mutable_finding();
-            found.set_call(call);
-            found.set_reached(finding.wasReached);
-            found.set_is_primary(finding.status.isPrimary);
-            found.set_term(finding.status.term);
-            setMark(found.mutable_received(), finding.status.received);
-            found.set_lag_ms(static_cast<uint64_t>(finding.status.lag.count()));
-            sendFrame(*guest->channel, reply);
-        });
-    } else if (frame.has_alarm())
-        m_service.onAlarm(frame.alarm().group(), frame.alarm().member(), "host " + guest->host + ": " + frame.alarm().reason());
-    else if (frame.has_lead())
-        m_service.onLead(frame.lead().group(), frame.lead().member(), frame.lead().term());
-    else if (frame.has_hold_writes())
-        m_service.onHoldWrites(frame.hold_writes().group(), frame.hold_writes().member(), milliseconds(frame.hold_writes().for_ms()));
-}
-
-static Order readOrder(const peer::Order& wire, TimePoint now)
-{
-    Order order;
-    order.kind = static_cast<OrderKind>(std::min<uint32_t>(wire.kind(), static_cast<uint32_t>(OrderKind::Continue)));
-    order.statement.id = wire.id();
-    order.statement.kind = static_cast<decisions::StatementKind>(std::min<uint32_t>(wire.statement_kind(), static_cast<uint32_t>(decisions::StatementKind::Unknown)));
-    order.statement.text = wire.text();
-    order.statement.argument = wire.argument();
-    order.statement.isWrite = wire.is_write();
-    if (wire.has_shape())
-        order.shape = decisions::PreparedShape { wire.shape(), wire.shape_writes() };
-    order.values = { wire.values().begin(), wire.values().end() };
-    order.isReadOnly = wire.is_read_only();
-    order.atLeast = getMark(wire.at_least());
-    order.priority = wire.priority();
-    order.database = wire.database();
-    order.objective = now + microseconds(wire.objective_us());
-    order.deadline = now + microseconds(wire.deadline_us());
-    return order;
-}
-
-void Peers::serveOrder(const GuestPtr& guest, const peer::Order& wire)
-{
-    auto order = readOrder(wire, Clock::now());
-    auto pool = m_service.findPool(wire.member());
-    if (!pool) {
-        peer::Frame frame;
-        frame.mutable_answer()->set_call(wire.call());
-        frame.mutable_answer()->set_has_error(true);
-        frame.mutable_answer()->set_error(std::string(decisions::getErrorRow(ErrorKind::TargetUnreachable).name));
-        frame.mutable_answer()->set_message("host " + m_name + " does not know the member");
-        sendFrame(*guest->channel, frame);
-        return;
-    }
-    auto reply = [this, guest, call = wire.call(), member = wire.member(), pool](const Outcome& outcome) {
-        peer::Frame frame;
-        auto& answer = *frame.mutable_answer();
-        answer.set_call(call);
-        for (auto& it : outcome.rows)
-            answer.add_rows(it);
-        answer.set_signature(outcome.signature);
-        if (outcome.error) {
-            answer.set_has_error(true);
-            answer.set_error(std::string(decisions::getErrorRow(outcome.error->kind).name));
-            answer.set_message(outcome.error->message);
-        }
-        setMark(answer.mutable_position(), outcome.position);
-        answer.set_was_sent(outcome.wasSent);
-        auto load = pool->getLoad();
-        answer.mutable_load()->set_member(member);
-        answer.mutable_load()->set_waiting(load.waiting);
-        answer.mutable_load()->set_running(load.running);
-        answer.mutable_load()->set_work_ms(load.workMs);
-        answer.mutable_load()->set_unreachable(m_service.isTroubled(pool->getTarget()));
-        sendFrame(*guest->channel, frame);
-    };
-    if (order.kind == OrderKind::Begin) {
-        order.transaction = pool->takeTransactionNumber();
-        guest->transactions[wire.transaction()] = { pool, order.transaction };
-    } else if (order.kind == OrderKind::Continue) {
-        auto it = guest->transactions.find(wire.transaction());
-        if (it == guest->transactions.end() || it->second.pool != pool) {
-            reply(decisions::makeFailure(ErrorKind::TransactionAborted, "the transaction is not known here"));
-            return;
-        }
-        order.transaction = it->second.transaction;
-        if (order.statement.kind == decisions::StatementKind::Commit)
-            guest->transactions.erase(it);
-    }
-    pool->submit(std::move(order), reply);
-}
-
-// The host that began these transactions cannot end them any more.
-void Peers::loseGuest(const GuestPtr& guest)
-{
-    auto transactions = std::move(guest->transactions);
-    guest->transactions.clear();
-    for (auto& [number, held] : transactions)
-        held.pool->endTransaction(held.transaction);
-    m_guests.erase(guest);
-}
-
 void Peers::sweep(TimePoint now)
 {
     std::vector<LinkPtr> links; // callbacks may change the map
@@ -612,8 +401,7 @@
 
 void Peers::stop()
 {
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
+    m_inbound.stop();
 }
 
 }
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -43,7 +43,7 @@
 // Whether this host is the first of those that live in the group's order.
 bool Promoter::isFirst(const std::string& group) const
 {
-    auto& ranked = getRankedHosts(m_context.world, group);
+    auto& ranked = getRankedHosts(m_context.view, group);
     auto first = std::ranges::find_if(ranked, [this](const std::string& host) { return isLive(host); });
     return first != ranked.end() && *first == m_context.self.host;
 }
@@ -51,10 +51,10 @@
 std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
 {
     std::vector<decisions::RankedHost> ranked;
-    for (auto& name : getRankedHosts(m_context.world, group)) {
+    for (auto& name : getRankedHosts(m_context.view, group)) {
         if (!isLive(name))
             continue;
-        auto& host = m_context.world.hosts.at(name);
+        auto& host = m_context.view.hosts.at(name);
         ranked.push_back({ { name, host.incarnation }, host.dataCentre });
     }
     return ranked;
@@ -96,7 +96,7 @@
     return names;
 }
 
-std::set<std::string> Promoter::getColleagues() const
+std::set<std::string> Promoter::getOtherOrderers() const
 {
     std::set<std::string> names;
     for (auto& [group, state] : m_states) {
@@ -108,7 +108,7 @@
     return names;
 }
 
-void Promoter::calm(const std::string& group)
+void Promoter::noteProof(const std::string& group)
 {
     auto it = m_states.find(group);
     if (it == m_states.end() || it->second.isWorking)
@@ -124,8 +124,8 @@
         return false;
     for (size_t i = 0; i < *rank; ++i) {
         auto& it = state.succession.orderers[i];
-        auto host = m_context.world.hosts.find(it.host);
-        bool isSame = host != m_context.world.hosts.end() && host->second.incarnation == it.incarnation;
+        auto host = m_context.view.hosts.find(it.host);
+        bool isSame = host != m_context.view.hosts.end() && host->second.incarnation == it.incarnation;
         if (isSame && m_context.peers.isUsable(it.host))
             return false;
     }
@@ -134,13 +134,13 @@
 
 bool Promoter::mustHandOver(const GroupBelief& belief) const
 {
-    auto it = m_context.world.members.find(belief.lead.member);
-    return it != m_context.world.members.end() && (it->second.listed.isLeaving || it->second.unlistedAt);
+    auto it = m_context.view.members.find(belief.lead.member);
+    return it != m_context.view.members.end() && (it->second.listed.isLeaving || it->second.unlistedAt);
 }
 
 void Promoter::sweep(TimePoint now)
 {
-    for (auto& [group, belief] : m_context.world.groups) {
+    for (auto& [group, belief] : m_context.view.groups) {
         auto& state = m_states[group];
         if (state.startedAt == TimePoint {})
             state.startedAt = now;
@@ -207,13 +207,13 @@
     {
     }
     base::Latch latch;
-    Finding finding {};
+    StatusReport finding {};
 };
 
-asio::awaitable<Finding> Promoter::ask(std::string host, TargetAddress target)
+asio::awaitable<StatusReport> Promoter::ask(std::string host, TargetAddress target)
 {
     auto answer = std::make_shared<Answer>(m_context.context.get_executor());
-    auto done = [answer](const Finding& finding) {
+    auto done = [answer](const StatusReport& finding) {
         answer->finding = finding;
         answer->latch.countDown();
     };
@@ -230,15 +230,15 @@
 {
     std::vector<std::string> witnesses;
     std::set<std::string> used;
-    auto own = m_context.world.hosts.find(m_context.self.host);
-    if (own != m_context.world.hosts.end())
+    auto own = m_context.view.hosts.find(m_context.self.host);
+    if (own != m_context.view.hosts.end())
         used.insert(own->second.dataCentre);
     auto up = m_context.peers.getUpHosts();
     for (bool anyDataCentre : { false, true }) {
         for (auto& name : up) {
-            auto host = m_context.world.hosts.find(name);
+            auto host = m_context.view.hosts.find(name);
             bool isIn = std::ranges::find(witnesses, name) != witnesses.end();
-            if (host == m_context.world.hosts.end() || isIn || witnesses.size() >= kFarWitnesses)
+            if (host == m_context.view.hosts.end() || isIn || witnesses.size() >= kFarWitnesses)
                 continue;
             if (!anyDataCentre && used.contains(host->second.dataCentre))
                 continue;
@@ -277,8 +277,8 @@
 {
     auto witnesses = chooseWitnesses();
     // Those that carry to it, in their order, know it best.
-    auto member = m_context.world.members.find(leader.member);
-    auto carriers = member == m_context.world.members.end() ? std::vector<std::string>() : getCarriers(m_context.world, member->second);
+    auto member = m_context.view.members.find(leader.member);
+    auto carriers = member == m_context.view.members.end() ? std::vector<std::string>() : getCarriers(m_context.view, member->second);
     for (auto& name : carriers) {
         bool isIn = name == m_context.self.host || std::ranges::find(witnesses, name) != witnesses.end();
         if (!isIn && m_context.peers.isUp(name) && witnesses.size() < kWitnesses)
@@ -293,7 +293,7 @@
     auto& deniedBy = examination->deniedBy;
     base::logEvent(LogClass::State, "primary-examined", { { "group", std::string_view(group) }, { "member", std::string_view(leader.member) }, { "witnesses", static_cast<int64_t>(witnesses.size()) }, { "reached_by", std::string_view(reachedBy) }, { "denied_to", std::string_view(deniedBy) } });
     if (reachedBy.empty() && !deniedBy.empty()) {
-        denyLead(m_context.world.groups[group], leader.member, Clock::now());
+        denyLead(m_context.view.groups[group], leader.member, Clock::now());
         co_return false;
     }
     co_return reachedBy.empty();
@@ -302,8 +302,8 @@
 // Members that the store lists: those that are gone from it have ended, or lost it for longer than a short cut takes.
 size_t Promoter::countListed(const std::string& group) const
 {
-    auto& ids = m_context.world.groups.at(group).members;
-    return static_cast<size_t>(std::ranges::count_if(ids, [&](const std::string& id) { return !m_context.world.members.at(id).unlistedAt; }));
+    auto& ids = m_context.view.groups.at(group).members;
+    return static_cast<size_t>(std::ranges::count_if(ids, [&](const std::string& id) { return !m_context.view.members.at(id).unlistedAt; }));
 }
 
 // Replicas are asked while the primary is examined, so that a dead one costs one wait, not two.
@@ -330,11 +330,11 @@
 
 void Promoter::askReplicas(const std::string& group, const std::string& leader, const std::shared_ptr<Replicas>& replicas)
 {
-    for (auto& id : m_context.world.groups[group].members) {
+    for (auto& id : m_context.view.groups[group].members) {
         if (id == leader)
             continue;
         replicas->latch.add();
-        asio::co_spawn(m_context.context, askReplica(m_context.world.members.at(id), replicas), asio::detached);
+        asio::co_spawn(m_context.context, askReplica(m_context.view.members.at(id), replicas), asio::detached);
     }
     replicas->latch.countDown();
 }
@@ -345,8 +345,8 @@
     m_context.holdWrites(group, leader, kHoldTime);
     m_context.peers.sendHoldWrites(group, leader, kHoldTime);
     auto until = Clock::now() + kCatchUpLimit;
-    auto primary = m_context.world.members.find(leader);
-    if (primary == m_context.world.members.end())
+    auto primary = m_context.view.members.find(leader);
+    if (primary == m_context.view.members.end())
         co_return;
     auto target = primary->second.getTarget();
     co_await base::sleepFor(kHeardAfter);
@@ -367,18 +367,18 @@
 
 asio::awaitable<void> Promoter::replace(std::string group, bool isPlanned, std::string cause)
 {
-    auto lead = m_context.world.groups[group].lead;
+    auto lead = m_context.view.groups[group].lead;
     auto began = Clock::now();
     base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
     bool isDue = true;
     bool wasOrdered = false;
-    auto member = m_context.world.members.find(lead.member);
+    auto member = m_context.view.members.find(lead.member);
     if (isPlanned)
         co_await waitForReplica(group, lead.member);
     auto replicas = std::make_shared<Replicas>(m_context.context.get_executor());
     // A leaving primary counts among those that are reached, though it may not lead.
     askReplicas(group, isPlanned ? "" : lead.member, replicas);
-    if (member != m_context.world.members.end() && !isPlanned)
+    if (member != m_context.view.members.end() && !isPlanned)
         isDue = co_await isDead(group, member->second.getTarget());
     // Only now: a cut shows in the links to other hosts no sooner than in the silence of those that were asked.
     auto inReach = m_context.peers.countInReach();
@@ -391,9 +391,9 @@
     if (isDue) {
         auto& findings = replicas->findings;
         auto leading = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term && it.member != lead.member; });
-        auto limits = m_context.world.configuration.groups[group];
+        auto limits = m_context.view.configuration.groups[group];
         auto successor = decisions::chooseSuccessor(findings, limits.synchronousReplicas, countListed(group));
-        auto& current = m_context.world.groups[group].lead;
+        auto& current = m_context.view.groups[group].lead;
         if (leading != findings.end())
             current = decisions::takeProof(current, leading->member, leading->term);
         else if (successor) {
@@ -433,14 +433,14 @@
         base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
         base::addTo(base::Family::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
         bool isDone = result == PromotionResult::Done;
-        auto chosen = m_context.world.members.find(member);
-        if (result == PromotionResult::Unknown && chosen != m_context.world.members.end()) {
+        auto chosen = m_context.view.members.find(member);
+        if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
             auto target = chosen->second.getTarget();
             auto finding = co_await ask(m_context.self.host, target);
             isDone = finding.wasReached && finding.status.isPrimary && finding.status.term > oldTerm;
         }
         if (isDone) {
-            takeOrderedLead(m_context.world.groups[group], member, oldTerm + 1, Clock::now());
+            takeOrderedLead(m_context.view.groups[group], member, oldTerm + 1, Clock::now());
             m_context.peers.sendLead(group, member, oldTerm + 1);
             co_return true;
         }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -10,11 +10,11 @@
 
 struct PromoterContext {
     boost::asio::io_context& context;
-    World& world;
+    ClusterView& view;
     Peers& peers;
     links::PlatformAdapter& platform;
     decisions::Orderer self;
-    std::function<void(const TargetAddress&, std::function<void(const Finding&)>)> inquire; // from this host
+    std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> inquire; // from this host
     std::function<void(const std::string& group, const std::string& member, milliseconds)> holdWrites; // at this host
     const bool& isDraining;
 };
@@ -32,9 +32,9 @@
     // The hosts that may order for a group, the holder first.
     std::vector<std::string> getOrderers(const std::string& group) const;
     // The hosts that this one shares the right to order with, in any group.
-    std::set<std::string> getColleagues() const;
+    std::set<std::string> getOtherOrderers() const;
     // The primary showed that it leads.
-    void calm(const std::string& group);
+    void noteProof(const std::string& group);
     // Decides what is due. Call every few tens of ms.
     void sweep(TimePoint now);
 
@@ -70,7 +70,7 @@
     boost::asio::awaitable<void> examine(std::string witness, TargetAddress leader, std::shared_ptr<Examination> examination);
     boost::asio::awaitable<void> waitForReplica(std::string group, std::string leader);
     boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm);
-    boost::asio::awaitable<Finding> ask(std::string host, TargetAddress target);
+    boost::asio::awaitable<StatusReport> ask(std::string host, TargetAddress target);
     std::vector<std::string> chooseWitnesses() const;
     size_t countListed(const std::string& group) const;
 
--- a/src/gateway/runner.cpp
+++ b/src/gateway/statement_router.cpp
@@ -1,8 +1,9 @@
-#include "gateway/runner.h"
+#include "gateway/statement_router.h"
 #include "base/event_log.h"
 #include "base/families.h"
 #include "decisions/turns.h"
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 
 namespace alderward::gateway {
@@ -16,14 +17,14 @@
 static constexpr milliseconds kCallerWay { 2 }; // between caller and host, there and back, on the sites that were seen
 static constexpr double kOwnDistanceGuessMs = 10; // to a member in another data centre from here: some ms each way on the sites that were seen
 
-void Runner::run(Run run, RunDone done)
+void StatementRouter::run(RoutedStatement routed, RoutedDone done)
 {
-    auto shared = std::make_shared<Run>(std::move(run));
+    auto shared = std::make_shared<RoutedStatement>(std::move(routed));
     attempt(shared, std::move(done));
 }
 
 // Whether the host is up and has not said lately that it cannot reach the member.
-bool Runner::mayCarry(const std::string& host, const MemberBelief& member) const
+bool StatementRouter::mayCarry(const std::string& host, const MemberBelief& member) const
 {
     if (host == m_context.name)
         return !m_context.isTroubled(member.getTarget());
@@ -33,24 +34,24 @@
     return !load || !load->unreachable();
 }
 
-std::string Runner::chooseCarrier(const MemberBelief& member) const
+std::string StatementRouter::chooseCarrier(const MemberBelief& member) const
 {
-    auto& ranked = getCarriers(m_context.world, member);
+    auto& ranked = getCarriers(m_context.view, member);
     auto first = std::ranges::find_if(ranked, [&](const std::string& host) { return mayCarry(host, member); });
     return first == ranked.end() ? m_context.name : *first;
 }
 
-decisions::Candidate Runner::makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const
+decisions::Candidate StatementRouter::makeCandidate(const RoutedStatement& routed, const MemberBelief& member, const std::string& leader) const
 {
     auto now = Clock::now();
     decisions::Candidate candidate;
     candidate.isUsable = !member.listed.isLeaving && !member.unlistedAt;
     candidate.isLeader = member.listed.id == leader;
-    candidate.wasTried = std::ranges::find(run.tried, member.listed.id) != run.tried.end();
+    candidate.wasTried = std::ranges::find(routed.tried, member.listed.id) != routed.tried.end();
     candidate.position = decisions::estimatePosition(member.progress, now);
     candidate.positionAge = std::chrono::duration_cast<milliseconds>(now - std::max(member.progress.at, member.progress.behindAt));
     candidate.wasBehind = member.progress.behindAt != TimePoint {};
-    candidate.isFarBehind = isFarBehind(m_context.world.groups.at(member.listed.group), member, now);
+    candidate.isFarBehind = isFarBehind(m_context.view.groups.at(member.listed.group), member, now);
     candidate.slots = std::max(1U, member.listed.slots);
     auto carrier = chooseCarrier(member);
     if (carrier == m_context.name) {
@@ -68,81 +69,81 @@
     return candidate;
 }
 
-std::optional<TargetAddress> Runner::chooseMember(const Run& run) const
+std::optional<TargetAddress> StatementRouter::chooseMember(const RoutedStatement& routed) const
 {
-    auto group = m_context.world.groups.find(run.route.group);
-    if (group == m_context.world.groups.end())
+    auto group = m_context.view.groups.find(routed.route.group);
+    if (group == m_context.view.groups.end())
         return std::nullopt;
     auto& leader = group->second.lead.member;
-    if (run.needsLeader) {
-        auto it = m_context.world.members.find(leader);
-        bool wasTried = std::ranges::find(run.tried, leader) != run.tried.end();
-        if (it == m_context.world.members.end() || wasTried)
+    if (routed.needsLeader) {
+        auto it = m_context.view.members.find(leader);
+        bool wasTried = std::ranges::find(routed.tried, leader) != routed.tried.end();
+        if (it == m_context.view.members.end() || wasTried)
             return std::nullopt;
         return it->second.getTarget();
     }
     std::vector<decisions::Candidate> candidates;
     for (auto& id : group->second.members)
-        candidates.push_back(makeCandidate(run, m_context.world.members.at(id), leader));
-    auto best = decisions::chooseReader(candidates, run.need);
+        candidates.push_back(makeCandidate(routed, m_context.view.members.at(id), leader));
+    auto best = decisions::chooseReader(candidates, routed.need);
     if (!best)
         return std::nullopt;
-    return m_context.world.members.at(group->second.members[*best]).getTarget();
+    return m_context.view.members.at(group->second.members[*best]).getTarget();
 }
 
 // What an answer still has to travel once the carrier has it.
-TimePoint::duration Runner::getWayBack(const std::string& carrier) const
+TimePoint::duration StatementRouter::getWayBack(const std::string& carrier) const
 {
     auto toHereMs = carrier == m_context.name ? 0 : m_context.peers.getDistanceMs(carrier) / 2;
     return kCallerWay + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(toHereMs));
 }
 
-void Runner::giveUp(const std::shared_ptr<Run>& run, RunDone done, ErrorKind kind)
+void StatementRouter::giveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, ErrorKind kind)
 {
-    boost::asio::post(m_context.context, [this, run, done = std::move(done), kind] {
-        finish(*run, decisions::makeFailure(kind, run->lastReason.empty() ? "no member can serve this now" : run->lastReason), std::nullopt, done, {});
+    boost::asio::post(m_context.context, [this, routed, done = std::move(done), kind] {
+        finish(*routed, decisions::makeFailure(kind, routed->lastReason.empty() ? "no member can serve this now" : routed->lastReason), std::nullopt, done, {});
     });
 }
 
 // No member is left to ask. A primary may come back or be replaced while there is time; on a host that is cut off the caller is told at
 // once, as others may reach the primary. Where two of nine hosts were cut off for 7 s, 262 of their statements waited 800 ms in vain.
-void Runner::waitOrGiveUp(const std::shared_ptr<Run>& run, RunDone done)
+void StatementRouter::waitOrGiveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done)
 {
     auto now = Clock::now();
-    if (run->wasOverloaded) {
-        giveUp(run, std::move(done), ErrorKind::Overloaded);
+    if (routed->wasOverloaded) {
+        giveUp(routed, std::move(done), ErrorKind::Overloaded);
         return;
     }
-    if (now + kRetryPause >= run->order.deadline || m_context.isCutOff()) {
-        giveUp(run, std::move(done), run->needsLeader ? ErrorKind::NoPrimary : ErrorKind::TooStale);
+    if (now + kRetryPause >= routed->order.deadline || m_context.isCutOff()) {
+        giveUp(routed, std::move(done), routed->needsLeader ? ErrorKind::NoPrimary : ErrorKind::TooStale);
         return;
     }
-    if (run->needsLeader && !run->wasTurnedAway)
-        m_context.onNoLeader(run->route.group);
-    run->tried.clear();
-    m_waiting.push_back({ run, std::move(done), now + kRetryPause });
+    if (routed->needsLeader && !routed->wasTurnedAway)
+        m_context.onNoLeader(routed->route.group);
+    routed->tried.clear();
+    m_waiting.push_back({ routed, std::move(done), now + kRetryPause });
 }
 
-void Runner::attempt(const std::shared_ptr<Run>& run, RunDone done)
+void StatementRouter::attempt(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done)
 {
-    auto target = chooseMember(*run);
+    auto target = chooseMember(*routed);
     if (!target) {
-        waitOrGiveUp(run, std::move(done));
+        waitOrGiveUp(routed, std::move(done));
         return;
     }
-    ++run->attempts;
-    run->tried.push_back(target->member);
-    auto& member = m_context.world.members.at(target->member);
+    ++routed->attempts;
+    routed->tried.push_back(target->member);
+    auto& member = m_context.view.members.at(target->member);
     auto carrier = chooseCarrier(member);
     if (!mayCarry(carrier, member) && m_context.isCutOff()) {
-        run->lastReason = "the member is out of reach";
-        attempt(run, std::move(done));
+        routed->lastReason = "the member is out of reach";
+        attempt(routed, std::move(done));
         return;
     }
-    auto order = run->order;
-    order.atLeast = run->need;
+    auto order = routed->order;
+    order.atLeast = routed->need;
     order.objective -= getWayBack(carrier);
-    if (order.kind == OrderKind::Single && run->needsLeader && !order.statement.isWrite)
+    if (order.kind == OrderKind::Single && routed->needsLeader && !order.statement.isWrite)
         order.kind = OrderKind::ProvenSingle;
     std::optional<TransactionHandle> transaction;
     bool isOwn = carrier == m_context.name;
@@ -151,17 +152,17 @@
         transaction = TransactionHandle { *target, isOwn ? "" : carrier, isOwn ? pool->takeTransactionNumber() : m_context.peers.takeTransactionNumber() };
         order.transaction = transaction->number;
     }
-    auto onOutcome = [this, run, target = *target, transaction, done](const Outcome& outcome) { takeOutcome(run, target, transaction, outcome, done); };
+    auto onOutcome = [this, routed, target = *target, transaction, done](const Outcome& outcome) { takeOutcome(routed, target, transaction, outcome, done); };
     if (isOwn)
         pool->submit(std::move(order), onOutcome);
     else
         m_context.peers.sendOrder(carrier, *target, order, onOutcome);
 }
 
-void Runner::noteBehind(const TargetAddress& target, const Mark& position, TimePoint now)
+void StatementRouter::noteBehind(const TargetAddress& target, const Mark& position, TimePoint now)
 {
-    auto it = m_context.world.members.find(target.member);
-    if (it == m_context.world.members.end())
+    auto it = m_context.view.members.find(target.member);
+    if (it == m_context.view.members.end())
         return;
     auto& progress = it->second.progress;
     if (position.term != 0)
@@ -169,41 +170,41 @@
     progress = decisions::takeRefusal(progress, now);
 }
 
-void Runner::takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done)
+void StatementRouter::takeOutcome(const std::shared_ptr<RoutedStatement>& routed, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RoutedDone done)
 {
     if (!outcome.error) {
-        finish(*run, outcome, transaction, done, target);
+        finish(*routed, outcome, transaction, done, target);
         return;
     }
     auto now = Clock::now();
     auto kind = outcome.error->kind;
-    run->lastReason = outcome.error->message;
-    run->wasTurnedAway = kind == ErrorKind::Overloaded && outcome.wasSent;
+    routed->lastReason = outcome.error->message;
+    routed->wasTurnedAway = kind == ErrorKind::Overloaded && outcome.wasSent;
     bool isQueueFull = kind == ErrorKind::Overloaded && !outcome.wasSent;
-    run->wasOverloaded = run->wasOverloaded || isQueueFull || (run->wasTurnedAway && run->attempts >= decisions::kBusyTries);
+    routed->wasOverloaded = routed->wasOverloaded || isQueueFull || (routed->wasTurnedAway && routed->attempts >= decisions::kBusyTries);
     if (kind == ErrorKind::NotPrimary)
-        denyLead(m_context.world.groups[target.group], target.member, now);
+        denyLead(m_context.view.groups[target.group], target.member, now);
     if (kind == ErrorKind::TooStale)
         noteBehind(target, outcome.position, now);
     if (transaction)
         end(*transaction);
-    auto& statement = run->order.statement;
+    auto& statement = routed->order.statement;
     // A single write that may have arrived is never sent again. All else leaves nothing behind until its commit.
-    bool mayRepeat = decisions::isPassedOver(kind) || (kind == ErrorKind::OutcomeUnknown && (!statement.isWrite || run->order.kind == OrderKind::Begin));
-    bool hasTime = now + kRetryPause < run->order.deadline;
+    bool mayRepeat = decisions::isPassedOver(kind) || (kind == ErrorKind::OutcomeUnknown && (!statement.isWrite || routed->order.kind == OrderKind::Begin));
+    bool hasTime = now + kRetryPause < routed->order.deadline;
     if (!mayRepeat || !hasTime) {
-        finish(*run, outcome, std::nullopt, done, target);
+        finish(*routed, outcome, std::nullopt, done, target);
         return;
     }
-    attempt(run, std::move(done));
+    attempt(routed, std::move(done));
 }
 
-void Runner::runNext(const TransactionHandle& transaction, Run run, RunDone done)
+void StatementRouter::runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedDone done)
 {
-    run.order.kind = OrderKind::Continue;
-    run.order.transaction = transaction.number;
-    run.attempts = 1;
-    auto shared = std::make_shared<Run>(std::move(run));
+    routed.order.kind = OrderKind::Continue;
+    routed.order.transaction = transaction.number;
+    routed.attempts = 1;
+    auto shared = std::make_shared<RoutedStatement>(std::move(routed));
     auto onOutcome = [this, shared, transaction, done](const Outcome& outcome) { finish(*shared, outcome, transaction, done, transaction.target); };
     if (transaction.host.empty())
         m_context.getPool(transaction.target)->submit(shared->order, onOutcome);
@@ -211,7 +212,7 @@
         m_context.peers.sendOrder(transaction.host, transaction.target, shared->order, onOutcome);
 }
 
-void Runner::end(const TransactionHandle& transaction)
+void StatementRouter::end(const TransactionHandle& transaction)
 {
     if (transaction.host.empty())
         m_context.getPool(transaction.target)->endTransaction(transaction.number);
@@ -219,31 +220,37 @@
         m_context.peers.endTransaction(transaction.host, transaction.number);
 }
 
-void Runner::finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target)
+static std::string_view getName(OrderKind kind)
 {
-    std::chrono::duration<double, std::milli> took = Clock::now() - run.arrivedAt;
-    std::string_view kind = run.order.statement.kind == StatementKind::Commit ? "commit" : run.order.statement.isWrite ? "write"
-                                                                                                                       : "read";
-    base::addTo(base::Family::Statements, { { "database", run.route.database }, { "kind", kind }, { "outcome", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served" } });
-    base::observe(base::Family::StatementSeconds, { { "database", run.route.database }, { "kind", kind } }, took.count() / 1000);
-    bool isLate = Clock::now() > run.order.objective;
+    static constexpr std::array<std::string_view, 4> names { "single", "proven", "begin", "continue" };
+    return names[static_cast<size_t>(kind)];
+}
+
+void StatementRouter::finish(const RoutedStatement& routed, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RoutedDone& done, const TargetAddress& target)
+{
+    std::chrono::duration<double, std::milli> took = Clock::now() - routed.arrivedAt;
+    std::string_view kind = routed.order.statement.kind == StatementKind::Commit ? "commit" : routed.order.statement.isWrite ? "write"
+                                                                                                                             : "read";
+    base::addTo(base::Family::Statements, { { "database", routed.route.database }, { "kind", kind }, { "outcome", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served" } });
+    base::observe(base::Family::StatementSeconds, { { "database", routed.route.database }, { "kind", kind } }, took.count() / 1000);
+    bool isLate = Clock::now() > routed.order.objective;
     auto logClass = outcome.error || isLate ? LogClass::Failure : LogClass::Request;
     if (base::hasLogBudget(logClass)) {
-        auto group = m_context.world.groups.find(run.route.group);
-        std::string_view leader = group == m_context.world.groups.end() ? std::string_view() : std::string_view(group->second.lead.member);
-        auto need = std::to_string(run.need.term) + "." + std::to_string(run.need.position);
+        auto group = m_context.view.groups.find(routed.route.group);
+        std::string_view leader = group == m_context.view.groups.end() ? std::string_view() : std::string_view(group->second.lead.member);
+        auto need = std::to_string(routed.need.term) + "." + std::to_string(routed.need.position);
         std::string_view result = outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served";
         base::logEvent(logClass, "request",
-            { { "request", std::string_view(run.order.statement.id) }, { "session", std::string_view(run.session) }, { "database", std::string_view(run.route.database) },
-                { "group", std::string_view(run.route.group) }, { "kind", static_cast<int64_t>(run.order.kind) }, { "target", std::string_view(target.member) },
+            { { "request", std::string_view(routed.order.statement.id) }, { "session", std::string_view(routed.session) }, { "database", std::string_view(routed.route.database) },
+                { "group", std::string_view(routed.route.group) }, { "kind", getName(routed.order.kind) }, { "target", std::string_view(target.member) },
                 { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", leader }, { "need", std::string_view(need) },
-                { "configuration", static_cast<int64_t>(m_context.world.configuration.version) }, { "attempts", static_cast<int64_t>(run.attempts) },
+                { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
     done(outcome, transaction);
 }
 
-void Runner::sweep(TimePoint now)
+void StatementRouter::sweep(TimePoint now)
 {
     std::vector<Waiting> due;
     std::erase_if(m_waiting, [&](Waiting& it) {
@@ -253,7 +260,7 @@
         return isDue;
     });
     for (auto& it : due)
-        attempt(it.run, std::move(it.done));
+        attempt(it.routed, std::move(it.done));
 }
 
 }
--- a/src/gateway/runner.h
+++ b/src/gateway/statement_router.h
@@ -14,7 +14,7 @@
 };
 
 // A statement on its way.
-struct Run {
+struct RoutedStatement {
     decisions::DatabaseRoute route {};
     Order order {};
     bool needsLeader { false };
@@ -28,11 +28,11 @@
     std::string lastReason {};
 };
 
-using RunDone = std::function<void(const Outcome& outcome, const std::optional<TransactionHandle>& transaction)>;
+using RoutedDone = std::function<void(const Outcome& outcome, const std::optional<TransactionHandle>& transaction)>;
 
-struct RunnerContext {
+struct StatementRouterContext {
     boost::asio::io_context& context;
-    World& world;
+    ClusterView& view;
     Peers& peers;
     std::string name; // of this host
     std::string dataCentre;
@@ -42,41 +42,41 @@
     std::function<bool()> isCutOff; // this host has lost most others: they may reach what it does not
 };
 
-class Runner {
+class StatementRouter {
 public:
-    explicit Runner(RunnerContext context)
+    explicit StatementRouter(StatementRouterContext context)
         : m_context(std::move(context))
     {
     }
 
     // A statement outside a transaction, or the first one inside.
-    void run(Run run, RunDone done);
+    void run(RoutedStatement routed, RoutedDone done);
     // The next statement of a transaction, or its commit.
-    void runNext(const TransactionHandle& transaction, Run run, RunDone done);
+    void runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedDone done);
     void end(const TransactionHandle& transaction);
     // Tries again what waits for a member to become available.
     void sweep(TimePoint now);
 
 private:
     struct Waiting {
-        std::shared_ptr<Run> run;
-        RunDone done;
+        std::shared_ptr<RoutedStatement> routed;
+        RoutedDone done;
         TimePoint notBefore;
     };
 
     TimePoint::duration getWayBack(const std::string& carrier) const;
-    void attempt(const std::shared_ptr<Run>& run, RunDone done);
-    void waitOrGiveUp(const std::shared_ptr<Run>& run, RunDone done);
-    void giveUp(const std::shared_ptr<Run>& run, RunDone done, decisions::ErrorKind kind);
-    std::optional<TargetAddress> chooseMember(const Run& run) const;
-    decisions::Candidate makeCandidate(const Run& run, const MemberBelief& member, const std::string& leader) const;
+    void attempt(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done);
+    void waitOrGiveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done);
+    void giveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, decisions::ErrorKind kind);
+    std::optional<TargetAddress> chooseMember(const RoutedStatement& routed) const;
+    decisions::Candidate makeCandidate(const RoutedStatement& routed, const MemberBelief& member, const std::string& leader) const;
     bool mayCarry(const std::string& host, const MemberBelief& member) const;
     std::string chooseCarrier(const MemberBelief& member) const;
     void noteBehind(const TargetAddress& target, const Mark& position, TimePoint now);
-    void takeOutcome(const std::shared_ptr<Run>& run, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RunDone done);
-    void finish(const Run& run, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RunDone& done, const TargetAddress& target);
+    void takeOutcome(const std::shared_ptr<RoutedStatement>& routed, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RoutedDone done);
+    void finish(const RoutedStatement& routed, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RoutedDone& done, const TargetAddress& target);
 
-    RunnerContext m_context;
+    StatementRouterContext m_context;
     std::vector<Waiting> m_waiting;
 };
 
--- /dev/null
+++ b/src/gateway/status_exchange.cpp
@@ -0,0 +1,52 @@
+#include "gateway/status_exchange.h"
+
+namespace alderward::gateway {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+static constexpr milliseconds kProofToldFor { 1000 }; // a proof of ours is told to others this long
+
+static uint64_t getAgeUs(TimePoint since, TimePoint now)
+{
+    return static_cast<uint64_t>(duration_cast<microseconds>(now - since).count());
+}
+
+void writeGroups(peer::Pong& wire, const ClusterView& view, TimePoint now)
+{
+    for (auto& [name, group] : view.groups) {
+        if (now - group.provenAt > kProofToldFor || group.floors.isEmpty())
+            continue;
+        auto& newest = group.floors.floors.back();
+        auto& floor = *wire.add_floors();
+        floor.set_group(name);
+        writeMark(*floor.mutable_mark(), newest.mark);
+        floor.set_age_us(getAgeUs(newest.since, now));
+        auto& lead = *wire.add_leads();
+        lead.set_group(name);
+        lead.set_member(group.lead.member);
+        lead.set_term(group.lead.term);
+    }
+}
+
+void writePosition(peer::Load& wire, const ClusterView& view, TimePoint now)
+{
+    auto it = view.members.find(wire.member());
+    if (it == view.members.end() || it->second.progress.position.term == 0)
+        return;
+    writeMark(*wire.mutable_position(), it->second.progress.position);
+    wire.set_position_age_us(getAgeUs(it->second.progress.at, now));
+}
+
+void takePositions(ClusterView& view, const peer::Pong& wire, TimePoint sentAt)
+{
+    for (auto& it : wire.loads()) {
+        auto member = view.members.find(it.member());
+        if (member == view.members.end() || !it.has_position())
+            continue;
+        auto& progress = member->second.progress;
+        progress = decisions::takePosition(progress, readMark(it.position()), sentAt - microseconds(it.position_age_us()));
+    }
+}
+
+}
--- /dev/null
+++ b/src/gateway/status_exchange.h
@@ -0,0 +1,15 @@
+// What hosts tell each other of database groups with pings: who leads, from which position on reads are fresh, where members' logs stand.
+#pragma once
+#include "gateway/cluster_view.h"
+#include "gateway/peer_codec.h"
+
+namespace alderward::gateway {
+
+// Leads and floors that this host has seen for itself: whoever needs a group's floor asks the host that carries to its primary.
+void writeGroups(peer::Pong& wire, const ClusterView& view, TimePoint now);
+// Where the member's log stands, if anything is known of it.
+void writePosition(peer::Load& wire, const ClusterView& view, TimePoint now);
+// Positions that another host told. `sentAt` is before the time at which it did.
+void takePositions(ClusterView& view, const peer::Pong& wire, TimePoint sentAt);
+
+}
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -16,13 +16,7 @@
 static constexpr milliseconds kConnectLimit { 700 }; // a hello takes some tens of ms; a dark host never answers
 static constexpr milliseconds kRefusedPause { 300 }; // after the target took no connection; other hosts may hold them
 static constexpr milliseconds kBrokenPause { 100 }; // after a connection could not be had
-static constexpr milliseconds kKeepAliveAfter { 1000 }; // an idle connection that was quiet for this long is asked something
-static constexpr milliseconds kSilentLimit { 300 }; // for questions that need no work at the target
 static constexpr unsigned kReservedConnections = 2; // never held by transactions, so that single statements go on
-static constexpr milliseconds kUnusedAsCarrier { 10000 }; // a connection that was of no use for this long is closed
-static constexpr milliseconds kUnusedElsewhere { 500 }; // the same where another host carries now, which needs the connections
-static constexpr double kStalledTimes = 8; // of the usual time: a statement's answer may be lost; the slowest usual ones take five times
-static constexpr milliseconds kStalledLeast { 150 }; // below this a hiccup of the network would count
 static constexpr milliseconds kBusyPause { 15 }; // before a target that was busy is asked again: about one statement's time
 static constexpr size_t kPreparedMost = 200; // shapes kept on one connection
 static constexpr unsigned kOpeningMost = 2; // connections at a time; each takes a slot of the target for a while
@@ -410,17 +404,6 @@
         dropSession(session, "a transaction was left open on it");
 }
 
-void TargetPool::closeUnused(TimePoint now)
-{
-    auto limit = m_isCarrier ? kUnusedAsCarrier : kUnusedElsewhere;
-    auto sessions = m_sessions;
-    for (auto& it : sessions) {
-        bool isLast = m_isCarrier && m_sessions.size() == 1;
-        if (!isLast && !it->isBusy && it->transaction == 0 && it->getPending() == 0 && now - it->usedAt > limit)
-            dropSession(it, "unused");
-    }
-}
-
 void TargetPool::finish(const JobPtr& job, Outcome outcome)
 {
     if (job->isDone())
@@ -488,168 +471,9 @@
         dropSession(it, reason);
 }
 
-void TargetPool::sweep(TimePoint now)
-{
-    findStalled(now);
-    freeStalled(now);
-    endOverdue(now);
-    endSilent(now);
-    proveLead(now);
-    askPosition(now);
-    keepAlive(now);
-    closeUnused(now);
-    dispatch();
-}
-
 unsigned TargetPool::countRunning() const
 {
     return static_cast<unsigned>(std::ranges::count_if(m_running, [](const auto& it) { return !it.first->isStalled; }));
 }
 
-milliseconds TargetPool::getStalledLimit() const
-{
-    return std::max(kStalledLeast, milliseconds(static_cast<int64_t>(kStalledTimes * m_queue.workMs)));
-}
-
-// A few hung statements can hold all connections. While others wait for one, the statement that has hung longest gives its connection up,
-// if that leaves nothing behind at the target: it is run anew, or its transaction, which is rolled back there, is reported as ended.
-// One at each sweep: the next may be answered meanwhile. Without any answer since, twice the time must pass.
-void TargetPool::freeStalled(TimePoint now)
-{
-    bool isScarce = countFree() == 0 && m_sessions.size() + m_opening >= m_limits.connections;
-    if (!isScarce || countWaitingForConnection() == 0)
-        return;
-    for (auto& [job, session] : m_running) { // in the order in which they were started
-        auto& order = job->order;
-        bool leavesNothing = order.statement.kind != StatementKind::Commit && (!order.statement.isWrite || order.kind == OrderKind::Begin || order.kind == OrderKind::Continue);
-        bool hasHung = job->isStalled || now - job->startedAt > 2 * getStalledLimit();
-        if (!leavesNothing || !hasHung)
-            continue;
-        dropSession(SessionPtr(session), "its answer seems to be lost and others wait for a connection", false);
-        return;
-    }
-}
-
-// A statement that takes several times as long as usual, while later ones were answered, has probably lost its answer. It gives up its
-// place, or a few of these would stop all others until their time is over. A read is run once more; whichever answer comes first counts.
-// Nothing is ended for it: a slow answer is delivered as well.
-void TargetPool::findStalled(TimePoint now)
-{
-    auto limit = getStalledLimit();
-    auto running = m_running;
-    for (auto& [job, session] : running) {
-        if (job->isStalled && job->isDone()) { // its repetition was answered
-            dropSession(session, "the answer is no longer waited for");
-            continue;
-        }
-        if (job->isStalled || now - job->startedAt < limit || m_answeredAt < job->startedAt + limit / 2)
-            continue;
-        job->isStalled = true;
-        auto& order = job->order;
-        bool mayRepeat = !order.statement.isWrite && (order.kind == OrderKind::Single || order.kind == OrderKind::ProvenSingle);
-        bool isBusy = m_waiting.size() >= m_limits.running; // a repetition would take a turn from somebody who has had none
-        if (!mayRepeat || isBusy)
-            continue;
-        auto again = std::make_shared<Job>(*job);
-        again->isStalled = false;
-        enqueue(again);
-    }
-}
-
-void TargetPool::endOverdue(TimePoint now)
-{
-    refuse(decisions::takeExpired(m_queue, now), "no turn came in time");
-    auto running = m_running;
-    for (auto& [job, session] : running) {
-        if (now < job->order.deadline)
-            continue;
-        finish(job, decisions::makeFailure(ErrorKind::StatementTimedOut, "the target did not answer in time", true));
-        auto askedAt = session->getAskedAt();
-        dropSession(session, "no answer in time");
-        // Other connections that have been quiet since may have died in the same way.
-        auto sessions = m_sessions;
-        for (auto& it : sessions) {
-            if (!it->isBusy && it->transaction == 0 && it->getHeardAt() < askedAt)
-                dropSession(it, "quiet since a connection to the same target died");
-        }
-    }
-}
-
-// Questions of our own need no work at the target: silence means that the connection is dead.
-void TargetPool::endSilent(TimePoint now)
-{
-    auto sessions = m_sessions;
-    for (auto& it : sessions) {
-        bool hasJob = std::ranges::any_of(m_running, [&](const auto& running) { return running.second == it; });
-        if (!hasJob && it->getPending() > 0 && now - it->getAskedAt() > kSilentLimit)
-            dropSession(it, "the target is silent");
-    }
-}
-
-// A connection on which nothing is under way.
-TargetPool::SessionPtr TargetPool::findQuiet() const
-{
-    auto it = std::ranges::find_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0 && it->getPending() == 0; });
-    return it == m_sessions.end() ? nullptr : *it;
-}
-
-void TargetPool::proveLead(TimePoint now)
-{
-    if (m_proofInterval.count() == 0 || now - m_provedAt < m_proofInterval)
-        return;
-    auto session = findQuiet();
-    if (!session) {
-        if (m_sessions.empty() && m_opening == 0 && now >= m_noNewBefore)
-            openSession();
-        return;
-    }
-    m_provedAt = now; // the next question is due an interval after this one, whatever its answer
-    session->isBusy = true;
-    session->ask(m_codec.formatBegin(false, {}), [self = shared_from_this(), session, now](const Outcome& outcome) {
-        if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
-            self->m_observer.onFollows(self->m_target);
-        if (outcome.error) {
-            self->freeSession(session);
-            return;
-        }
-        self->m_answeredAt = Clock::now();
-        self->m_observer.onLeads(self->m_target, outcome.position, now);
-        self->m_observer.onAnswer(self->m_target);
-        self->rollBack(session);
-    });
-}
-
-void TargetPool::keepAlive(TimePoint now)
-{
-    for (auto& it : m_sessions) {
-        if (it->isBusy || it->transaction != 0 || it->getPending() > 0 || now - it->getHeardAt() < kKeepAliveAfter)
-            continue;
-        askNothing(it);
-    }
-}
-
-// An empty transaction: its answer tells the position, and it takes no slot of the target.
-void TargetPool::askNothing(const SessionPtr& session)
-{
-    session->isBusy = true;
-    session->ask(m_codec.formatBegin(true, {}), [](const Outcome&) {});
-    session->ask(m_codec.formatRollback(), [self = shared_from_this(), session](const Outcome& outcome) {
-        if (outcome.position.term != 0)
-            self->m_observer.onPosition(self->m_target, outcome.position);
-        self->freeSession(session);
-        self->dispatch();
-    });
-}
-
-void TargetPool::askPosition(TimePoint now)
-{
-    if (m_positionInterval.count() == 0 || now - m_positionAskedAt < m_positionInterval)
-        return;
-    auto session = findQuiet();
-    if (!session)
-        return;
-    m_positionAskedAt = now;
-    askNothing(session);
-}
-
 }
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -3,7 +3,7 @@
 #include "base/settings.h"
 #include "decisions/choice.h"
 #include "decisions/succession.h"
-#include "gateway/world.h"
+#include "gateway/cluster_view.h"
 #include "links/channel.h"
 #include "platform/wire.h"
 #include <algorithm>
@@ -91,14 +91,14 @@
     BOOST_TEST((lead == Lead { "a", 0, false }));
     lead = takeProof(lead, "a", 3);
     BOOST_TEST((takeProof(lead, "b", 2) == lead));
-    BOOST_TEST((takeWord(lead, "b", 3) == lead));
-    BOOST_TEST((takeWord(lead, "b", 4) == Lead { "b", 4, false }));
+    BOOST_TEST((takeReport(lead, "b", 3) == lead));
+    BOOST_TEST((takeReport(lead, "b", 4) == Lead { "b", 4, false }));
     BOOST_TEST((takeListing(lead, "b") == lead));
     BOOST_TEST((takeDenial(lead, "b") == lead));
     lead = takeDenial(lead, "a");
     BOOST_TEST((lead == Lead { "", 3, false }));
-    BOOST_TEST((takeWord(lead, "b", 2) == lead));
-    BOOST_TEST((takeWord(lead, "b", 3) == Lead { "b", 3, false }));
+    BOOST_TEST((takeReport(lead, "b", 2) == lead));
+    BOOST_TEST((takeReport(lead, "b", 3) == Lead { "b", 3, false }));
 }
 
 BOOST_AUTO_TEST_CASE(reads_avoid_the_leader_the_busy_the_far_and_those_that_were_seen_behind)
@@ -149,48 +149,48 @@
 // The ranking is kept between statements; what it is made from may change under it.
 BOOST_AUTO_TEST_CASE(the_ranking_that_is_kept_follows_hosts_and_members)
 {
-    gateway::World world;
+    gateway::ClusterView view;
     for (auto* name : { "a1", "a2", "b1" })
-        takeHost(world, { name, "", std::string(name).substr(0, 1), 1 });
+        takeHost(view, { name, "", std::string(name).substr(0, 1), 1 });
     links::ListedMember listed;
     listed.id = "m";
     listed.group = "g";
     listed.dataCentre = "a";
-    takeMember(world, listed);
-    auto& member = world.members.at("m");
-    auto before = getCarriers(world, member);
+    takeMember(view, listed);
+    auto& member = view.members.at("m");
+    auto before = getCarriers(view, member);
     BOOST_REQUIRE(before.size() == 3u);
     BOOST_TEST(before[2] == "b1");
-    dropHost(world, before[0]);
-    BOOST_TEST(getCarriers(world, member)[0] == before[1]);
-    takeHost(world, { before[0], "", "a", 2 });
-    BOOST_TEST((getCarriers(world, member) == before));
-    takeHost(world, { before[0], "", "a", 3 }); // started anew
-    BOOST_TEST((getCarriers(world, member) == before));
-    takeHost(world, { before[0], "", "c", 4 }); // in another data centre now
-    BOOST_TEST(getCarriers(world, member)[0] == before[1]);
-    takeHost(world, { before[0], "", "a", 5 });
+    dropHost(view, before[0]);
+    BOOST_TEST(getCarriers(view, member)[0] == before[1]);
+    takeHost(view, { before[0], "", "a", 2 });
+    BOOST_TEST((getCarriers(view, member) == before));
+    takeHost(view, { before[0], "", "a", 3 }); // started anew
+    BOOST_TEST((getCarriers(view, member) == before));
+    takeHost(view, { before[0], "", "c", 4 }); // in another data centre now
+    BOOST_TEST(getCarriers(view, member)[0] == before[1]);
+    takeHost(view, { before[0], "", "a", 5 });
     // Whatever came and went, the order is the one that a host makes that sees it for the first time.
     for (int i = 0; i < 300; ++i) {
         auto name = "h" + std::to_string(i * 7 % 40);
-        if (world.hosts.contains(name) && i % 3 == 0)
-            dropHost(world, name);
+        if (view.hosts.contains(name) && i % 3 == 0)
+            dropHost(view, name);
         else
-            takeHost(world, { name, "", i % 2 == 0 ? "a" : "b", static_cast<uint64_t>(i) });
-        auto kept = getCarriers(world, member);
-        auto keptForGroup = getRankedHosts(world, "g");
-        world.rankings.clear();
-        BOOST_REQUIRE((getCarriers(world, member) == kept));
-        BOOST_REQUIRE((getRankedHosts(world, "g") == keptForGroup));
+            takeHost(view, { name, "", i % 2 == 0 ? "a" : "b", static_cast<uint64_t>(i) });
+        auto kept = getCarriers(view, member);
+        auto keptForGroup = getRankedHosts(view, "g");
+        view.rankings.clear();
+        BOOST_REQUIRE((getCarriers(view, member) == kept));
+        BOOST_REQUIRE((getRankedHosts(view, "g") == keptForGroup));
     }
-    for (auto& [name, host] : std::map(world.hosts)) {
+    for (auto& [name, host] : std::map(view.hosts)) {
         if (name.starts_with("h"))
-            dropHost(world, name);
+            dropHost(view, name);
     }
     listed.dataCentre = "b"; // an address or a data centre may be given to another process under the same id
-    takeMember(world, listed);
-    BOOST_TEST(getCarriers(world, member)[0] == "b1");
-    BOOST_TEST(getRankedHosts(world, "g").size() == 3u);
+    takeMember(view, listed);
+    BOOST_TEST(getCarriers(view, member)[0] == "b1");
+    BOOST_TEST(getRankedHosts(view, "g").size() == 3u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
