Pings as often as floors must be renewed

Change: decisions::getPingInterval(): half of the least age that a route allows its reads, 250 ms to 1 s, for hosts to which nothing is under way; kProofMissed and kFarBehind follow (1.5 s). Test: freshness/pings_come_often_enough_*.

--- a/src/decisions/choice.h
+++ b/src/decisions/choice.h
@@ -52,7 +52,7 @@
 inline constexpr milliseconds kBehindFor { 100 }; // a replica that was heard of as behind is left alone this long
 // One that is far behind: its carrier asks it each 100 ms and tells all others with each ping, so no read has to. Longer than pings may fail to come.
 inline constexpr milliseconds kFarBehindFor { 1500 };
-inline constexpr milliseconds kFarBehind { 1000 }; // lacks commits of this age; replicas in calm lack some tens to hundreds of ms
+inline constexpr milliseconds kFarBehind { 1500 }; // lacks commits of this age; replicas in calm lack some tens to hundreds of ms, and a floor is a second old at most
 
 // The expected time of an answer, in ms.
 double getExpectedMs(const Candidate& candidate);
--- a/src/decisions/freshness.cpp
+++ b/src/decisions/freshness.cpp
@@ -3,6 +3,17 @@
 
 namespace alderward::decisions {
 
+// Of a stated age, what is left for the interval: a floor is up to a proof's interval old when it is told, and the ping itself takes time.
+static constexpr double kShareForPings = 0.5;
+
+milliseconds getPingInterval(milliseconds leastAge)
+{
+    if (leastAge.count() <= 0)
+        return kPingIntervalMost;
+    auto share = milliseconds(static_cast<int64_t>(kShareForPings * static_cast<double>(leastAge.count())));
+    return std::clamp(share, kPingIntervalLeast, kPingIntervalMost);
+}
+
 FloorHistory takeFloor(FloorHistory history, const Floor& floor)
 {
     auto& floors = history.floors;
--- a/src/decisions/freshness.h
+++ b/src/decisions/freshness.h
@@ -26,6 +26,13 @@
 inline constexpr milliseconds kFloorStep { 50 }; // floors closer than this are one; bounds the history's length
 inline constexpr milliseconds kFloorMemory { 5000 }; // above any age that operators allow a read
 
+// A host that has nothing to ask of another pings it no more often than its floors must be renewed for the read of the least stated age: where
+// regions are 20 ms apart, pings are most of the bytes between them.
+inline constexpr milliseconds kPingIntervalLeast { 250 };
+inline constexpr milliseconds kPingIntervalMost { 1000 }; // how late a silent host is noticed
+// `leastAge`: of all routes that let reads miss anything; 0: there is none.
+milliseconds getPingInterval(milliseconds leastAge);
+
 FloorHistory takeFloor(FloorHistory history, const Floor& floor);
 
 // The lowest mark that covers everything acknowledged before `sent` less `maximumAge`. Empty: no floor is young enough.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
 static constexpr milliseconds kLastAnswers { 50 }; // for bytes that wait in sockets before the process ends
-static constexpr milliseconds kProofMissed { 1000 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, floors each 500
+static constexpr milliseconds kProofMissed { 1500 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, pings each second at most
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
@@ -322,12 +322,25 @@
     return service;
 }
 
+// The least that any route lets its reads miss; 0: none lets them miss anything.
+static milliseconds getLeastAge(const links::GatewayConfiguration& configuration)
+{
+    milliseconds least { 0 };
+    for (auto& [database, route] : configuration.routes) {
+        bool mayMiss = route.consistency != decisions::Consistency::Primary && route.maximumAge.count() > 0;
+        if (mayMiss && (least.count() == 0 || route.maximumAge < least))
+            least = route.maximumAge;
+    }
+    return least;
+}
+
 DirectoryEvents Gateway::makeDirectoryEvents()
 {
     DirectoryEvents events;
     events.onConfiguration = [this](const links::GatewayConfiguration& configuration) {
         base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_view.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
         m_view.configuration = configuration;
+        m_peers.setQuietPingInterval(decisions::getPingInterval(getLeastAge(configuration)));
     };
     events.onMember = [this](const links::ListedMember& member) {
         bool wasKnown = m_view.members.contains(member.id);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -7,7 +7,6 @@
 using decisions::ErrorKind;
 
 static constexpr milliseconds kPingInterval { 250 }; // where orders are under way: bounds how late a silent host is noticed
-static constexpr milliseconds kQuietPingInterval { 500 }; // elsewhere: bounds how old the floors of other hosts get
 static constexpr milliseconds kUnusedFor { 5000 }; // a connection to a host that is no partner is closed after this
 static constexpr milliseconds kSilentLimit { 700 }; // without any answer to a ping, the host counts as down
 static constexpr milliseconds kConnectLimit { 250 }; // connecting takes one way there and back, 40 ms at most on the sites that were seen; a host that is not up yet swallows it
@@ -387,7 +386,7 @@
             link->channel->close();
             continue;
         }
-        if (now - link->pingedAt < (link->calls.empty() ? kQuietPingInterval : kPingInterval))
+        if (now - link->pingedAt < (link->calls.empty() ? m_quietPingInterval : kPingInterval))
             continue;
         link->pingedAt = now;
         link->pings[++link->pingNumber] = now;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,6 +21,9 @@
     // The hosts that are pinged all the time; to others a connection is made when something is sent.
     void setPartners(const std::set<std::string>& names);
 
+    // How often hosts are pinged to which nothing is under way.
+    void setQuietPingInterval(milliseconds interval) { m_quietPingInterval = interval; }
+
     // False after a connection failed or fell silent, until the host answers again. A host without a connection counts as up.
     bool isUp(const std::string& host) const;
     // Whether the host answered lately on a connection of ours.
@@ -66,6 +69,7 @@
     InboundPeers m_inbound;
     std::map<std::string, links::ListedHost> m_hosts; // all that are known
     std::map<std::string, LinkPtr> m_links; // to some of them
+    milliseconds m_quietPingInterval { decisions::kPingIntervalLeast };
     uint64_t m_lastTransaction { 0 };
 };
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -81,6 +81,15 @@
     BOOST_TEST((getReadMark(makeRoute(Consistency::ReadYourWrites, 2500), history, { 1, 130 }, at(3001)) == Mark { 2, 90 }));
 }
 
+BOOST_AUTO_TEST_CASE(pings_come_often_enough_for_the_least_stated_age)
+{
+    BOOST_TEST(getPingInterval(milliseconds(1500)).count() == 750);
+    BOOST_TEST(getPingInterval(milliseconds(100)).count() == 250);
+    BOOST_TEST(getPingInterval(milliseconds(60000)).count() == 1000);
+    BOOST_TEST(getPingInterval(milliseconds(0)).count() == 1000);
+    BOOST_TEST(getPingInterval(milliseconds(-5)).count() == 1000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(choice)
