Sight: who is in charge as each orderer sees it, and how long a target has been known to leave

The timeline of the leaving primary could not say why eight hosts did nothing: no line names the host that an orderer leaves a group to, and the line of a request does not say that its target was leaving. New: event in-charge (once a change, on orderers only), field target_leaving_ms of request lines, gauge alderward_leaving_primary_seconds. Nothing decides by them.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -29,6 +29,7 @@
     FamilyRow { Family::PoolRunning, "alderward_pool_running", FamilyType::Gauge, "member", "orders at the target" },
     FamilyRow { Family::FloorAge, "alderward_floor_age_seconds", FamilyType::Gauge, "group", "age of the newest floor for reads" },
     FamilyRow { Family::Term, "alderward_term", FamilyType::Gauge, "group", "newest term that was heard of" },
+    FamilyRow { Family::LeavingPrimary, "alderward_leaving_primary_seconds", FamilyType::Gauge, "group", "how long this host has known that the group's primary leaves; no value: it does not" },
     FamilyRow { Family::ConfigurationVersion, "alderward_configuration_version", FamilyType::Gauge, "", "version in force" },
     FamilyRow { Family::Sessions, "alderward_sessions", FamilyType::Gauge, "", "callers' sessions" },
     FamilyRow { Family::Ready, "alderward_ready", FamilyType::Gauge, "", "1 if this host takes callers" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -30,6 +30,7 @@
     PoolRunning,
     FloorAge,
     Term,
+    LeavingPrimary,
     ConfigurationVersion,
     Sessions,
     Ready,
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -80,9 +80,13 @@
     return getRanked(view, group, "");
 }
 
-void takeMember(ClusterView& view, const links::ListedMember& listed)
+void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint now)
 {
     auto& member = view.members[listed.id];
+    if (!listed.isLeaving)
+        member.leavingSince.reset();
+    else if (!member.leavingSince)
+        member.leavingSince = now;
     if (member.listed.dataCentre != listed.dataCentre)
         view.rankings.erase(listed.id);
     member.listed = listed;
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -12,6 +12,7 @@
 struct MemberBelief {
     links::ListedMember listed {};
     std::optional<TimePoint> unlistedAt {}; // the store's list dropped it then; it may still lead
+    std::optional<TimePoint> leavingSince {}; // when this host heard that it leaves
     TimePoint troubleAt {}; // the last time a connection to it failed here
     TimePoint answeredAt {};
     decisions::Progress progress {}; // of its log
@@ -62,7 +63,7 @@
 const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
-void takeMember(ClusterView& view, const links::ListedMember& listed);
+void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint now);
 void takeMemberGone(ClusterView& view, const std::string& id, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -84,7 +84,7 @@
 {
     using base::Family;
     auto now = Clock::now();
-    for (auto family : { Family::PoolConnections, Family::PoolWaiting, Family::PoolRunning, Family::FloorAge, Family::Term })
+    for (auto family : { Family::PoolConnections, Family::PoolWaiting, Family::PoolRunning, Family::FloorAge, Family::Term, Family::LeavingPrimary })
         base::clear(family);
     for (auto& [member, pool] : m_pools) {
         auto load = pool->getLoad();
@@ -96,6 +96,9 @@
         base::setTo(Family::Term, { { "group", name } }, static_cast<double>(group.lead.term));
         if (!group.floors.isEmpty())
             base::setTo(Family::FloorAge, { { "group", name } }, std::chrono::duration<double>(now - group.floors.floors.back().since).count());
+        auto primary = m_view.members.find(group.lead.member);
+        if (primary != m_view.members.end() && primary->second.leavingSince)
+            base::setTo(Family::LeavingPrimary, { { "group", name } }, std::chrono::duration<double>(now - *primary->second.leavingSince).count());
     }
     base::setTo(Family::ConfigurationVersion, {}, static_cast<double>(m_view.configuration.version));
     base::setTo(Family::Sessions, {}, static_cast<double>(m_sessions.size()));
@@ -345,7 +348,7 @@
     events.onMember = [this](const links::ListedMember& member) {
         bool wasKnown = m_view.members.contains(member.id);
         auto before = wasKnown ? m_view.members[member.id].listed : links::ListedMember {};
-        takeMember(m_view, member);
+        takeMember(m_view, member, Clock::now());
         takeRoleChange(before, member);
         m_partnersDue = m_partnersDue || !wasKnown;
         if (before != member)
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -117,19 +117,33 @@
 }
 
 // The holder, or a deputy while all before it are out of reach.
-bool Promoter::isInCharge(const State& state) const
+std::string Promoter::findInCharge(const State& state) const
 {
-    auto rank = decisions::findRank(state.succession, m_context.self);
-    if (!rank || m_context.isDraining)
-        return false;
-    for (size_t i = 0; i < *rank; ++i) {
-        auto& it = state.succession.orderers[i];
+    for (auto& it : state.succession.orderers) {
+        bool isSelf = it == m_context.self;
         auto host = m_context.view.hosts.find(it.host);
         bool isSame = host != m_context.view.hosts.end() && host->second.incarnation == it.incarnation;
-        if (isSame && m_context.peers.isUsable(it.host))
-            return false;
+        if (isSelf ? !m_context.isDraining : isSame && m_context.peers.isUsable(it.host))
+            return it.host;
     }
-    return true;
+    return "";
+}
+
+bool Promoter::isInCharge(const State& state) const
+{
+    return findInCharge(state) == m_context.self.host;
+}
+
+// Tells afterwards why nobody acted: each orderer says whom it leaves the group to.
+void Promoter::noteCharge(const std::string& group, State& state)
+{
+    if (!decisions::findRank(state.succession, m_context.self))
+        return;
+    auto inCharge = findInCharge(state);
+    if (inCharge == state.inCharge)
+        return;
+    state.inCharge = inCharge;
+    base::logEvent(LogClass::State, "in-charge", { { "group", std::string_view(group) }, { "holder", std::string_view(state.succession.orderers.front().host) }, { "in_charge", std::string_view(inCharge) } });
 }
 
 bool Promoter::mustHandOver(const GroupBelief& belief) const
@@ -145,6 +159,7 @@
         if (state.startedAt == TimePoint {})
             state.startedAt = now;
         keepSuccession(group, state, now);
+        noteCharge(group, state);
         if (!belief.lead.member.empty())
             state.leaderlessSince = {};
         else if (state.leaderlessSince == TimePoint {})
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -52,12 +52,16 @@
         TimePoint notBefore {};
         TimePoint leaderlessSince {};
         std::string alarm {};
+        std::string inCharge {}; // as last logged
     };
 
     bool isLive(const std::string& host) const;
     bool isFirst(const std::string& group) const;
     std::vector<decisions::RankedHost> rankLive(const std::string& group) const;
+    // The host that has the right to act for the group now, as this one sees it; empty: none.
+    std::string findInCharge(const State& state) const;
     bool isInCharge(const State& state) const;
+    void noteCharge(const std::string& group, State& state);
     bool mustHandOver(const GroupBelief& belief) const;
     void keepSuccession(const std::string& group, State& state, TimePoint now);
     boost::asio::awaitable<void> writeSuccession(std::string group, decisions::Succession succession, uint64_t revision);
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -239,10 +239,13 @@
         auto group = m_context.view.groups.find(routed.route.group);
         std::string_view leader = group == m_context.view.groups.end() ? std::string_view() : std::string_view(group->second.lead.member);
         auto need = std::to_string(routed.need.term) + "." + std::to_string(routed.need.position);
+        auto member = m_context.view.members.find(target.member);
+        bool isLeaving = member != m_context.view.members.end() && member->second.leavingSince;
+        int64_t leavingMs = isLeaving ? std::chrono::duration_cast<milliseconds>(Clock::now() - *member->second.leavingSince).count() : -1;
         std::string_view result = outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served";
         base::logEvent(logClass, "request",
             { { "request", std::string_view(routed.order.statement.id) }, { "session", std::string_view(routed.session) }, { "database", std::string_view(routed.route.database) },
-                { "group", std::string_view(routed.route.group) }, { "kind", getName(routed.order.kind) }, { "target", std::string_view(target.member) },
+                { "group", std::string_view(routed.route.group) }, { "kind", getName(routed.order.kind) }, { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs },
                 { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", leader }, { "need", std::string_view(need) },
                 { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
