--- a/tests/gateway/failover_test.cpp
+++ b/tests/gateway/failover_test.cpp
@@ -149,16 +149,7 @@
     GatewayRig rig;
     rig.beginHosts();
     BOOST_TEST(canWrite(rig, 0));
-    // The holder is the first of the record in the store; its name stands in the log of every host.
-    std::string log;
-    size_t at = std::string::npos;
-    waitUntil(milliseconds(2000), [&] {
-        log = rig.getLog(0);
-        at = log.rfind("\"holder\":\"h");
-        return at != std::string::npos;
-    });
-    BOOST_REQUIRE(at != std::string::npos);
-    auto holder = static_cast<unsigned>(log[at + 11] - '0');
+    auto holder = rig.findHolder();
     rig.getHost(holder).signal(SIGSTOP);
     rig.call([&] { rig.getGroup().kill("g0-a"); });
     auto other = (holder + 1) % 3;
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -17,6 +17,8 @@
 
 using Clock = std::chrono::steady_clock;
 
+static constexpr unsigned kProxiesOfHost = 3; // before the store, its callers' address, its address for other hosts
+
 GatewayRig::GatewayRig(RigShape shape)
     : m_shape(shape)
     , m_guard(boost::asio::make_work_guard(m_context))
@@ -25,7 +27,7 @@
     m_folder = fmt::format("{}/alderward-rig-{}-{}", std::filesystem::temp_directory_path().string(), getpid(), ++number);
     std::filesystem::create_directories(m_folder);
     auto own = 1 + 3 * m_shape.groups + 4 * m_shape.hosts;
-    m_ports = findPorts(own + (m_shape.hasProxies ? 3 * m_shape.groups + 3 * m_shape.hosts : 0));
+    m_ports = findPorts(own + (m_shape.hasProxies ? 3 * m_shape.groups + kProxiesOfHost * m_shape.hosts : 0));
     size_t next = 1;
     std::vector<standins::LineGroup*> groups;
     for (unsigned i = 0; i < m_shape.groups; ++i) {
@@ -118,11 +120,36 @@
 {
     std::ofstream file(getSettingsPath(index));
     file << fmt::format("[gateway]\nname = h{}\ndata_centre = dc-{}\ncaller_address = {}\npeer_address = {}\nready_address = {}\nmetrics_address = {}\n", index, static_cast<char>('a' + index % 3), getHostAddress(index, 0), getHostAddress(index, 1), getHostAddress(index, 2), getHostAddress(index, 3));
-    file << fmt::format("[platform]\nstore_address = {}\norders_address = {}\n[stop]\ngrace_ms = {}\n[log]\nlines_per_second = 10000\n{}", m_storeAddresses[index], m_storeAddresses[index], m_shape.graceMs, m_shape.extraSettings);
+    file << fmt::format("[platform]\nstore_address = {}\norders_address = {}\n[stop]\ngrace_ms = {}\n[log]\nlines_per_second = 10000\n{}", m_storeAddresses[index], m_shape.hasOrdersApart ? m_store->getAddress() : m_storeAddresses[index], m_shape.graceMs, m_shape.extraSettings);
     file.close();
     m_hosts[index] = std::make_unique<Process>(std::vector<std::string> { getDaemon(), "--settings", getSettingsPath(index) }, getLogPath(index));
 }
 
+void GatewayRig::setStoreCut(unsigned host, bool isCut)
+{
+    auto* proxy = m_proxies.at(host * kProxiesOfHost).get(); // the first of its proxies
+    call([proxy, isCut] {
+        proxy->faults.swallowsThere = isCut;
+        proxy->faults.swallowsBack = isCut;
+        if (!isCut)
+            proxy->resetAll();
+    });
+}
+
+// The name stands in the log of every host.
+unsigned GatewayRig::findHolder() const
+{
+    const std::string needle = "\"holder\":\"h";
+    std::string log;
+    size_t at = std::string::npos;
+    bool isKnown = waitUntil(milliseconds(3000), [&] {
+        log = getLog(0);
+        at = log.rfind(needle);
+        return at != std::string::npos;
+    });
+    return isKnown ? static_cast<unsigned>(log[at + needle.size()] - '0') : 0;
+}
+
 bool GatewayRig::isReady(unsigned index)
 {
     Client client(getHostAddress(index, 2));
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -19,6 +19,7 @@
     int graceMs { 4000 };
     std::string extraSettings {}; // lines of INI
     bool hasProxies { false }; // all connections pass through one that can harm them
+    bool hasOrdersApart { false }; // orders to the platform pass by the proxies before the store
 };
 
 class GatewayRig {
@@ -53,6 +54,10 @@
     standins::KvStore& getStore() { return *m_store; }
     // Before callers' addresses, each host's address for other hosts, its way to the store, and members; empty without proxies.
     const std::vector<std::unique_ptr<standins::FaultProxy>>& getProxies() const { return m_proxies; }
+    // Cuts a host off from the store, or ends that. Needs proxies.
+    void setStoreCut(unsigned host, bool isCut);
+    // The host that the record in the store names first for group g0.
+    unsigned findHolder() const;
     // Writes a configuration; databases db0-primary, db0-bounded, db0-own and so on for each group.
     void configure(uint64_t version, int timeoutMs = 1500, const std::string& extraDatabase = {});
 
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -199,15 +199,25 @@
     return makeAnswer(200, json::object { { "Revision", m_revision } });
 }
 
+static std::string getHeader(const links::HttpRequest& request, const std::string& name)
+{
+    for (auto& [known, value] : request.headers) {
+        if (known == name)
+            return value;
+    }
+    return "";
+}
+
+static std::string getHolder(const links::HttpRequest& request)
+{
+    return getHeader(request, "Duty-Holder");
+}
+
 HttpAnswer KvStore::promote(const links::HttpRequest& request)
 {
     PromotionSeen seen;
-    for (auto& [name, value] : request.headers) {
-        if (name == "Duty-Holder")
-            seen.holder = value;
-        if (name == "Fencing-Token")
-            seen.token = std::stoull(value);
-    }
+    seen.holder = getHolder(request);
+    seen.token = std::stoull(getHeader(request, "Fencing-Token"));
     auto body = json::parse(request.body).as_object();
     seen.group = body["Service"].as_string();
     seen.member = body["Id"].as_string();
@@ -231,6 +241,10 @@
     dropped.mustDrop = true;
     auto& path = request.path;
     if (path == "/promote") {
+        if (faults.refusesPromotions)
+            co_return makeAnswer(503, json::object {});
+        if (faults.unheardHolders.contains(getHolder(request)))
+            co_return dropped;
         auto answer = promote(request);
         co_return faults.losesPromotions ? dropped : answer;
     }
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -17,6 +17,8 @@
     bool silentWatches { false }; // watches that wait are never answered
     std::set<std::string> refusedKeys {}; // reads of these keys get 503
     bool losesPromotions { false }; // orders are carried out late and not answered
+    bool refusesPromotions { false }; // orders are answered as not taken
+    std::set<std::string> unheardHolders {}; // orders of these hosts are neither carried out nor answered
 };
 
 struct PromotionSeen {
