A member that leaves gets no new operations once its time is over

Cause: nothing bounded how long a leaving or unlisted primary is used, so whatever holds a handover up breaks the promise. Now the router passes such a member over, and the carrier looks again where it sends, as operations wait there for their turn; both 1.5 s before the drain time ends. A member that was found leaving (a list, or a watch that answered after a gap) has half of its time left. Later statements of transactions go on. Found on the way, by reading: an alarm turned the replacement of a leaving primary into an examination, which ended with 'it lives', as often as somebody had trouble with it; past the bound that would be always. Planned now goes first. Ruled out: that the check at the router is enough (orders wait up to 1.8 s in a planned change, and up to their limit in an overload).

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -79,6 +79,7 @@
         { "platform", "watch_wait_ms", &S::watchWaitMs, 100, 30000, "ms", "longest wait of one watch; a silent connection is noticed after about this" },
         { "platform", "long_watch_wait_ms", &S::longWatchWaitMs, 100, 30000, "ms", "the same on hosts that hear of changes from others; those that do are told when theirs is silent" },
         { "platform", "lease_ms", &S::leaseMs, 1000, 600000, "ms", "after this long without a renewal the store drops this host's entry" },
+        { "platform", "member_drain_ms", &S::memberDrainMs, 500, 600000, "ms", "a member gets no new operation this long after it said that it leaves" },
         { "stop", "grace_ms", &S::graceMs, 500, 600000, "ms", "from the signal to stop to the forced end" },
         { "log", "lines_per_second", &S::logLinesPerSecond, 1, 100000, "count", "request lines a second; changes of state have as many for themselves" },
         { "log", "buffer_kb", &S::logBufferKb, 16, 65536, "KiB", "lines that wait for the reader of standard output" },
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -11,6 +11,11 @@
     return group.lead.member != member.listed.id && floor && position.term != 0 && position < *floor;
 }
 
+bool takesNewOperations(const MemberBelief& member, milliseconds drainTime, TimePoint now)
+{
+    return decisions::takesNewOperations(member.leavingSince, drainTime, now) && decisions::takesNewOperations(member.unlistedAt, drainTime, now);
+}
+
 void denyLead(GroupBelief& group, const std::string& member, TimePoint now)
 {
     bool isPending = group.lead.member == member && !group.lead.isProven && now < group.pendingUntil;
@@ -80,13 +85,13 @@
     return getRanked(view, group, "");
 }
 
-void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint now)
+void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint leavingSince)
 {
     auto& member = view.members[listed.id];
     if (!listed.isLeaving)
         member.leavingSince.reset();
     else if (!member.leavingSince)
-        member.leavingSince = now;
+        member.leavingSince = leavingSince;
     if (member.listed.dataCentre != listed.dataCentre)
         view.rankings.erase(listed.id);
     member.listed = listed;
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -2,6 +2,7 @@
 // gateway, touched on its executor only.
 #pragma once
 #include "decisions/choice.h"
+#include "decisions/leaving.h"
 #include "decisions/progress.h"
 #include "gateway/target_pool.h"
 #include "links/directory.h"
@@ -12,7 +13,7 @@
 struct MemberBelief {
     links::ListedMember listed {};
     std::optional<TimePoint> unlistedAt {}; // the store's list dropped it then; it may still lead
-    std::optional<TimePoint> leavingSince {}; // when this host heard that it leaves
+    std::optional<TimePoint> leavingSince {}; // empty: it does not leave
     TimePoint troubleAt {}; // the last time a connection to it failed here
     TimePoint answeredAt {};
     decisions::Progress progress {}; // of its log
@@ -43,6 +44,9 @@
     bool hasMembers { false }; // the list of members was read at least once
 };
 
+// Whether a new operation may be sent to the member: it does not leave and is listed, or not for long.
+bool takesNewOperations(const MemberBelief& member, milliseconds drainTime, TimePoint now);
+
 // Whether a member lacks commits that are older than replicas usually lack.
 bool isFarBehind(const GroupBelief& group, const MemberBelief& member, TimePoint now);
 
@@ -63,7 +67,8 @@
 const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
-void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint now);
+// `leavingSince`: what to believe of a member that is listed as leaving and was not known to.
+void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint leavingSince);
 void takeMemberGone(ClusterView& view, const std::string& id, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -159,6 +159,7 @@
         std::ranges::move(page->items, std::back_inserter(items));
     }
     takeAll(items);
+    m_answeredAt = Clock::now();
     m_revision = *revision;
     m_mustList = false;
     setReachable(true, "listed");
@@ -176,12 +177,12 @@
         for (auto& it : items) {
             listed.insert(it.key);
             if (isMember(it) == takesMembers)
-                takeItem(it);
+                takeItem(it, false);
         }
     }
     for (auto& key : std::set(m_known)) {
         if (!listed.contains(key))
-            takeItem({ .key = key, .isDeleted = true });
+            takeItem({ .key = key, .isDeleted = true }, false);
     }
     m_known = listed;
 }
@@ -193,13 +194,17 @@
     auto changes = co_await m_platform.getStore().watch("", m_revision, m_isWatcher ? m_timings.watchWait : std::max(m_timings.watchWait, m_timings.longWatchWait));
     if (changes) {
         setReachable(true, "watch answered");
+        auto now = Clock::now();
+        bool wasAtOnce = now - askedAt < kAtOnce; // what stood ready may have waited for as long as this host could not ask
+        bool isRecent = !wasAtOnce || now - m_answeredAt <= decisions::kChangeLate;
+        m_answeredAt = now;
         for (auto& it : changes->items) {
             m_newestChange = std::max(m_newestChange, it.revision);
-            takeItem(it);
+            takeItem(it, isRecent);
         }
         m_revision = std::max(m_revision, changes->revision);
         if (!changes->items.empty()) {
-            m_watchPause = decisions::getWatchPause(m_watchPause, Clock::now() - askedAt < kAtOnce);
+            m_watchPause = decisions::getWatchPause(m_watchPause, wasAtOnce);
             co_await base::sleepFor(m_watchPause);
         }
         co_return true;
@@ -215,7 +220,7 @@
     co_return false;
 }
 
-void Directory::takeItem(const links::StoreItem& item)
+void Directory::takeItem(const links::StoreItem& item, bool isRecent)
 {
     auto members = m_platform.getMembersPrefix();
     if (item.key == m_platform.getConfigurationKey()) {
@@ -234,7 +239,7 @@
         }
         auto member = m_platform.parseMember(item.key, item.value);
         if (member)
-            m_events.onMember(*member);
+            m_events.onMember(*member, isRecent);
         else
             base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) }, { "reason", std::string_view(member.error()) } });
     } else if (item.key.starts_with(kHostsPrefix))
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -15,7 +15,7 @@
 
 struct DirectoryEvents {
     std::function<void(const links::GatewayConfiguration&)> onConfiguration;
-    std::function<void(const links::ListedMember&)> onMember;
+    std::function<void(const links::ListedMember&, bool isRecent)> onMember; // `isRecent`: the entry changed just now; else it may have done so long ago
     std::function<void(const std::string& id)> onMemberGone;
     std::function<void()> onMembersRead; // the list of members was read whole
     std::function<void(const links::ListedHost&)> onHost;
@@ -56,7 +56,7 @@
     boost::asio::awaitable<bool> writeEntry();
     void interruptWatch();
     void takeAll(const std::vector<links::StoreItem>& items);
-    void takeItem(const links::StoreItem& item);
+    void takeItem(const links::StoreItem& item, bool isRecent);
     void takeConfiguration(const links::StoreItem& item);
     void takeHost(const links::StoreItem& item);
     void setReachable(bool isReachable, const std::string& reason);
@@ -72,6 +72,7 @@
     uint64_t m_version { 0 }; // of the configuration
     uint64_t m_lease { 0 }; // 0: no entry of ours is known to stand
     std::set<std::string> m_known; // keys
+    base::TimePoint m_answeredAt {}; // when the store last told all that had changed
     uint64_t m_newestChange { 0 }; // revision of the newest change that a watch brought; the store's own revision moves with more than these
     decisions::HeardChange m_heard {};
     base::milliseconds m_watchPause { 0 }; // the last
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,7 +38,7 @@
     , m_platform(std::move(platform))
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerService())
-    , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); } })
+    , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); }, getDrainTime() })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
     , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
     , m_acceptor(context)
@@ -154,6 +154,8 @@
     if (!pool) {
         pool = std::make_shared<TargetPool>(m_context.get_executor(), m_platform->getCodec(), target, m_settings.name, makeObserver());
         pool->setLimits(getLimits(target));
+        auto member = m_view.members.find(target.member);
+        pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), Clock::now()));
     }
     return pool;
 }
@@ -345,10 +347,11 @@
         m_view.configuration = configuration;
         m_peers.setQuietPingInterval(decisions::getPingInterval(getLeastAge(configuration)));
     };
-    events.onMember = [this](const links::ListedMember& member) {
+    events.onMember = [this](const links::ListedMember& member, bool isRecent) {
         bool wasKnown = m_view.members.contains(member.id);
         auto before = wasKnown ? m_view.members[member.id].listed : links::ListedMember {};
-        takeMember(m_view, member, Clock::now());
+        auto now = Clock::now();
+        takeMember(m_view, member, isRecent ? now : decisions::assumeLeavingSince(getDrainTime(), now));
         takeRoleChange(before, member);
         m_partnersDue = m_partnersDue || !wasKnown;
         if (before != member)
@@ -500,6 +503,7 @@
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
         bool carries = member != m_view.members.end() && isCarrier(m_view, m_peers, getPlace(), member->second);
         pool->setCarrier(carries);
+        pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), now));
         pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
         bool isBehind = member != m_view.members.end() && isFarBehind(m_view.groups[member->second.listed.group], member->second, now);
         pool->setPositionInterval(isBehind && carries ? kPositionInterval : milliseconds(0));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,7 @@
     void takeRoleChange(const links::ListedMember& before, const links::ListedMember& now);
     void tellPeers();
     void sweepHosts(TimePoint now);
+    milliseconds getDrainTime() const { return milliseconds(m_settings.memberDrainMs); }
     HostPlace getPlace() const { return { m_self.name, m_settings.dataCentre, m_isDraining }; }
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -173,9 +173,10 @@
         if (!isLeaderless && !isAlarmed && !isPlanned)
             continue;
         state.isWorking = true;
-        auto cause = isAlarmed ? state.alarm : isPlanned ? std::string("the primary leaves")
-                                                         : std::string("no primary is known");
-        asio::co_spawn(m_context.context, replace(group, isPlanned && !isAlarmed, cause), asio::detached);
+        // A primary that leaves is replaced whether it is alive or not: an alarm must not make this an examination that ends with "it lives".
+        auto cause = isPlanned ? std::string("the primary leaves") : isAlarmed ? state.alarm
+                                                                               : std::string("no primary is known");
+        asio::co_spawn(m_context.context, replace(group, isPlanned, cause), asio::detached);
     }
 }
 
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -80,6 +80,9 @@
         bool wasTried = std::ranges::find(routed.tried, leader) != routed.tried.end();
         if (it == m_context.view.members.end() || wasTried)
             return std::nullopt;
+        // Also the only one that can serve: it may end at any moment now, and whoever hears nothing from it cannot know what ran.
+        if (!takesNewOperations(it->second, m_context.drainTime, Clock::now()))
+            return std::nullopt;
         return it->second.getTarget();
     }
     std::vector<decisions::Candidate> candidates;
--- a/src/gateway/statement_router.h
+++ b/src/gateway/statement_router.h
@@ -40,6 +40,7 @@
     std::function<bool(const TargetAddress&)> isTroubled; // this host cannot reach the target
     std::function<void(const std::string& group)> onNoLeader;
     std::function<bool()> isCutOff; // this host has lost most others: they may reach what it does not
+    milliseconds drainTime; // of members that leave
 };
 
 class StatementRouter {
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -137,9 +137,28 @@
     return job;
 }
 
+// The time of a target that leaves can end while operations wait for their turn: looked at where they are sent, not only where they are routed.
+void TargetPool::giveBackNew()
+{
+    std::vector<JobPtr> given;
+    std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) {
+        if (!it.turn.isContinuation) {
+            given.push_back(m_waiting.at(it.number));
+            m_waiting.erase(it.number);
+        }
+        return !it.turn.isContinuation;
+    });
+    for (auto& job : given) {
+        if (!job->isRepetition)
+            finish(job, decisions::makeFailure(ErrorKind::TargetUnreachable, "the member leaves and takes no new operations"));
+    }
+}
+
 void TargetPool::dispatch()
 {
     auto now = Clock::now();
+    if (!m_takesNew)
+        giveBackNew();
     std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) {
         bool isDone = m_waiting.at(it.number)->isDone(); // repeated, and the first one was answered after all
         if (isDone)
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -82,6 +82,8 @@
     // Whether this host is the one that carries statements to the target; one that does not any more gives its connections back.
     void setCarrier(bool isCarrier) { m_isCarrier = isCarrier; }
     bool isCarrier() const { return m_isCarrier; }
+    // Whether operations may begin at the target; else those that wait here are given back unsent, and transactions go on.
+    void setTakesNew(bool takesNew) { m_takesNew = takesNew; }
     // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
     void shutDown(const std::string& reason);
     // Statements that write wait until then: a planned change of primary is under way.
@@ -101,6 +103,7 @@
         TimePoint notBefore {}; // the target was busy: it is asked again then
         unsigned timesBusy { 0 };
         uint64_t number { 0 }; // in the queue
+        bool isRepetition { false }; // of a job whose answer may yet come
         bool isStalled { false }; // its answer seems to be lost: it takes no place among those at the target any more
         bool isDone() const { return !*done; }
     };
@@ -117,6 +120,7 @@
     void refuse(const std::vector<decisions::QueueEntry>& entries, const std::string& reason);
     size_t countWaitingForConnection() const;
     bool isHeld(const Job& job, TimePoint now) const;
+    void giveBackNew();
     void dispatch();
     void openSessions(TimePoint now);
     JobPtr popNext(TimePoint now);
@@ -176,6 +180,7 @@
     TimePoint m_answeredAt {}; // the last answer to a statement or a proof
     bool m_isDispatching { false };
     bool m_isCarrier { true };
+    bool m_takesNew { true };
 };
 
 }
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -74,6 +74,7 @@
             continue;
         auto again = std::make_shared<Job>(*job);
         again->isStalled = false;
+        again->isRepetition = true;
         enqueue(again);
     }
 }
