In charge of a group is who can act, and a task that is not done goes to a deputy

Cause: Promoter::isInCharge() let a deputy act only while all before it were out of reach as peers. A holder that had lost the store, or whose orders were not taken, answered pings and so kept two deputies that knew what to do from doing it. Change: hosts tell with pongs whether they have the store and whether their orders are taken. Orderers act in the order of those that can do the task, then by rank; the next one also when the task has stood for 4 s (handover) or 5 s (a primary to examine or to find). The record is renewed when it names nobody who can act while others can. A proof of the lead that others told clears an alarm, so that deputies do not judge on old ones.

--- a/src/decisions/succession.cpp
+++ b/src/decisions/succession.cpp
@@ -26,13 +26,38 @@
     return next;
 }
 
-bool isSuccessionDue(const Succession& succession, const std::vector<Orderer>& live)
+bool isSuccessionDue(const Succession& succession, const std::vector<LiveOrderer>& live)
 {
-    auto isLive = [&](const Orderer& it) { return std::ranges::find(live, it) != live.end(); };
+    auto isLive = [&](const Orderer& it) { return std::ranges::find(live, it, &LiveOrderer::orderer) != live.end(); };
+    auto isAble = [&](const Orderer& it) { return std::ranges::find(live, LiveOrderer { it, true }) != live.end(); };
     if (succession.orderers.empty() || !isLive(succession.orderers.front()))
         return true;
     auto standing = std::ranges::count_if(succession.orderers, isLive);
-    return static_cast<size_t>(standing) < std::min(kOrderers, live.size());
+    if (static_cast<size_t>(standing) < std::min(kOrderers, live.size()))
+        return true;
+    return std::ranges::any_of(live, &LiveOrderer::canAct) && std::ranges::none_of(succession.orderers, isAble);
+}
+
+bool canDo(const Ability& ability, Task task)
+{
+    return ability.hasOrders && (ability.hasStore || task == Task::Examine);
+}
+
+std::vector<size_t> rankActing(const std::vector<OrdererState>& orderers)
+{
+    std::vector<size_t> ranked;
+    for (bool canAct : { true, false }) {
+        for (size_t i = 0; i < orderers.size(); ++i) {
+            if (orderers[i].isUsable && orderers[i].canAct == canAct)
+                ranked.push_back(i);
+        }
+    }
+    return ranked;
+}
+
+milliseconds getTaskLimit(Task task)
+{
+    return task == Task::HandOver ? milliseconds(4000) : milliseconds(5000);
 }
 
 std::optional<size_t> findRank(const Succession& succession, const Orderer& self)
--- a/src/decisions/succession.h
+++ b/src/decisions/succession.h
@@ -6,6 +6,7 @@
 //   - Ordering a different member with a token that was used before: the first order may be carried out late, after the second.
 //
 // [SECTION] Succession   the record in the store
+// [SECTION] Charge       whose turn it is to act
 // [SECTION] Evidence     whether the primary is dead, and who takes over
 #pragma once
 #include "decisions/freshness.h"
@@ -41,8 +42,13 @@
     std::string dataCentre {};
 };
 Succession makeSuccession(const Succession& previous, const std::vector<RankedHost>& ranked);
-// Whether the record names too few live orderers, or a holder that is gone.
-bool isSuccessionDue(const Succession& succession, const std::vector<Orderer>& live);
+// Whether the record names too few live orderers, a holder that is gone, or nobody who can act while others can.
+struct LiveOrderer {
+    Orderer orderer {};
+    bool canAct { true };
+    friend bool operator==(const LiveOrderer&, const LiveOrderer&) = default;
+};
+bool isSuccessionDue(const Succession& succession, const std::vector<LiveOrderer>& live);
 // This process's place; empty: none.
 std::optional<size_t> findRank(const Succession& succession, const Orderer& self);
 // The token of this process's `count`th decision (from 0). Empty: its tokens are used up.
@@ -51,6 +57,43 @@
 std::string formatSuccession(const Succession& succession);
 std::optional<Succession> parseSuccession(const std::string& text);
 
+//-----------------------------------------------------------------------------
+// [SECTION] Charge
+//-----------------------------------------------------------------------------
+
+// What an orderer has to do.
+enum class Task {
+    HandOver, // the primary leaves or is not listed any more
+    Examine, // somebody has trouble with the primary
+    Find, // no primary is known
+};
+
+// What a host can do, as it says of itself. That it answers says nothing of either.
+struct Ability {
+    bool hasStore { true }; // it hears of changes there
+    bool hasOrders { true }; // its orders to the platform are taken
+    friend bool operator==(const Ability&, const Ability&) = default;
+};
+
+// Whether a host of this ability can do the task. A dead primary is found by asking members; the other tasks come from the store's list.
+bool canDo(const Ability& ability, Task task);
+
+// One orderer as another sees it.
+struct OrdererState {
+    bool isUsable { false }; // answers, in the life that the record names, and does not stop
+    bool canAct { true };
+    friend bool operator==(const OrdererState&, const OrdererState&) = default;
+};
+
+// The order in which usable orderers act, as indices: those that can act first, then by rank.
+std::vector<size_t> rankActing(const std::vector<OrdererState>& orderers);
+
+// How long a task may stand for each orderer that comes before. Whatever that one lacks, be it something that nobody thought of, shows in a task
+// that is not done. A handover takes 2 s at most, and a leaving primary is used for 5.5 s in a drain time of 7 s. Sooner would do harm: an order that
+// is carried out late is refused once a deputy has used a higher token (where all come 2 to 12 s late, 0.08 to 0.11 of worth with 2 s in place of 4). To judge
+// a primary by several hosts at once makes a wrong verdict likelier, so there a deputy waits for longer still.
+milliseconds getTaskLimit(Task task);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Evidence
 //-----------------------------------------------------------------------------
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,7 +40,7 @@
     , m_peers(context, m_settings.name, makePeerService())
     , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); }, getDrainTime() })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
-    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, m_isDraining })
+    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
 {
@@ -178,7 +178,7 @@
         if (m_view.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
             m_view.groups[target.group].provenAt = Clock::now();
-            m_promoter.noteProof(target.group);
+            m_promoter.noteProof(target.group, Clock::now());
         }
     };
     observer.onFollows = [this](const TargetAddress& target) {
@@ -241,8 +241,10 @@
     auto& current = m_view.groups[group].lead;
     bool isNews = lead.member != current.member || lead.term != current.term;
     current = lead;
-    if (isNews)
-        base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
+    if (!isNews)
+        return;
+    m_promoter.noteNewLead(group);
+    base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
 }
 
 void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
@@ -262,6 +264,9 @@
     message.set_configuration(m_view.configuration.version);
     message.set_change(m_directory.getNewestChange());
     message.set_is_leaving(m_isDraining);
+    auto ability = m_promoter.getAbility();
+    message.set_lacks_store(!ability.hasStore);
+    message.set_lacks_orders(!ability.hasOrders);
     writeGroups(message, m_view, now);
 }
 
@@ -275,8 +280,11 @@
             takeLead(it.group(), decisions::takeReport(lead, it.member(), it.term()), "told");
     }
     takePositions(m_view, message, sentAt);
-    for (auto& it : message.floors())
-        takeFloor(it.group(), { { it.mark().term(), it.mark().position() }, sentAt - microseconds(it.age_us()) });
+    for (auto& it : message.floors()) {
+        auto provenAt = sentAt - microseconds(it.age_us());
+        takeFloor(it.group(), { { it.mark().term(), it.mark().position() }, provenAt });
+        m_promoter.noteProof(it.group(), provenAt);
+    }
 }
 
 PeerService Gateway::makePeerService()
@@ -293,7 +301,8 @@
             m_promoter.raiseAlarm(group, reason);
     };
     service.onHoldWrites = [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); };
-    service.onLead = [this](const std::string& group, const std::string& member, uint64_t term) {
+    service.onLead = [this](const std::string& host, const std::string& group, const std::string& member, uint64_t term) {
+        m_promoter.noteOrder(group, host);
         if (!m_view.members.contains(member))
             return;
         auto belief = m_view.groups[group];
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -63,7 +63,7 @@
     else if (frame.has_alarm())
         m_service.onAlarm(frame.alarm().group(), frame.alarm().member(), "host " + peer->host + ": " + frame.alarm().reason());
     else if (frame.has_lead())
-        m_service.onLead(frame.lead().group(), frame.lead().member(), frame.lead().term());
+        m_service.onLead(peer->host, frame.lead().group(), frame.lead().member(), frame.lead().term());
     else if (frame.has_hold_writes())
         m_service.onHoldWrites(frame.hold_writes().group(), frame.hold_writes().member(), milliseconds(frame.hold_writes().for_ms()));
 }
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -15,7 +15,7 @@
     std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> inquire;
     std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
     std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
-    std::function<void(const std::string& group, const std::string& member, uint64_t term)> onLead;
+    std::function<void(const std::string& host, const std::string& group, const std::string& member, uint64_t term)> onLead; // `host` ordered it
     // Fills in what this host knows and tells with each exchange.
     std::function<void(peer::Ping&)> fillPing;
     std::function<void(peer::Pong&)> fillPong;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -28,6 +28,7 @@
     bool isPartner { false };
     bool isUp { true };
     bool isLeaving { false };
+    decisions::Ability ability {};
     TimePoint usedAt {}; // when something other than a ping was last sent
     bool wasHeard { false };
     TimePoint heardAt {}; // on the present connection
@@ -167,6 +168,12 @@
     return it != m_links.end() && it->second->isLeaving;
 }
 
+decisions::Ability Peers::getAbility(const std::string& host) const
+{
+    auto it = m_links.find(host);
+    return it == m_links.end() ? decisions::Ability {} : it->second->ability;
+}
+
 double Peers::getDistanceMs(const std::string& host) const
 {
     auto it = m_links.find(host);
@@ -343,6 +350,7 @@
     std::chrono::duration<double, std::milli> took = now - sentAt;
     link->distanceMs = link->wasHeard ? link->distanceMs + kDistanceSmoothing * (took.count() - link->distanceMs) : took.count();
     link->isLeaving = pong.is_leaving();
+    link->ability = { !pong.lacks_store(), !pong.lacks_orders() };
     for (auto& load : pong.loads())
         link->loads[load.member()] = load;
     if (!link->wasHeard || !link->isUp) {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -31,6 +31,8 @@
     bool isLeaving(const std::string& host) const;
     // Up and not leaving: new work may be given to it.
     bool isUsable(const std::string& host) const { return isUp(host) && !isLeaving(host); }
+    // What the host last said that it can do; everything, if it never said.
+    decisions::Ability getAbility(const std::string& host) const;
     // There and back, smoothed; a guess before the first answer.
     double getDistanceMs(const std::string& host) const;
     // What the host last said of its connections to a member.
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -34,18 +34,31 @@
 static constexpr milliseconds kAnswerLimit { 1000 }; // an inquiry ends by itself before; this bounds a host that freezes
 static constexpr size_t kFarWitnesses = 2; // of other data centres, asked about replicas too
 static constexpr int kOrderTries = 8; // of one decision while no clear answer comes
+static constexpr milliseconds kOrdersLostFor { 10000 }; // a host whose order was not taken is passed over this long, while there are others
 
 bool Promoter::isLive(const std::string& host) const
 {
     return host == m_context.self.host || m_context.peers.isUsable(host);
 }
 
-// Whether this host is the first of those that live in the group's order.
-bool Promoter::isFirst(const std::string& group) const
+decisions::Ability Promoter::getAbility() const
 {
-    auto& ranked = getRankedHosts(m_context.view, group);
-    auto first = std::ranges::find_if(ranked, [this](const std::string& host) { return isLive(host); });
-    return first != ranked.end() && *first == m_context.self.host;
+    bool hasOrders = m_ordersLostAt == TimePoint {} || Clock::now() - m_ordersLostAt > kOrdersLostFor;
+    return { m_context.hasStore(), hasOrders };
+}
+
+bool Promoter::canDo(const std::string& host, decisions::Task task) const
+{
+    return decisions::canDo(host == m_context.self.host ? getAbility() : m_context.peers.getAbility(host), task);
+}
+
+// Whether this host is the first in the group's order of those that can write the record, or of all if none can.
+bool Promoter::isFirst(const std::vector<decisions::LiveOrderer>& live) const
+{
+    auto first = std::ranges::find(live, true, &decisions::LiveOrderer::canAct);
+    if (first == live.end())
+        first = live.begin();
+    return first != live.end() && first->orderer.host == m_context.self.host;
 }
 
 std::vector<decisions::RankedHost> Promoter::rankLive(const std::string& group) const
@@ -70,6 +83,7 @@
     if (item.isDeleted || !succession || *succession == state.succession)
         return;
     state.succession = *succession;
+    state.spentBelow = 0;
     state.decisions = 0;
     auto rank = decisions::findRank(*succession, m_context.self);
     std::string_view holder = succession->orderers.empty() ? std::string_view() : std::string_view(succession->orderers.front().host);
@@ -108,30 +122,56 @@
     return names;
 }
 
-void Promoter::noteProof(const std::string& group)
+void Promoter::noteProof(const std::string& group, TimePoint provenAt)
 {
     auto it = m_states.find(group);
-    if (it == m_states.end() || it->second.isWorking)
+    if (it == m_states.end() || it->second.isWorking || provenAt < it->second.alarmedAt)
         return;
     it->second.alarmedAt = {};
 }
 
-// The holder, or a deputy while all before it are out of reach.
-std::string Promoter::findInCharge(const State& state) const
+void Promoter::noteNewLead(const std::string& group)
+{
+    auto it = m_states.find(group);
+    if (it == m_states.end())
+        return;
+    it->second.alarmedAt = {};
+    it->second.handoverDueAt = {};
+}
+
+void Promoter::noteOrder(const std::string& group, const std::string& host)
+{
+    auto& state = m_states[group];
+    auto& orderers = state.succession.orderers;
+    auto it = std::ranges::find(orderers, host, &decisions::Orderer::host);
+    if (it != orderers.end())
+        state.spentBelow = std::max(state.spentBelow, static_cast<size_t>(it - orderers.begin()));
+}
+
+std::vector<decisions::OrdererState> Promoter::getOrdererStates(const State& state, decisions::Task task) const
 {
+    std::vector<decisions::OrdererState> states;
     for (auto& it : state.succession.orderers) {
         bool isSelf = it == m_context.self;
         auto host = m_context.view.hosts.find(it.host);
         bool isSame = host != m_context.view.hosts.end() && host->second.incarnation == it.incarnation;
-        if (isSelf ? !m_context.isDraining : isSame && m_context.peers.isUsable(it.host))
-            return it.host;
+        bool isUsable = isSelf ? !m_context.isDraining : isSame && m_context.peers.isUsable(it.host);
+        bool isSpent = states.size() < state.spentBelow;
+        states.push_back({ isUsable && !isSpent, canDo(it.host, task) });
     }
-    return "";
+    return states;
 }
 
-bool Promoter::isInCharge(const State& state) const
+std::optional<size_t> Promoter::getPlace(const State& state, decisions::Task task) const
 {
-    return findInCharge(state) == m_context.self.host;
+    auto rank = decisions::findRank(state.succession, m_context.self);
+    if (!rank)
+        return std::nullopt;
+    auto acting = decisions::rankActing(getOrdererStates(state, task));
+    auto it = std::ranges::find(acting, *rank);
+    if (it == acting.end())
+        return std::nullopt;
+    return static_cast<size_t>(it - acting.begin());
 }
 
 // Tells afterwards why nobody acted: each orderer says whom it leaves the group to.
@@ -139,7 +179,8 @@
 {
     if (!decisions::findRank(state.succession, m_context.self))
         return;
-    auto inCharge = findInCharge(state);
+    auto acting = decisions::rankActing(getOrdererStates(state, decisions::Task::HandOver));
+    auto inCharge = acting.empty() ? std::string() : state.succession.orderers[acting.front()].host;
     if (inCharge == state.inCharge)
         return;
     state.inCharge = inCharge;
@@ -152,6 +193,42 @@
     return it != m_context.view.members.end() && (it->second.listed.isLeaving || it->second.unlistedAt);
 }
 
+// What is to be done for a group, and since when.
+struct Promoter::Due {
+    decisions::Task task;
+    TimePoint at;
+    std::string cause;
+};
+
+std::optional<Promoter::Due> Promoter::findDue(const GroupBelief& belief, State& state, TimePoint now) const
+{
+    auto rank = decisions::findRank(state.succession, m_context.self).value_or(0);
+    bool isLeaderless = belief.lead.member.empty();
+    if (!isLeaderless)
+        state.leaderlessSince = {};
+    else if (state.leaderlessSince == TimePoint {})
+        state.leaderlessSince = now;
+    if (!mustHandOver(belief))
+        state.handoverDueAt = {};
+    else if (state.handoverDueAt == TimePoint {})
+        state.handoverDueAt = now;
+    // A primary that leaves is replaced whether it is alive or not: an alarm must not make this an examination that ends with "it lives".
+    if (state.handoverDueAt != TimePoint {})
+        return Due { decisions::Task::HandOver, state.handoverDueAt, "the primary leaves" };
+    if (state.alarmedAt != TimePoint {} && !isLeaderless)
+        return Due { decisions::Task::Examine, state.alarmedAt + rank * kDeputyPause, state.alarm };
+    if (isLeaderless && now - state.startedAt > kListedAgainLimit)
+        return Due { decisions::Task::Find, state.leaderlessSince + kLeaderlessLimit, "no primary is known" };
+    return std::nullopt;
+}
+
+// The holder acts at once, a deputy when those before it are out of reach, say that they cannot, or have not done it in time.
+bool Promoter::isMyTurn(const State& state, const Due& due, TimePoint now) const
+{
+    auto place = getPlace(state, due.task);
+    return place && now >= due.at + *place * decisions::getTaskLimit(due.task); // no differences: a product with a size is unsigned
+}
+
 void Promoter::sweep(TimePoint now)
 {
     for (auto& [group, belief] : m_context.view.groups) {
@@ -160,23 +237,11 @@
             state.startedAt = now;
         keepSuccession(group, state, now);
         noteCharge(group, state);
-        if (!belief.lead.member.empty())
-            state.leaderlessSince = {};
-        else if (state.leaderlessSince == TimePoint {})
-            state.leaderlessSince = now;
-        if (state.isWorking || now < state.notBefore || !isInCharge(state))
-            continue;
-        auto rank = *decisions::findRank(state.succession, m_context.self);
-        bool isLeaderless = state.leaderlessSince != TimePoint {} && now - state.leaderlessSince > kLeaderlessLimit && now - state.startedAt > kListedAgainLimit;
-        bool isAlarmed = state.alarmedAt != TimePoint {} && now - state.alarmedAt >= rank * kDeputyPause && !belief.lead.member.empty();
-        bool isPlanned = mustHandOver(belief);
-        if (!isLeaderless && !isAlarmed && !isPlanned)
+        auto due = findDue(belief, state, now);
+        if (!due || state.isWorking || now < state.notBefore || !isMyTurn(state, *due, now))
             continue;
         state.isWorking = true;
-        // A primary that leaves is replaced whether it is alive or not: an alarm must not make this an examination that ends with "it lives".
-        auto cause = isPlanned ? std::string("the primary leaves") : isAlarmed ? state.alarm
-                                                                               : std::string("no primary is known");
-        asio::co_spawn(m_context.context, replace(group, isPlanned, cause), asio::detached);
+        asio::co_spawn(m_context.context, replace(group, due->task == decisions::Task::HandOver, due->cause), asio::detached);
     }
 }
 
@@ -185,14 +250,13 @@
     if (state.isWriting || state.isWorking || m_context.isDraining || now - state.startedAt < kStoreLimit || now - state.checkedAt < kCheckInterval)
         return;
     state.checkedAt = now;
-    if (!isFirst(group))
-        return;
     auto ranked = rankLive(group);
-    std::vector<decisions::Orderer> live;
+    std::vector<decisions::LiveOrderer> live;
     for (auto& it : ranked)
-        live.push_back(it.orderer);
-    if (!decisions::isSuccessionDue(state.succession, live))
+        live.push_back({ it.orderer, canDo(it.orderer.host, decisions::Task::HandOver) });
+    if (!isFirst(live) || (state.spentBelow == 0 && !decisions::isSuccessionDue(state.succession, live)))
         return;
+    std::ranges::stable_partition(ranked, [this](const decisions::RankedHost& it) { return canDo(it.orderer.host, decisions::Task::HandOver); });
     state.isWriting = true;
     asio::co_spawn(m_context.context, writeSuccession(group, decisions::makeSuccession(state.succession, ranked), state.revision), asio::detached);
 }
@@ -470,6 +534,8 @@
         std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
         base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
         base::addTo(base::Family::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
+        // One without an answer may yet be carried out, unless a deputy's higher token comes in between: that is no reason to leave it to others.
+        m_ordersLostAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
         bool isDone = result == PromotionResult::Done;
         auto chosen = m_context.view.members.find(member);
         if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
@@ -483,14 +549,14 @@
             co_return true;
         }
         if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
-            if (result == PromotionResult::Outranked) // another host is in charge now, whatever the record here says
-                state.succession = {};
+            if (result == PromotionResult::Outranked) // another host has ordered; the next record's tokens are above all of this one's
+                state.spentBelow = std::max(state.spentBelow, *rank + 1);
             co_return false;
         }
-        // A frozen process wakes up here: somebody else may have taken over meanwhile.
-        if (Clock::now() - askedAt > kOrderLimit + kPauseAfter || !isInCharge(state))
-            co_return false;
         co_await base::sleepFor(kRetryPause);
+        // Somebody else may have taken over meanwhile, the more so if this process was frozen.
+        if (Clock::now() - askedAt > kOrderLimit + kRetryPause + kPauseAfter || *rank < state.spentBelow || m_context.isDraining)
+            co_return false;
     }
     co_return false;
 }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -16,6 +16,7 @@
     decisions::Orderer self;
     std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> inquire; // from this host
     std::function<void(const std::string& group, const std::string& member, milliseconds)> holdWrites; // at this host
+    std::function<bool()> hasStore; // this host hears of changes there
     const bool& isDraining;
 };
 
@@ -33,8 +34,14 @@
     std::vector<std::string> getOrderers(const std::string& group) const;
     // The hosts that this one shares the right to order with, in any group.
     std::set<std::string> getOtherOrderers() const;
-    // The primary showed that it leads.
-    void noteProof(const std::string& group);
+    // The primary showed that it leads, to this host or another: an alarm from before is void.
+    void noteProof(const std::string& group, TimePoint provenAt);
+    // Another member is thought to lead, or none: what was due concerned the one before.
+    void noteNewLead(const std::string& group);
+    // A host ordered a change of primary. Tokens of those ranked before it are spent.
+    void noteOrder(const std::string& group, const std::string& host);
+    // What this host can do, for others that would leave a task to it.
+    decisions::Ability getAbility() const;
     // Decides what is due. Call every few tens of ms.
     void sweep(TimePoint now);
 
@@ -44,9 +51,11 @@
         uint64_t revision { 0 }; // of the record in the store; 0: there is none
         bool isWriting { false };
         bool isWorking { false }; // a change of primary is under way here
+        size_t spentBelow { 0 }; // orderers ranked before this one can order no more: a higher token was used. The record is to be renewed
         uint64_t decisions { 0 }; // tokens of ours that were used since the succession changed
         uint64_t lastToken { 0 }; // that this process used for the group
         TimePoint alarmedAt {}; // zero: no alarm stands
+        TimePoint handoverDueAt {}; // zero: the primary does not leave
         TimePoint startedAt {}; // when this host began to look at the group
         TimePoint checkedAt {}; // when it last looked whether the succession is due
         TimePoint notBefore {};
@@ -55,13 +64,18 @@
         std::string inCharge {}; // as last logged
     };
 
+    struct Due;
+
     bool isLive(const std::string& host) const;
-    bool isFirst(const std::string& group) const;
+    bool canDo(const std::string& host, decisions::Task task) const;
+    bool isFirst(const std::vector<decisions::LiveOrderer>& live) const;
     std::vector<decisions::RankedHost> rankLive(const std::string& group) const;
-    // The host that has the right to act for the group now, as this one sees it; empty: none.
-    std::string findInCharge(const State& state) const;
-    bool isInCharge(const State& state) const;
+    std::vector<decisions::OrdererState> getOrdererStates(const State& state, decisions::Task task) const;
+    // How many orderers act before this one; empty: this one does not.
+    std::optional<size_t> getPlace(const State& state, decisions::Task task) const;
     void noteCharge(const std::string& group, State& state);
+    std::optional<Due> findDue(const GroupBelief& belief, State& state, TimePoint now) const;
+    bool isMyTurn(const State& state, const Due& due, TimePoint now) const;
     bool mustHandOver(const GroupBelief& belief) const;
     void keepSuccession(const std::string& group, State& state, TimePoint now);
     boost::asio::awaitable<void> writeSuccession(std::string group, decisions::Succession succession, uint64_t revision);
@@ -80,6 +94,7 @@
 
     PromoterContext m_context;
     std::map<std::string, State> m_states;
+    TimePoint m_ordersLostAt {}; // when an order was not taken; zero: the last one was
 };
 
 }
--- a/tests/gateway/leaving_test.cpp
+++ b/tests/gateway/leaving_test.cpp
@@ -93,6 +93,17 @@
     for (unsigned i = 0; i < 3; ++i)
         BOOST_TEST(waitUntil(milliseconds(2000), [&] { return canWrite(rig, i); }));
     BOOST_TEST(rig.call([&] { return rig.getGroup().getTerm(); }) == 2u);
+    // The host in charge is heard again. Its tokens are below the one that the deputy used, so it must not try these.
+    rig.call([&] {
+        rig.getStore().faults.unheardHolders.clear();
+        rig.getGroup().kill(rig.getGroup().getPrimary());
+    });
+    BOOST_TEST(waitUntil(milliseconds(6000), [&] { return rig.call([&] { return rig.getGroup().getTerm(); }) == 3u; }));
+    uint64_t highest = 0;
+    for (auto& it : rig.call([&] { return rig.getStore().getPromotions(); })) {
+        BOOST_TEST(it.token >= highest);
+        highest = it.token;
+    }
 }
 
 BOOST_AUTO_TEST_CASE(a_leaving_primary_gets_no_new_operations_after_its_time_whatever_holds_the_handover_up)
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -251,10 +251,41 @@
     auto record = makeSuccession({}, makeRanked());
     BOOST_TEST(*findRank(record, { "h1", 1 }) == 0u);
     BOOST_TEST(!findRank(record, { "h1", 9 }));
-    BOOST_TEST(isSuccessionDue(record, { { "h1", 9 }, { "h3", 3 }, { "h4", 4 } }));
-    BOOST_TEST(!isSuccessionDue(record, { { "h1", 1 }, { "h3", 3 }, { "h4", 4 } }));
-    BOOST_TEST(isSuccessionDue(record, { { "h1", 1 }, { "h3", 3 }, { "h2", 2 } }));
-    BOOST_TEST(isSuccessionDue({}, { { "h1", 1 } }));
+    BOOST_TEST(isSuccessionDue(record, { { { "h1", 9 } }, { { "h3", 3 } }, { { "h4", 4 } } }));
+    BOOST_TEST(!isSuccessionDue(record, { { { "h1", 1 } }, { { "h3", 3 } }, { { "h4", 4 } } }));
+    BOOST_TEST(isSuccessionDue(record, { { { "h1", 1 } }, { { "h3", 3 } }, { { "h2", 2 } } }));
+    BOOST_TEST(isSuccessionDue({}, { { { "h1", 1 } } }));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_names_nobody_who_can_act_is_renewed_and_not_while_nobody_can)
+{
+    auto record = makeSuccession({}, makeRanked());
+    std::vector<LiveOrderer> live { { { "h1", 1 }, false }, { { "h2", 2 }, true }, { { "h3", 3 }, false }, { { "h4", 4 }, false } };
+    BOOST_TEST(isSuccessionDue(record, live));
+    live[3].canAct = true; // a deputy can: it acts in the holder's place, and the record stays
+    BOOST_TEST(!isSuccessionDue(record, live));
+    live[1].canAct = false;
+    live[3].canAct = false; // the store is away for all, and nobody could write
+    BOOST_TEST(!isSuccessionDue(record, live));
+}
+
+// A holder that answers and cannot act kept two deputies that could from acting: a leaving primary was not handed over for ten seconds.
+BOOST_AUTO_TEST_CASE(those_who_can_act_come_first_then_the_order_of_the_record)
+{
+    BOOST_TEST((rankActing({ { true, true }, { true, true }, { true, true } }) == std::vector<size_t> { 0, 1, 2 }));
+    BOOST_TEST((rankActing({ { true, false }, { true, true }, { true, true } }) == std::vector<size_t> { 1, 2, 0 }));
+    BOOST_TEST((rankActing({ { true, false }, { true, false }, { true, false } }) == std::vector<size_t> { 0, 1, 2 })); // one of them still tries
+    BOOST_TEST((rankActing({ { false, true }, { true, false }, { false, true } }) == std::vector<size_t> { 1 }));
+    BOOST_TEST(rankActing({}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_a_task_needs_decides_who_can_do_it)
+{
+    for (auto task : { Task::HandOver, Task::Examine, Task::Find }) {
+        BOOST_TEST(canDo({ true, true }, task));
+        BOOST_TEST(!canDo({ true, false }, task));
+        BOOST_TEST(canDo({ false, true }, task) == (task == Task::Examine)); // members themselves show that a primary is dead
+    }
 }
 
 BOOST_AUTO_TEST_CASE(the_record_survives_its_text_and_bad_text_is_refused)
