A watch that this host broke off counts for nothing, and a short one finds out whether the store is in reach

Cause: Directory::watchOnce() took a watch that was interrupted for a good call. A host without the store that hears of changes interrupts its watch each 1.5 s, so it never failed, never said store-lost, and kept every task that goes by that. Change: a doubt (a change that others know and this host does not, a lease that was not renewed) ends the watch and makes the next one wait for 0.3 s only; its answer or failure decides. While the store is lost watches are short, too: one of 25 s to a store out of reach would be waited for as long. Ruled out: that silence alone may count as lost (a watch can die on a connection that fell silent while the store answers on others). Test: platform/a_host_without_the_store_says_so_* fails without the change (no such line in 6 s) and passes with it.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -21,6 +21,7 @@
 // A host that starts serves nobody until it has read the store, so it asks more often, and gives up sooner on a call that may have been lost with
 // the store's absence: on a store that came back 0.7 s after all hosts, the first was ready after 0.6 s, the last after 1.1 s without this.
 static constexpr milliseconds kStartCallLimit { 400 }; // ten times an answer from another region, and more than a slow store's 60 times 4 ms
+static constexpr milliseconds kProbeWait { 300 }; // of a watch that is to show whether the store is in reach: a host without it leaves its tasks to others
 static constexpr unsigned kStartShortCalls = 2; // in a row, then one with the whole limit: a store may be slower than that
 static constexpr double kStartRetryMs = 60; // pause, spread by half
 
@@ -94,6 +95,8 @@
 
 void Directory::hearChange(uint64_t change)
 {
+    if (!m_isReachable)
+        return;
     auto now = Clock::now();
     auto seen = std::max(m_newestChange, m_revision);
     m_heard = decisions::takeHeard(m_heard, change, seen, now);
@@ -101,9 +104,26 @@
         return;
     base::logEvent(LogClass::State, "watch-silent", { { "here", static_cast<int64_t>(seen) }, { "elsewhere", static_cast<int64_t>(m_heard.change) } });
     m_heard = {};
+    doubtStore();
+}
+
+// A watch that this host breaks off says nothing of the store, and one that is silent would be waited for in vain. So the next is a short one:
+// a host that broke off each watch after 1.5 s went on for 14 s without the store and never knew.
+void Directory::doubtStore()
+{
+    if (m_isInDoubt)
+        return;
+    m_isInDoubt = true;
     interruptWatch();
 }
 
+milliseconds Directory::getWatchWait() const
+{
+    if (m_isInDoubt || !m_isReachable)
+        return std::min(kProbeWait, m_timings.watchWait);
+    return m_isWatcher ? m_timings.watchWait : std::max(m_timings.watchWait, m_timings.longWatchWait);
+}
+
 void Directory::setReachable(bool isReachable, const std::string& reason)
 {
     if (isReachable == m_isReachable)
@@ -191,8 +211,9 @@
 {
     m_isInterrupted = false;
     auto askedAt = Clock::now();
-    auto changes = co_await m_platform.getStore().watch("", m_revision, m_isWatcher ? m_timings.watchWait : std::max(m_timings.watchWait, m_timings.longWatchWait));
+    auto changes = co_await m_platform.getStore().watch("", m_revision, getWatchWait());
     if (changes) {
+        m_isInDoubt = false;
         setReachable(true, "watch answered");
         auto now = Clock::now();
         bool wasAtOnce = now - askedAt < kAtOnce; // what stood ready may have waited for as long as this host could not ask
@@ -211,6 +232,7 @@
     }
     if (m_mustReread || m_isInterrupted) // we broke it off ourselves
         co_return true;
+    m_isInDoubt = false;
     if (changes.error().kind == StoreErrorKind::HistoryLost) {
         base::logEvent(LogClass::State, "history-lost", { { "revision", static_cast<int64_t>(m_revision) } });
         m_mustList = true;
@@ -327,8 +349,12 @@
             continue;
         renewedAt = Clock::now();
         auto renewed = co_await m_platform.getStore().renewLease(m_lease, getDeadline());
-        if (!renewed && renewed.error().kind == StoreErrorKind::NotFound)
+        if (renewed)
+            continue;
+        if (renewed.error().kind == StoreErrorKind::NotFound)
             m_lease = 0;
+        else
+            doubtStore();
     }
 }
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -45,6 +45,7 @@
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
     void hearChange(uint64_t change);
+    // Whether the last call that told so was answered. Found out within kProbeWait and an answer's time once there is a doubt.
     bool isReachable() const { return m_isReachable; }
 
 private:
@@ -55,6 +56,8 @@
     boost::asio::awaitable<void> keepEntry();
     boost::asio::awaitable<bool> writeEntry();
     void interruptWatch();
+    void doubtStore();
+    base::milliseconds getWatchWait() const;
     void takeAll(const std::vector<links::StoreItem>& items);
     void takeItem(const links::StoreItem& item, bool isRecent);
     void takeConfiguration(const links::StoreItem& item);
@@ -79,6 +82,7 @@
     unsigned m_failures { 0 }; // in a row
     bool m_isWatcher { true };
     bool m_isInterrupted { false };
+    bool m_isInDoubt { false }; // the store may be out of reach: the next watch finds out
     unsigned m_listTries { 0 }; // pages asked for so far
     unsigned m_entryTries { 0 }; // since the entry was last written
     bool m_mustList { true };
--- a/tests/gateway/platform_test.cpp
+++ b/tests/gateway/platform_test.cpp
@@ -248,6 +248,26 @@
     BOOST_TEST(rig.getMetrics(1).find("alderward_connections_opened_total{member=\"g0-a\"") == std::string::npos);
 }
 
+// A host that hears of changes from others breaks its own silent watch off. It took that for a good call, over and over, and never knew that
+// it had lost the store; whoever went by that left it in charge. Before: no such line in 6 s.
+BOOST_AUTO_TEST_CASE(a_host_without_the_store_says_so_also_while_it_hears_of_changes)
+{
+    RigShape shape;
+    shape.hasProxies = true;
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    rig.setStoreCut(1, true);
+    bool isLeaving = false;
+    BOOST_TEST(waitUntil(milliseconds(6000), [&] {
+        isLeaving = !isLeaving; // changes without end, each heard of with the next ping
+        rig.call([&] { rig.getStore().setLeaving("g0-c", isLeaving); });
+        std::this_thread::sleep_for(milliseconds(300));
+        return rig.getLog(1).find("\"event\":\"store-lost\"") != std::string::npos;
+    }));
+    rig.setStoreCut(1, false);
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return rig.getLog(1).rfind("\"event\":\"store-regained\"") > rig.getLog(1).rfind("\"event\":\"store-lost\""); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing_and_gives_transactions_half_of_the_time)
 {
     GatewayRig rig;
