A host that does not know a member is asked to carry to it no more

Cause: the host that carries to a member is the first in a ranking of those that answer. One that had lost the store before the member came answers, and refuses each order; the others tried it again and again. The same class as a holder that answers and cannot act. Change: such a refusal says so; the one who asked takes the next host at once, and the first again after a second.

--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -108,6 +108,16 @@
     sendFrame(*peer->channel, frame);
 }
 
+void InboundPeers::answerUnknownMember(const PeerPtr& peer, uint64_t call)
+{
+    peer::Frame frame;
+    auto& answer = *frame.mutable_answer();
+    answer.set_call(call);
+    answer.set_lacks_member(true);
+    writeOutcome(answer, decisions::makeFailure(ErrorKind::TargetUnreachable, "host " + m_name + " does not know the member"));
+    sendFrame(*peer->channel, frame);
+}
+
 // Numbers of transactions are each host's own. False: the transaction is not known here.
 bool InboundPeers::placeTransaction(const PeerPtr& peer, const std::shared_ptr<TargetPool>& pool, uint64_t theirNumber, Order& order)
 {
@@ -130,7 +140,7 @@
     auto order = readOrder(wire, Clock::now());
     auto pool = m_service.findPool(wire.member());
     if (!pool) {
-        answerOrder(peer, wire.call(), decisions::makeFailure(ErrorKind::TargetUnreachable, "host " + m_name + " does not know the member"), nullptr);
+        answerUnknownMember(peer, wire.call());
         return;
     }
     auto reply = [this, peer, call = wire.call(), pool](const Outcome& outcome) { answerOrder(peer, call, outcome, pool.get()); };
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -55,6 +55,7 @@
     void serveOrder(const PeerPtr& peer, const peer::Order& wire);
     bool placeTransaction(const PeerPtr& peer, const std::shared_ptr<TargetPool>& pool, uint64_t theirNumber, Order& order);
     void answerOrder(const PeerPtr& peer, uint64_t call, const Outcome& outcome, const TargetPool* pool);
+    void answerUnknownMember(const PeerPtr& peer, uint64_t call);
     void lose(const PeerPtr& peer);
 
     boost::asio::io_context& m_context;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -13,11 +13,13 @@
 static constexpr milliseconds kConnectUsual { 100 }; // a host that takes longer to connect to is passed over until it is connected
 static constexpr milliseconds kReconnectPause { 100 }; // after a failure
 static constexpr milliseconds kAnswerSlack { 250 }; // an order's host answers this long after the order's deadline at the latest
+static constexpr milliseconds kLacksFor { 1000 }; // a host that did not know a member is asked to carry to it again after this
 static constexpr double kDistanceGuessMs = 10; // before the first ping came back
 static constexpr double kDistanceSmoothing = 0.2; // weight of the newest ping
 
 struct Call {
     OrderDone done;
+    std::string member;
     TimePoint limit;
 };
 
@@ -42,6 +44,7 @@
     std::unordered_map<uint64_t, Call> calls;
     std::unordered_map<uint64_t, std::function<void(const StatusReport&)>> inquiries;
     std::map<std::string, peer::Load> loads;
+    std::map<std::string, TimePoint> lacked; // members that it did not know, and when it said so
     double distanceMs { kDistanceGuessMs };
 };
 
@@ -129,6 +132,7 @@
     link->wasHeard = false;
     link->noConnectBefore = Clock::now() + kReconnectPause;
     link->loads.clear();
+    link->lacked.clear();
     if (link->isUp) {
         link->isUp = false;
         m_service.onLink(link->host.name, false, reason);
@@ -191,6 +195,15 @@
     return load->second;
 }
 
+bool Peers::lacksMember(const std::string& host, const std::string& member) const
+{
+    auto link = m_links.find(host);
+    if (link == m_links.end())
+        return false;
+    auto it = link->second->lacked.find(member);
+    return it != link->second->lacked.end() && Clock::now() - it->second < kLacksFor;
+}
+
 std::vector<std::string> Peers::getUpHosts() const
 {
     std::vector<std::string> names;
@@ -238,7 +251,7 @@
     auto& wire = *frame.mutable_order();
     wire.set_call(++link->lastCall);
     writeOrder(wire, target, order, Clock::now());
-    link->calls[link->lastCall] = { std::move(done), order.deadline + kAnswerSlack };
+    link->calls[link->lastCall] = { std::move(done), target.member, order.deadline + kAnswerSlack };
     sendFrame(*link->channel, frame);
 }
 
@@ -324,6 +337,8 @@
         auto it = link->calls.find(answer.call());
         if (it == link->calls.end())
             return; // given up before
+        if (answer.lacks_member())
+            link->lacked[it->second.member] = link->heardAt;
         auto done = std::move(it->second.done);
         link->calls.erase(it);
         done(readOutcome(answer));
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -37,6 +37,8 @@
     double getDistanceMs(const std::string& host) const;
     // What the host last said of its connections to a member.
     std::optional<peer::Load> getLoad(const std::string& host, const std::string& member) const;
+    // Whether the host said lately that it has not heard of the member: one without the store does not know new ones.
+    bool lacksMember(const std::string& host, const std::string& member) const;
     std::vector<std::string> getUpHosts() const;
     decisions::HostsInReach countInReach() const;
 
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -30,8 +30,9 @@
         return !m_context.isTroubled(member.getTarget());
     if (!m_context.peers.isUsable(host))
         return false;
+    // A host that answers may still not know the member, or not reach it.
     auto load = m_context.peers.getLoad(host, member.listed.id);
-    return !load || !load->unreachable();
+    return !(load && load->unreachable()) && !m_context.peers.lacksMember(host, member.listed.id);
 }
 
 std::string StatementRouter::chooseCarrier(const MemberBelief& member) const
@@ -155,7 +156,11 @@
         transaction = TransactionHandle { *target, isOwn ? "" : carrier, isOwn ? pool->takeTransactionNumber() : m_context.peers.takeTransactionNumber() };
         order.transaction = transaction->number;
     }
-    auto onOutcome = [this, routed, target = *target, transaction, done](const Outcome& outcome) { takeOutcome(routed, target, transaction, outcome, done); };
+    auto onOutcome = [this, routed, target = *target, carrier, transaction, done](const Outcome& outcome) {
+        if (outcome.error && m_context.peers.lacksMember(carrier, target.member))
+            std::erase(routed->tried, target.member); // the member was not asked: another host can carry to it at once
+        takeOutcome(routed, target, transaction, outcome, done);
+    };
     if (isOwn)
         pool->submit(std::move(order), onOutcome);
     else
--- a/tests/gateway/leaving_test.cpp
+++ b/tests/gateway/leaving_test.cpp
@@ -144,4 +144,23 @@
     BOOST_TEST(countRanAt(rig, "g0-a") == before);
 }
 
+// A member that replaces one that leaves becomes the primary soon after it came. A host that had lost the store before had never heard of it, and was the one
+// that all others asked to carry to it, since it answered them: most statements of the group failed until the store was back.
+BOOST_AUTO_TEST_CASE(a_new_member_is_used_past_a_carrier_that_does_not_know_it)
+{
+    GatewayRig rig(makeShape());
+    rig.call([&] { rig.getStore().remove("servers/g0-c"); });
+    rig.beginHosts();
+    rig.setStoreCut(2, true); // in the new member's data centre, so the first to carry to it
+    rig.call([&] { rig.getStore().listMembers(); });
+    BOOST_TEST(waitUntil(milliseconds(2000), [&] { return rig.getLog(0).find("\"member\":\"g0-c\"") != std::string::npos && rig.getLog(1).find("\"member\":\"g0-c\"") != std::string::npos; }));
+    rig.call([&] {
+        rig.getGroup().promote("g0-c");
+        rig.getStore().listMembers();
+    });
+    for (unsigned i = 0; i < 2; ++i)
+        BOOST_TEST(waitUntil(milliseconds(2000), [&] { return canWrite(rig, i); }));
+    BOOST_TEST(countRanAt(rig, "g0-c") > 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
