A host that has lost the store is told of members by one that has it

Cause: pings told that something had changed, not what. A host without the store sent its callers to members that had ended, did not know one that came since, and, as the holder, did not hear that the primary leaves. Change: while a host may miss changes it asks one that has the store, another each 0.5 s, what members changed since the revision that it knows; entries come with their revision, and what is older than what is known changes nothing, from whichever side it comes. A leaving comes with its age. Nobody passes hearsay on. Ruled out: sending facts along with pings (bytes for all in calm, and a member that is listed again has to be told as well as one that is gone). Tests: leaving/a_host_without_the_store_is_told_* (as processes; on the code before the host never logs any of it), member_exchange/*.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -85,9 +85,14 @@
     return getRanked(view, group, "");
 }
 
-void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint leavingSince)
+bool takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince)
 {
+    auto known = view.members.find(listed.id);
+    if (known != view.members.end() && revision < known->second.revision)
+        return false;
+    view.membersRevision = std::max(view.membersRevision, revision);
     auto& member = view.members[listed.id];
+    member.revision = revision;
     if (!listed.isLeaving)
         member.leavingSince.reset();
     else if (!member.leavingSince)
@@ -101,13 +106,19 @@
         group.members.push_back(listed.id);
     if (listed.saysPrimary)
         group.lead = decisions::takeListing(group.lead, listed.id);
+    return true;
 }
 
-void takeMemberGone(ClusterView& view, const std::string& id, TimePoint now)
+bool takeMemberGone(ClusterView& view, const std::string& id, uint64_t revision, TimePoint now)
 {
     auto it = view.members.find(id);
-    if (it != view.members.end() && !it->second.unlistedAt)
-        it->second.unlistedAt = now;
+    if (it == view.members.end() || revision < it->second.revision)
+        return false;
+    view.membersRevision = std::max(view.membersRevision, revision);
+    it->second.revision = revision;
+    bool isNews = !it->second.unlistedAt;
+    it->second.unlistedAt = it->second.unlistedAt.value_or(now);
+    return isNews;
 }
 
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now)
@@ -118,6 +129,7 @@
             forgotten.push_back(id);
     }
     for (auto& id : forgotten) {
+        view.forgottenRevision = std::max(view.forgottenRevision, view.members[id].revision);
         auto& group = view.groups[view.members[id].listed.group];
         std::erase(group.members, id);
         group.lead = decisions::takeDenial(group.lead, id);
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -12,6 +12,7 @@
 
 struct MemberBelief {
     links::ListedMember listed {};
+    uint64_t revision { 0 }; // of the change in the store that this rests on; what is older changes nothing
     std::optional<TimePoint> unlistedAt {}; // the store's list dropped it then; it may still lead
     std::optional<TimePoint> leavingSince {}; // empty: it does not leave
     TimePoint troubleAt {}; // the last time a connection to it failed here
@@ -42,6 +43,8 @@
     std::map<std::string, links::ListedHost> hosts {}; // by name, this one included; changed through takeHost() and dropHost()
     std::map<std::string, Ranking> rankings {}; // by member or group
     bool hasMembers { false }; // the list of members was read at least once
+    uint64_t membersRevision { 0 }; // of the newest change of a member that is known
+    uint64_t forgottenRevision { 0 }; // of the newest one of a member that was forgotten since
 };
 
 // Whether a new operation may be sent to the member: it does not leave and is listed, or not for long.
@@ -67,9 +70,10 @@
 const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
-// `leavingSince`: what to believe of a member that is listed as leaving and was not known to.
-void takeMember(ClusterView& view, const links::ListedMember& listed, TimePoint leavingSince);
-void takeMemberGone(ClusterView& view, const std::string& id, TimePoint now);
+// `revision`: of the change in the store; false: something newer is known. `leavingSince`: what to believe of a member that is listed as leaving and
+// was not known to.
+bool takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince);
+bool takeMemberGone(ClusterView& view, const std::string& id, uint64_t revision, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
 
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -178,7 +178,7 @@
         hasMore = page->hasMore && !page->items.empty();
         std::ranges::move(page->items, std::back_inserter(items));
     }
-    takeAll(items);
+    takeAll(items, *revision);
     m_answeredAt = Clock::now();
     m_revision = *revision;
     m_mustList = false;
@@ -188,7 +188,7 @@
 }
 
 // Hosts before members: whoever knows members and no other host takes itself for the one that carries to all of them.
-void Directory::takeAll(const std::vector<links::StoreItem>& items)
+void Directory::takeAll(const std::vector<links::StoreItem>& items, uint64_t revision)
 {
     auto membersPrefix = m_platform.getMembersPrefix();
     auto isMember = [&](const links::StoreItem& it) { return it.key.starts_with(membersPrefix); };
@@ -202,7 +202,7 @@
     }
     for (auto& key : std::set(m_known)) {
         if (!listed.contains(key))
-            takeItem({ .key = key, .isDeleted = true }, false);
+            takeItem({ .key = key, .revision = revision, .isDeleted = true }, false);
     }
     m_known = listed;
 }
@@ -256,12 +256,12 @@
         m_known.insert(item.key);
     if (item.key.starts_with(members)) {
         if (item.isDeleted) {
-            m_events.onMemberGone(item.key.substr(members.size()));
+            m_events.onMemberGone(item.key.substr(members.size()), item.revision);
             return;
         }
         auto member = m_platform.parseMember(item.key, item.value);
         if (member)
-            m_events.onMember(*member, isRecent);
+            m_events.onMember(*member, item.revision, isRecent);
         else
             base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) }, { "reason", std::string_view(member.error()) } });
     } else if (item.key.starts_with(kHostsPrefix))
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -15,8 +15,9 @@
 
 struct DirectoryEvents {
     std::function<void(const links::GatewayConfiguration&)> onConfiguration;
-    std::function<void(const links::ListedMember&, bool isRecent)> onMember; // `isRecent`: the entry changed just now; else it may have done so long ago
-    std::function<void(const std::string& id)> onMemberGone;
+    // `isRecent`: the entry changed just now; else it may have done so long ago.
+    std::function<void(const links::ListedMember&, uint64_t revision, bool isRecent)> onMember;
+    std::function<void(const std::string& id, uint64_t revision)> onMemberGone;
     std::function<void()> onMembersRead; // the list of members was read whole
     std::function<void(const links::ListedHost&)> onHost;
     std::function<void(const std::string& name)> onHostGone;
@@ -47,6 +48,8 @@
     void hearChange(uint64_t change);
     // Whether the last call that told so was answered. Found out within kProbeWait and an answer's time once there is a doubt.
     bool isReachable() const { return m_isReachable; }
+    // Whether this host may miss changes: the store is lost, or a change that others know has not come.
+    bool mayMissChanges() const { return !m_isReachable || m_isInDoubt; }
 
 private:
     boost::asio::awaitable<void> follow();
@@ -58,7 +61,7 @@
     void interruptWatch();
     void doubtStore();
     base::milliseconds getWatchWait() const;
-    void takeAll(const std::vector<links::StoreItem>& items);
+    void takeAll(const std::vector<links::StoreItem>& items, uint64_t revision);
     void takeItem(const links::StoreItem& item, bool isRecent);
     void takeConfiguration(const links::StoreItem& item);
     void takeHost(const links::StoreItem& item);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/families.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "gateway/member_exchange.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,7 @@
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
+static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
 Gateway::Gateway(asio::io_context& context, base::TimerService& timers, base::GatewaySettings settings, std::unique_ptr<links::PlatformAdapter> platform)
@@ -332,6 +334,12 @@
         m_directory.hearChange(ping.change());
     };
     service.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) { takeStatus(pong, sentAt); };
+    service.answerMembers = [this](const peer::MembersQuestion& question, peer::MembersAnswer& answer) {
+        answer.set_lacks_store(m_directory.mayMissChanges());
+        if (!answer.lacks_store())
+            writeMembers(answer, m_view, question.since(), Clock::now());
+    };
+    service.onMembers = [this](const std::string&, const peer::MembersAnswer& answer, TimePoint sentAt) { takeMembers(answer, sentAt); };
     service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::addTo(base::Family::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
 }
@@ -356,20 +364,11 @@
         m_view.configuration = configuration;
         m_peers.setQuietPingInterval(decisions::getPingInterval(getLeastAge(configuration)));
     };
-    events.onMember = [this](const links::ListedMember& member, bool isRecent) {
-        bool wasKnown = m_view.members.contains(member.id);
-        auto before = wasKnown ? m_view.members[member.id].listed : links::ListedMember {};
+    events.onMember = [this](const links::ListedMember& member, uint64_t revision, bool isRecent) {
         auto now = Clock::now();
-        takeMember(m_view, member, isRecent ? now : decisions::assumeLeavingSince(getDrainTime(), now));
-        takeRoleChange(before, member);
-        m_partnersDue = m_partnersDue || !wasKnown;
-        if (before != member)
-            base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary } });
-    };
-    events.onMemberGone = [this](const std::string& id) {
-        takeMemberGone(m_view, id, Clock::now());
-        base::logEvent(LogClass::State, "member-unlisted", { { "member", std::string_view(id) } });
+        takeListed(member, revision, isRecent ? now : decisions::assumeLeavingSince(getDrainTime(), now), "listed");
     };
+    events.onMemberGone = [this](const std::string& id, uint64_t revision) { takeUnlisted(id, revision, "listed"); };
     events.onMembersRead = [this] { m_view.hasMembers = true; };
     events.onHost = [this](const links::ListedHost& host) {
         if (host.name == m_self.name)
@@ -386,6 +385,58 @@
     return events;
 }
 
+// `source`: the store itself, or a host that has it.
+void Gateway::takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source)
+{
+    auto known = m_view.members.find(member.id);
+    bool wasKnown = known != m_view.members.end();
+    auto before = wasKnown ? known->second.listed : links::ListedMember {};
+    if (!takeMember(m_view, member, revision, leavingSince))
+        return;
+    takeRoleChange(before, member);
+    m_partnersDue = m_partnersDue || !wasKnown;
+    if (before == member)
+        return;
+    base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary }, { "revision", static_cast<int64_t>(revision) }, { "source", source } });
+}
+
+void Gateway::takeUnlisted(const std::string& id, uint64_t revision, std::string_view source)
+{
+    if (takeMemberGone(m_view, id, revision, Clock::now()))
+        base::logEvent(LogClass::State, "member-unlisted", { { "member", std::string_view(id) }, { "revision", static_cast<int64_t>(revision) }, { "source", source } });
+}
+
+// A host that has lost the store asks one that has it, another each time.
+void Gateway::askForMembers(TimePoint now)
+{
+    if (!m_view.hasMembers || !m_directory.mayMissChanges() || now - m_membersAskedAt < kMembersInterval)
+        return;
+    std::vector<std::string> able;
+    for (auto& name : m_peers.getUpHosts()) {
+        if (m_peers.getAbility(name).hasStore)
+            able.push_back(name);
+    }
+    if (able.empty())
+        return;
+    m_membersAskedAt = now;
+    auto index = static_cast<size_t>(base::getRandom() * static_cast<double>(able.size()));
+    m_peers.askMembers(able[std::min(index, able.size() - 1)], m_view.membersRevision);
+}
+
+void Gateway::takeMembers(const peer::MembersAnswer& answer, TimePoint sentAt)
+{
+    if (answer.lacks_store() || !m_directory.mayMissChanges())
+        return;
+    for (auto& it : answer.members()) {
+        if (it.is_unlisted())
+            takeUnlisted(it.id(), it.revision(), "told");
+        else
+            takeListed(readMember(it), it.revision(), sentAt - milliseconds(it.leaving_ms()), "told");
+    }
+    for (auto& id : findMissing(answer, m_view))
+        takeUnlisted(id, answer.revision(), "told");
+}
+
 // A member says of itself that its role changed. That counts against a leader that has not shown itself lately, no more: a member that
 // was cut off may not know that it was replaced.
 void Gateway::takeRoleChange(const links::ListedMember& before, const links::ListedMember& now)
@@ -479,6 +530,7 @@
     auto now = Clock::now();
     noteReadiness();
     sweepHosts(now);
+    askForMembers(now);
     sweepPools(now);
     m_peers.sweep(now);
     m_router.sweep(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,10 @@
     bool isTroubled(const TargetAddress& target) const;
     void fillStatus(peer::Pong& message, TimePoint now) const;
     void takeStatus(const peer::Pong& message, TimePoint sentAt);
+    void takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source);
+    void takeUnlisted(const std::string& id, uint64_t revision, std::string_view source);
+    void askForMembers(TimePoint now);
+    void takeMembers(const peer::MembersAnswer& answer, TimePoint sentAt);
     void takeRoleChange(const links::ListedMember& before, const links::ListedMember& now);
     void tellPeers();
     void sweepHosts(TimePoint now);
@@ -63,6 +67,7 @@
     Promoter m_promoter;
     std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
     std::map<std::string, TimePoint> m_hostsGoneAt; // hosts whose entries went: since when
+    TimePoint m_membersAskedAt {}; // when another host was last asked, the store being lost
     TimePoint m_partnersAt {}; // when partners were last chosen
     bool m_partnersDue { true };
     std::map<std::string, TimePoint> m_alarmedAt; // by group: when other hosts were last told
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -64,6 +64,8 @@
         m_service.onAlarm(frame.alarm().group(), frame.alarm().member(), "host " + peer->host + ": " + frame.alarm().reason());
     else if (frame.has_lead())
         m_service.onLead(peer->host, frame.lead().group(), frame.lead().member(), frame.lead().term());
+    else if (frame.has_members_question())
+        tellMembers(peer, frame.members_question());
     else if (frame.has_hold_writes())
         m_service.onHoldWrites(frame.hold_writes().group(), frame.hold_writes().member(), milliseconds(frame.hold_writes().for_ms()));
 }
@@ -78,6 +80,13 @@
     sendFrame(*peer->channel, reply);
 }
 
+void InboundPeers::tellMembers(const PeerPtr& peer, const peer::MembersQuestion& question)
+{
+    peer::Frame reply;
+    m_service.answerMembers(question, *reply.mutable_members_answer());
+    sendFrame(*peer->channel, reply);
+}
+
 void InboundPeers::answerInquiry(const PeerPtr& peer, const peer::Inquiry& inquiry)
 {
     m_service.inquire({ inquiry.member(), inquiry.group(), inquiry.address() }, [peer, call = inquiry.call()](const StatusReport& report) {
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -23,6 +23,9 @@
     std::function<void(const std::string& host, const peer::Ping&)> onPing;
     std::function<void(const std::string& host, const peer::Pong&, TimePoint sentAt)> onPong;
     std::function<void(const std::string& host, bool isUp, const std::string& reason)> onLink;
+    // What this host knows of members, for one that has lost the store; and what another one told.
+    std::function<void(const peer::MembersQuestion&, peer::MembersAnswer&)> answerMembers;
+    std::function<void(const std::string& host, const peer::MembersAnswer&, TimePoint sentAt)> onMembers;
 };
 
 class InboundPeers {
@@ -50,6 +53,7 @@
     void accept();
     void takeMessage(const PeerPtr& peer, std::string_view message);
     void answerPing(const PeerPtr& peer, const peer::Ping& ping);
+    void tellMembers(const PeerPtr& peer, const peer::MembersQuestion& question);
     void answerInquiry(const PeerPtr& peer, const peer::Inquiry& inquiry);
     void endTransaction(const PeerPtr& peer, uint64_t transaction);
     void serveOrder(const PeerPtr& peer, const peer::Order& wire);
--- /dev/null
+++ b/src/gateway/member_exchange.cpp
@@ -0,0 +1,62 @@
+#include "gateway/member_exchange.h"
+#include <algorithm>
+#include <set>
+
+namespace alderward::gateway {
+
+static void writeMember(peer::MemberEntry& wire, const MemberBelief& member, TimePoint now)
+{
+    auto& listed = member.listed;
+    wire.set_id(listed.id);
+    wire.set_group(listed.group);
+    wire.set_address(listed.address);
+    wire.set_data_centre(listed.dataCentre);
+    wire.set_slots(listed.slots);
+    wire.set_is_leaving(listed.isLeaving);
+    wire.set_says_primary(listed.saysPrimary);
+    wire.set_revision(member.revision);
+    wire.set_is_unlisted(member.unlistedAt.has_value());
+    if (member.leavingSince)
+        wire.set_leaving_ms(static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(now - *member.leavingSince).count()));
+}
+
+void writeMembers(peer::MembersAnswer& wire, const ClusterView& view, uint64_t since, TimePoint now)
+{
+    bool isWhole = view.forgottenRevision > since;
+    wire.set_is_whole(isWhole);
+    wire.set_revision(view.membersRevision);
+    for (auto& [id, member] : view.members) {
+        if (isWhole || member.revision > since)
+            writeMember(*wire.add_members(), member, now);
+    }
+}
+
+links::ListedMember readMember(const peer::MemberEntry& wire)
+{
+    links::ListedMember member;
+    member.id = wire.id();
+    member.group = wire.group();
+    member.address = wire.address();
+    member.dataCentre = wire.data_centre();
+    member.slots = wire.slots();
+    member.isLeaving = wire.is_leaving();
+    member.saysPrimary = wire.says_primary();
+    return member;
+}
+
+std::vector<std::string> findMissing(const peer::MembersAnswer& wire, const ClusterView& view)
+{
+    std::vector<std::string> missing;
+    if (!wire.is_whole())
+        return missing;
+    std::set<std::string> told;
+    for (auto& it : wire.members())
+        told.insert(it.id());
+    for (auto& [id, member] : view.members) {
+        if (!told.contains(id) && member.revision <= wire.revision())
+            missing.push_back(id);
+    }
+    return missing;
+}
+
+}
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -36,6 +36,7 @@
     TimePoint heardAt {}; // on the present connection
     TimePoint pongAt {}; // on any
     TimePoint pingedAt {};
+    TimePoint membersAskedAt {};
     TimePoint connectedAt {};
     TimePoint noConnectBefore {};
     uint64_t pingNumber { 0 };
@@ -282,6 +283,17 @@
     sendFrame(*link->channel, frame);
 }
 
+void Peers::askMembers(const std::string& host, uint64_t since)
+{
+    auto link = findUp(host);
+    if (!link)
+        return;
+    link->membersAskedAt = Clock::now();
+    peer::Frame frame;
+    frame.mutable_members_question()->set_since(since);
+    sendFrame(*link->channel, frame);
+}
+
 void Peers::sendAlarm(const std::string& host, const std::string& group, const std::string& member, const std::string& reason)
 {
     auto link = findUp(host);
@@ -350,7 +362,8 @@
         auto done = std::move(it->second);
         link->inquiries.erase(it);
         done(readStatus(wire));
-    }
+    } else if (frame.has_members_answer())
+        m_service.onMembers(link->host.name, frame.members_answer(), link->membersAskedAt);
 }
 
 void Peers::takePong(const LinkPtr& link, const peer::Pong& pong)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -47,6 +47,8 @@
     void endTransaction(const std::string& host, uint64_t transaction);
     uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
     void inquire(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done);
+    // Asks what members have changed since that revision; the answer comes to PeerService::onMembers, or never.
+    void askMembers(const std::string& host, uint64_t since);
     void sendAlarm(const std::string& host, const std::string& group, const std::string& member, const std::string& reason);
     void sendHoldWrites(const std::string& group, const std::string& member, milliseconds time);
     // Tells all partners that a member was made the primary.
--- a/tests/gateway/leaving_test.cpp
+++ b/tests/gateway/leaving_test.cpp
@@ -163,4 +163,34 @@
     BOOST_TEST(countRanAt(rig, "g0-c") > 0u);
 }
 
+BOOST_AUTO_TEST_CASE(a_host_without_the_store_is_told_of_members_that_come_leave_and_go)
+{
+    GatewayRig rig(makeShape());
+    rig.call([&] { rig.getStore().remove("servers/g0-c"); });
+    rig.beginHosts();
+    rig.setStoreCut(2, true);
+    auto isTold = [&](const std::string& what) {
+        return waitUntil(milliseconds(6000), [&] {
+            auto log = rig.getLog(2);
+            auto at = log.rfind(what);
+            return at != std::string::npos && log.substr(at, log.find('\n', at) - at).find("\"source\":\"told\"") != std::string::npos;
+        });
+    };
+    rig.call([&] { rig.getStore().listMembers(); });
+    BOOST_TEST(isTold("\"event\":\"member\",\"member\":\"g0-c\""));
+    rig.call([&] {
+        rig.getGroup().promote("g0-c");
+        rig.getStore().listMembers();
+    });
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, 2); })); // a member that it cannot have read of
+    rig.call([&] { rig.getStore().setLeaving("g0-a", true); });
+    BOOST_TEST(isTold("\"event\":\"member\",\"member\":\"g0-a\""));
+    rig.call([&] { rig.getStore().remove("servers/g0-a"); });
+    BOOST_TEST(isTold("\"event\":\"member-unlisted\",\"member\":\"g0-a\""));
+    std::this_thread::sleep_for(milliseconds(5000)); // forgotten by all
+    rig.setStoreCut(2, false);
+    BOOST_TEST(waitUntil(milliseconds(4000), [&] { return rig.getLog(2).rfind("store-regained") > rig.getLog(2).rfind("store-lost"); }));
+    BOOST_TEST(canWrite(rig, 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/member_exchange_test.cpp
@@ -0,0 +1,91 @@
+// What hosts tell each other of members, and in which order changes count.
+#include "gateway/member_exchange.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace alderward;
+using namespace alderward::gateway;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + milliseconds(100000);
+
+links::ListedMember makeMember(const std::string& id, bool isLeaving = false)
+{
+    return { .id = id, .group = "g", .address = "10.0.0.1:1", .dataCentre = "a", .slots = 2, .isLeaving = isLeaving };
+}
+
+// As a host does that has lost the store.
+void take(ClusterView& view, const peer::MembersAnswer& answer, TimePoint sentAt)
+{
+    for (auto& it : answer.members()) {
+        if (it.is_unlisted())
+            takeMemberGone(view, it.id(), it.revision(), sentAt);
+        else
+            takeMember(view, readMember(it), it.revision(), sentAt - milliseconds(it.leaving_ms()));
+    }
+    for (auto& id : findMissing(answer, view))
+        takeMemberGone(view, id, answer.revision(), sentAt);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(member_exchange)
+
+BOOST_AUTO_TEST_CASE(only_what_changed_is_told_and_with_its_age)
+{
+    ClusterView able;
+    takeMember(able, makeMember("old"), 5, {});
+    takeMember(able, makeMember("leaves", true), 12, kStart);
+    peer::MembersAnswer answer;
+    writeMembers(answer, able, 5, kStart + milliseconds(3000));
+    BOOST_REQUIRE(answer.members_size() == 1);
+    BOOST_TEST(answer.members(0).id() == "leaves");
+    ClusterView cut;
+    takeMember(cut, makeMember("old"), 5, {});
+    takeMember(cut, makeMember("leaves"), 4, {});
+    take(cut, answer, kStart + milliseconds(3000));
+    BOOST_TEST((cut.members.at("leaves").leavingSince == kStart)); // not since it was told
+    BOOST_TEST((cut.members.at("leaves").listed == able.members.at("leaves").listed));
+    BOOST_TEST(cut.membersRevision == 12u);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_older_than_what_is_known_changes_nothing)
+{
+    ClusterView view;
+    BOOST_TEST(takeMember(view, makeMember("m", true), 9, kStart));
+    BOOST_TEST(!takeMember(view, makeMember("m"), 8, kStart));
+    BOOST_TEST(view.members.at("m").listed.isLeaving);
+    BOOST_TEST(!takeMemberGone(view, "m", 8, kStart));
+    BOOST_TEST(!view.members.at("m").unlistedAt.has_value());
+    BOOST_TEST(takeMemberGone(view, "m", 10, kStart));
+    BOOST_TEST(!takeMember(view, makeMember("m"), 9, kStart)); // the watch brings what was missed, in its order
+    BOOST_TEST(view.members.at("m").unlistedAt.has_value());
+    BOOST_TEST(takeMember(view, makeMember("m"), 11, kStart));
+    BOOST_TEST(!view.members.at("m").unlistedAt.has_value());
+    BOOST_TEST(!takeMemberGone(view, "nobody", 99, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(members_that_were_forgotten_are_told_by_their_absence)
+{
+    ClusterView able;
+    ClusterView cut;
+    for (auto* view : { &able, &cut }) {
+        takeMember(*view, makeMember("a"), 1, {});
+        takeMember(*view, makeMember("b"), 2, {});
+    }
+    takeMemberGone(able, "a", 7, kStart);
+    BOOST_REQUIRE(forgetMembers(able, milliseconds(4000), kStart + milliseconds(5000)).size() == 1);
+    peer::MembersAnswer answer;
+    writeMembers(answer, able, cut.membersRevision, kStart + milliseconds(5000));
+    BOOST_TEST(answer.is_whole());
+    take(cut, answer, kStart + milliseconds(5000));
+    BOOST_TEST(cut.members.at("a").unlistedAt.has_value());
+    BOOST_TEST(!cut.members.at("b").unlistedAt.has_value());
+    // One who was told is told no more.
+    peer::MembersAnswer second;
+    writeMembers(second, able, cut.membersRevision, kStart + milliseconds(5000));
+    BOOST_TEST(!second.is_whole());
+    BOOST_TEST(second.members_size() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
