Hosts that have lost the store do not watch it for others

Change: the two first that have the store, as they say with their pings; if none has it, the first of all. Ruled out: a loss that callers see today. Test: watching/hosts_that_have_lost_the_store_* (cannot be put to the code before: the function had no such input).

--- a/src/decisions/watching.cpp
+++ b/src/decisions/watching.cpp
@@ -8,10 +8,12 @@
 static constexpr double kRetryMostMs = 1000; // how late the store's return may be noticed
 static constexpr unsigned kDoublingsMost = 10;
 
-bool isWatcher(const std::string& self, const std::vector<std::string>& ranked)
+bool isWatcher(const std::string& self, const std::vector<WatcherHost>& ranked)
 {
-    auto it = std::ranges::find(ranked, self);
-    return it != ranked.end() && static_cast<size_t>(it - ranked.begin()) < kWatchersOfDataCentre;
+    auto order = ranked;
+    std::ranges::stable_partition(order, &WatcherHost::hasStore);
+    auto it = std::ranges::find(order, self, &WatcherHost::name);
+    return it != order.end() && static_cast<size_t>(it - order.begin()) < kWatchersOfDataCentre;
 }
 
 milliseconds getWatchPause(milliseconds previous, bool wasAtOnce)
--- a/src/decisions/watching.h
+++ b/src/decisions/watching.h
@@ -10,8 +10,16 @@
 // Hosts of a data centre that look often: one may be frozen or cut off from the store while another finds a watch that has fallen silent.
 inline constexpr size_t kWatchersOfDataCentre = 2;
 
-// Whether `self` is one of the watchers. `ranked`: the usable hosts of its data centre, in an order that all agree on.
-bool isWatcher(const std::string& self, const std::vector<std::string>& ranked);
+// A usable host as another sees it.
+struct WatcherHost {
+    std::string name {};
+    bool hasStore { true }; // as it says itself
+    friend bool operator==(const WatcherHost&, const WatcherHost&) = default;
+};
+
+// Whether `self` is one of the watchers. `ranked`: the usable hosts of its data centre, in an order that all agree on. One that has lost the store
+// answers the others and hears of nothing: it is passed over while there are others.
+bool isWatcher(const std::string& self, const std::vector<WatcherHost>& ranked);
 
 // The pause after a watch that answered, before the next. Changes that come in a row, as when all hosts start, are taken together: `wasAtOnce`,
 // they stood ready when the watch was sent. Members that register within five seconds of a start cost each host five calls in place of twenty.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -477,7 +477,7 @@
     m_partnersAt = now;
     // Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
     m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOtherOrderers()));
-    m_directory.setWatcher(isStoreWatcher(m_view, m_peers, getPlace()));
+    m_directory.setWatcher(isStoreWatcher(m_view, m_peers, getPlace(), m_directory.isReachable()));
 }
 
 // Asks a member for its status on a connection of its own. Any answer to ordinary statements meanwhile shows that it lives, too.
--- a/src/gateway/partners.cpp
+++ b/src/gateway/partners.cpp
@@ -27,13 +27,15 @@
     return first != ranked.end() && *first == self.name;
 }
 
-bool isStoreWatcher(ClusterView& view, const Peers& peers, const HostPlace& self)
+bool isStoreWatcher(ClusterView& view, const Peers& peers, const HostPlace& self, bool hasStore)
 {
-    std::vector<std::string> usable;
+    std::vector<decisions::WatcherHost> usable;
     for (auto& name : getRankedHosts(view, "watchers of " + self.dataCentre)) {
         bool isOfDataCentre = view.hosts.at(name).dataCentre == self.dataCentre;
-        if (isOfDataCentre && (name == self.name || peers.isUsable(name)))
-            usable.push_back(name);
+        if (isOfDataCentre && name == self.name)
+            usable.push_back({ name, hasStore });
+        else if (isOfDataCentre && peers.isUsable(name))
+            usable.push_back({ name, peers.getAbility(name).hasStore });
     }
     return decisions::isWatcher(self.name, usable);
 }
--- a/src/gateway/partners.h
+++ b/src/gateway/partners.h
@@ -16,7 +16,7 @@
 std::set<std::string> choosePartners(ClusterView& view, const Peers& peers, const HostPlace& self, std::set<std::string> orderers);
 // Whether this host carries statements to the member.
 bool isCarrier(ClusterView& view, const Peers& peers, const HostPlace& self, const MemberBelief& member);
-// Whether this host is one of the few of its data centre that look at the platform's store often.
-bool isStoreWatcher(ClusterView& view, const Peers& peers, const HostPlace& self);
+// Whether this host is one of the few of its data centre that look at the platform's store often. `hasStore`: it reaches the store.
+bool isStoreWatcher(ClusterView& view, const Peers& peers, const HostPlace& self, bool hasStore);
 
 }
--- a/tests/unit/watching_test.cpp
+++ b/tests/unit/watching_test.cpp
@@ -11,11 +11,28 @@
 
 BOOST_AUTO_TEST_CASE(the_first_usable_hosts_of_a_data_centre_watch)
 {
-    BOOST_TEST(isWatcher("a", { "a" }));
-    BOOST_TEST(isWatcher("b", { "a", "b", "c" }));
-    BOOST_TEST(!isWatcher("c", { "a", "b", "c" }));
-    BOOST_TEST(isWatcher("c", { "b", "c" })); // the first is gone
-    BOOST_TEST(!isWatcher("x", { "a" }));
+    std::vector<WatcherHost> all { { "a" }, { "b" }, { "c" } };
+    std::vector<WatcherHost> one { { "a" } };
+    BOOST_TEST(isWatcher("a", one));
+    BOOST_TEST(isWatcher("b", all));
+    BOOST_TEST(!isWatcher("c", all));
+    all.erase(all.begin()); // the first is gone
+    BOOST_TEST(isWatcher("c", all));
+    BOOST_TEST(!isWatcher("x", one));
+}
+
+// Both watchers of a data centre can lose the store and go on answering the other hosts there.
+BOOST_AUTO_TEST_CASE(hosts_that_have_lost_the_store_do_not_watch_for_others)
+{
+    std::vector<WatcherHost> ranked { { "a", false }, { "b", false }, { "c", true }, { "d", true } };
+    BOOST_TEST(!isWatcher("a", ranked));
+    BOOST_TEST(!isWatcher("b", ranked));
+    BOOST_TEST(isWatcher("c", ranked));
+    BOOST_TEST(isWatcher("d", ranked));
+    ranked[3].hasStore = false; // one is left; the first of the others looks out for the store's return
+    BOOST_TEST(isWatcher("a", ranked));
+    BOOST_TEST(!isWatcher("b", ranked));
+    BOOST_TEST(!isWatcher("d", ranked));
 }
 
 BOOST_AUTO_TEST_CASE(changes_in_a_row_are_taken_together)
