A member that starts again under its id is another one: what was known of the one before is forgotten

Cause: everything was kept by id, and nothing read born or Sequence. A primary that came back at once with nothing was used on: a write ran on its empty log. Change: isOtherLife() tells runs of a process apart; a new run loses lead, position, trouble, leaving and pool, is read once its carrier has heard a position of it, and leads once it has shown one that holds the newest floor of its term. The first position on a new connection is looked at before anything is sent, as the entry comes later than the connection. Witnesses and evidence count one that lacks the floor as no primary. Ruled out: comparing each proof with the newest floor (answers on two connections overtake each other; only what was asked after the floor was known counts); taking born for a time.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -85,13 +85,44 @@
     return getRanked(view, group, "");
 }
 
-bool takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince)
+bool isOtherLife(const links::MemberLife& before, const links::MemberLife& now)
+{
+    if (before.born != 0 && now.born != 0)
+        return before.born != now.born;
+    return now.sequence < before.sequence;
+}
+
+bool lacksFloor(const GroupBelief& group, const Mark& received, TimePoint askedAt)
+{
+    if (group.floors.isEmpty() || askedAt <= group.floorTakenAt) // an answer that was under way may be of before
+        return false;
+    auto& floor = group.floors.floors.back().mark;
+    return received.term == floor.term && received.position < floor.position;
+}
+
+// Addresses and rankings go by id; all that was seen of the process goes with it. Floors are the group's: what was acknowledged stays so.
+static void forgetLife(ClusterView& view, MemberBelief& member, TimePoint now)
+{
+    auto& group = view.groups[member.listed.group];
+    group.lead = decisions::takeDenial(group.lead, member.listed.id);
+    member.leavingSince.reset();
+    member.troubleAt = {};
+    member.answeredAt = {};
+    member.progress = {};
+    member.progress.at = now; // positions that others saw before say nothing
+    member.hasStartedAgain = true;
+}
+
+MemberChange takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince, TimePoint now)
 {
     auto known = view.members.find(listed.id);
     if (known != view.members.end() && revision < known->second.revision)
-        return false;
+        return MemberChange::Outdated;
+    bool startedAgain = known != view.members.end() && isOtherLife(known->second.listed.life, listed.life);
     view.membersRevision = std::max(view.membersRevision, revision);
     auto& member = view.members[listed.id];
+    if (startedAgain)
+        forgetLife(view, member, now);
     member.revision = revision;
     if (!listed.isLeaving)
         member.leavingSince.reset();
@@ -104,9 +135,9 @@
     auto& group = view.groups[listed.group];
     if (std::ranges::find(group.members, listed.id) == group.members.end())
         group.members.push_back(listed.id);
-    if (listed.saysPrimary)
+    if (listed.saysPrimary && !startedAgain) // it has yet to show that it holds what it acknowledged
         group.lead = decisions::takeListing(group.lead, listed.id);
-    return true;
+    return startedAgain ? MemberChange::StartedAgain : MemberChange::Taken;
 }
 
 bool takeMemberGone(ClusterView& view, const std::string& id, uint64_t revision, TimePoint now)
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -15,6 +15,7 @@
     uint64_t revision { 0 }; // of the change in the store that this rests on; what is older changes nothing
     std::optional<TimePoint> unlistedAt {}; // the store's list dropped it then; it may still lead
     std::optional<TimePoint> leavingSince {}; // empty: it does not leave
+    bool hasStartedAgain { false }; // under its id: it holds nothing until it has shown a position
     TimePoint troubleAt {}; // the last time a connection to it failed here
     TimePoint answeredAt {};
     decisions::Progress progress {}; // of its log
@@ -25,6 +26,7 @@
 struct GroupBelief {
     decisions::Lead lead {};
     decisions::FloorHistory floors {};
+    TimePoint floorTakenAt {}; // when the newest became known here
     TimePoint pendingUntil {}; // a change of primary was ordered; until then the new one may not know yet that it leads
     TimePoint provenAt {}; // when the primary last showed this host itself that it leads
     std::vector<std::string> members {}; // ids
@@ -50,6 +52,9 @@
 // Whether a new operation may be sent to the member: it does not leave and is listed, or not for long.
 bool takesNewOperations(const MemberBelief& member, milliseconds drainTime, TimePoint now);
 
+// Whether nothing is known of what the member holds since it started again. Its carrier asks it; reads do not.
+inline bool mustShow(const MemberBelief& member) { return member.hasStartedAgain && member.progress.position.term == 0; }
+
 // Whether a member lacks commits that are older than replicas usually lack.
 bool isFarBehind(const GroupBelief& group, const MemberBelief& member, TimePoint now);
 
@@ -70,9 +75,18 @@
 const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
-// `revision`: of the change in the store; false: something newer is known. `leavingSince`: what to believe of a member that is listed as leaving and
-// was not known to.
-bool takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince);
+// `revision`: of the change in the store. `leavingSince`: what to believe of a member that is listed as leaving and was not known to.
+enum class MemberChange {
+    Outdated, // something newer is known
+    Taken,
+    StartedAgain, // another run of its process: what was known of the one before is forgotten
+};
+MemberChange takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince, TimePoint now);
+// Whether two entries under one id come from different runs of a process. A time of start that differs says so, whichever is later: clocks are set.
+// Where one of them does not say it, a count that went back does.
+bool isOtherLife(const links::MemberLife& before, const links::MemberLife& now);
+// Whether a log that stands at `received`, as asked for at `askedAt`, lacks what the primary of the same term held before: it has lost it.
+bool lacksFloor(const GroupBelief& group, const Mark& received, TimePoint askedAt);
 bool takeMemberGone(ClusterView& view, const std::string& id, uint64_t revision, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,6 +176,8 @@
 {
     PoolObserver observer;
     observer.onLeads = [this](const TargetAddress& target, const Mark& position, TimePoint sentAt) {
+        if (hasLostLog(target, position, sentAt))
+            return;
         takeLead(target.group, decisions::takeProof(m_view.groups[target.group].lead, target.member, position.term), "proof");
         if (m_view.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
@@ -183,6 +185,9 @@
             m_promoter.noteProof(target.group, Clock::now());
         }
     };
+    observer.onOpened = [this](const TargetAddress& target, const Mark& position, TimePoint askedAt) {
+        return m_view.groups[target.group].lead.member != target.member || !hasLostLog(target, position, askedAt);
+    };
     observer.onFollows = [this](const TargetAddress& target) {
         auto group = m_view.groups[target.group];
         denyLead(group, target.member, Clock::now());
@@ -232,6 +237,17 @@
     }
 }
 
+// Whether a member that is taken for the primary has lost what it acknowledged in its term. It leads no longer, whatever it says.
+bool Gateway::hasLostLog(const TargetAddress& target, const Mark& position, TimePoint askedAt)
+{
+    auto& group = m_view.groups[target.group];
+    if (!lacksFloor(group, position, askedAt))
+        return false;
+    base::logEvent(LogClass::State, "primary-lost-log", { { "group", std::string_view(target.group) }, { "member", std::string_view(target.member) }, { "term", static_cast<int64_t>(position.term) }, { "position", static_cast<int64_t>(position.position) } });
+    takeLead(target.group, decisions::takeDenial(group.lead, target.member), "denied");
+    return true;
+}
+
 void Gateway::holdWrites(const std::string& member, milliseconds time)
 {
     if (auto it = m_pools.find(member); it != m_pools.end())
@@ -251,8 +267,11 @@
 
 void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
 {
-    auto& floors = m_view.groups[group].floors;
-    floors = decisions::takeFloor(std::move(floors), floor);
+    auto& belief = m_view.groups[group];
+    auto before = belief.floors.isEmpty() ? Mark {} : belief.floors.floors.back().mark;
+    belief.floors = decisions::takeFloor(std::move(belief.floors), floor);
+    if (belief.floors.floors.back().mark != before)
+        belief.floorTakenAt = Clock::now();
 }
 
 bool Gateway::isTroubled(const TargetAddress& target) const
@@ -392,15 +411,40 @@
     bool wasKnown = known != m_view.members.end();
     auto before = wasKnown ? known->second.listed : links::ListedMember {};
     bool wasUnlisted = wasKnown && known->second.unlistedAt;
-    if (!takeMember(m_view, member, revision, leavingSince))
+    auto change = takeMember(m_view, member, revision, leavingSince, Clock::now());
+    if (change == MemberChange::Outdated)
         return;
+    if (change == MemberChange::StartedAgain)
+        endLife(member);
     takeRoleChange(before, member);
     m_partnersDue = m_partnersDue || !wasKnown;
+    before.life = member.life; // its count moves with every word of it
     if (before == member && !wasUnlisted)
         return;
     base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary }, { "revision", static_cast<int64_t>(revision) }, { "source", source } });
 }
 
+// Connections that still stand lead to the process of before; whatever runs on them is in doubt, as after any other break.
+void Gateway::endLife(const links::ListedMember& member)
+{
+    base::logEvent(LogClass::State, "member-restarted", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "born", static_cast<int64_t>(member.life.born) }, { "sequence", static_cast<int64_t>(member.life.sequence) } });
+    m_promoter.noteNewLead(member.group);
+    if (auto it = m_pools.find(member.id); it != m_pools.end()) {
+        auto pool = it->second;
+        m_pools.erase(it);
+        pool->shutDown("the member started again");
+    }
+    auto& belief = m_view.members.at(member.id);
+    if (!member.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), belief))
+        return;
+    auto askedAt = Clock::now();
+    inquire(belief.getTarget(), [this, id = member.id, group = member.group, askedAt](const StatusReport& report) {
+        auto& belief = m_view.groups[group];
+        if (report.status.isPrimary && !lacksFloor(belief, report.status.received, askedAt))
+            takeLead(group, decisions::takeProof(belief.lead, id, report.status.term), "proof");
+    });
+}
+
 void Gateway::takeUnlisted(const std::string& id, uint64_t revision, std::string_view source)
 {
     if (takeMemberGone(m_view, id, revision, Clock::now()))
@@ -555,7 +599,7 @@
     }
     for (auto& [id, member] : m_view.members) {
         bool leads = m_view.groups[member.listed.group].lead.member == id;
-        if (!leads || !isCarrier(m_view, m_peers, getPlace(), member))
+        if ((!leads && !mustShow(member)) || !isCarrier(m_view, m_peers, getPlace(), member))
             continue;
         getPool(member.getTarget());
     }
@@ -567,7 +611,7 @@
         pool->setCarrier(carries);
         pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), now));
         pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
-        bool isBehind = member != m_view.members.end() && isFarBehind(m_view.groups[member->second.listed.group], member->second, now);
+        bool isBehind = member != m_view.members.end() && (mustShow(member->second) || isFarBehind(m_view.groups[member->second.listed.group], member->second, now));
         pool->setPositionInterval(isBehind && carries ? kPositionInterval : milliseconds(0));
         pool->sweep(now);
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,7 @@
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
     void inquire(const TargetAddress& target, std::function<void(const StatusReport&)> done);
+    bool hasLostLog(const TargetAddress& target, const Mark& position, TimePoint askedAt);
     void holdWrites(const std::string& member, milliseconds time);
     void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
     void takeFloor(const std::string& group, const decisions::Floor& floor);
@@ -43,6 +44,7 @@
     void fillStatus(peer::Pong& message, TimePoint now) const;
     void takeStatus(const peer::Pong& message, TimePoint sentAt);
     void takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source);
+    void endLife(const links::ListedMember& member);
     void takeUnlisted(const std::string& id, uint64_t revision, std::string_view source);
     void askForMembers(TimePoint now);
     void takeMembers(const peer::MembersAnswer& answer, TimePoint sentAt);
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -46,7 +46,7 @@
 {
     auto now = Clock::now();
     decisions::Candidate candidate;
-    candidate.isUsable = !member.listed.isLeaving && !member.unlistedAt;
+    candidate.isUsable = !member.listed.isLeaving && !member.unlistedAt && !mustShow(member);
     candidate.isLeader = member.listed.id == leader;
     candidate.wasTried = std::ranges::find(routed.tried, member.listed.id) != routed.tried.end();
     candidate.position = decisions::estimatePosition(member.progress, now);
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -227,7 +227,7 @@
     auto self = shared_from_this();
     std::weak_ptr<TargetSession> weak = session;
     session->open(
-        m_target, m_from, kConnectLimit, [self, session](const Outcome& outcome) {
+        m_target, m_from, kConnectLimit, [self, session, askedAt = Clock::now()](const Outcome& outcome) {
             --self->m_opening;
             base::addTo(base::Family::ConnectionsOpened, { { "member", self->m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
             self->m_isSuspect = outcome.error.has_value();
@@ -245,6 +245,12 @@
                 return;
             }
             self->m_observer.onAnswer(self->m_target);
+            // A single write would run on an empty log without a word: the first position that is heard is looked at before anything is sent.
+            if (!self->m_observer.onOpened(self->m_target, outcome.position, askedAt)) {
+                session->close();
+                self->failWaiting({ ErrorKind::NotPrimary, "the member has lost what it held" });
+                return;
+            }
             session->usedAt = Clock::now();
             self->m_sessions.push_back(session);
             self->dispatch(); }, [self, weak](const std::string& reason) {
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -39,6 +39,8 @@
 struct PoolObserver {
     // A target proved that it led after `sentAt`; its log then held `position`.
     std::function<void(const TargetAddress&, const Mark& position, TimePoint sentAt)> onLeads;
+    // A target took a connection that was asked for at `askedAt`, its log at `position`. False: it is not to be used as it is.
+    std::function<bool(const TargetAddress&, const Mark& position, TimePoint askedAt)> onOpened;
     // A target said that it is a replica.
     std::function<void(const TargetAddress&)> onFollows;
     std::function<void(const TargetAddress&, const Mark& position)> onPosition;
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -169,8 +169,11 @@
     if (m_positionInterval.count() == 0 || now - m_positionAskedAt < m_positionInterval)
         return;
     auto session = findQuiet();
-    if (!session)
+    if (!session) {
+        if (m_sessions.empty() && m_opening == 0 && now >= m_noNewBefore)
+            openSession();
         return;
+    }
     m_positionAskedAt = now;
     askNothing(session);
 }
--- a/tests/gateway/failover_test.cpp
+++ b/tests/gateway/failover_test.cpp
@@ -185,4 +185,47 @@
         BOOST_TEST(waitUntil(milliseconds(4000), [&] { return canWrite(rig, i); }));
 }
 
+// It comes back at once, under its id, with nothing of what it had acknowledged, and still calls itself the primary.
+BOOST_AUTO_TEST_CASE(a_primary_that_starts_again_with_nothing_does_not_lead)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    LineCaller writer(rig.getCallerAddress(0), "db0-primary");
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(writer.ask(fmt::format("WRITE item{} 1", i)).isOk());
+    std::this_thread::sleep_for(milliseconds(300)); // replicas have it all
+    auto ran = [&] { return rig.call([&] { return std::ranges::count(rig.getGroup().getRan(), "g0-a", &standins::RanStatement::member); }); };
+    auto before = ran();
+    rig.call([&] {
+        rig.getGroup().beginEmpty("g0-a");
+        rig.getStore().listMembers();
+    });
+    for (unsigned i = 0; i < 3; ++i)
+        BOOST_TEST(waitUntil(milliseconds(5000), [&] { return canWrite(rig, i); }));
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getPrimary(); }) != "g0-a");
+    auto items = rig.call([&] { return rig.getGroup().getItems(); });
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(items.contains(fmt::format("item{}", i)), "item" << i << " was acknowledged and is gone");
+    BOOST_TEST(ran() == before); // nobody's statement ran on the empty log
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return rig.countEvents("member-restarted") >= 3; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_starts_again_with_nothing_is_read_once_it_has_shown_what_it_holds)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    LineCaller writer(rig.getCallerAddress(1), "db0-own");
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(writer.ask(fmt::format("WRITE item{} 1", i)).isOk());
+    rig.call([&] {
+        rig.getGroup().getFaults("g0-b").isDeaf = true;
+        rig.getGroup().beginEmpty("g0-b");
+        rig.getStore().listMembers();
+    });
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return rig.countEvents("member-restarted") >= 3; }));
+    for (int i = 0; i < 200; ++i)
+        BOOST_REQUIRE(writer.ask("READ item3").rows == std::vector<std::string> { "1" });
+    BOOST_TEST(rig.call([&] { return rig.getGroup().getTerm(); }) == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -14,6 +14,8 @@
 using alderward::links::HttpAnswer;
 using Clock = std::chrono::steady_clock;
 
+static constexpr uint64_t kFirstBorn = 1789000000000; // ms since 1970
+
 static std::string encode(const std::string& bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -101,7 +103,7 @@
 {
     for (auto* group : m_groups) {
         for (auto& id : group->getIds()) {
-            json::object entry { { "Service", group->getName() }, { "Address", group->getAddress(id) }, { "Zone", "dc-" + id.substr(id.size() - 1) }, { "Version", "v1" }, { "Slots", 4 }, { "State", m_leaving.contains(id) ? "draining" : "ready" }, { "ColdLeftMs", 0 }, { "DbRole", group->getPrimary() == id ? "primary" : "replica" }, { "Sequence", 1 } };
+            json::object entry { { "Service", group->getName() }, { "Address", group->getAddress(id) }, { "Zone", "dc-" + id.substr(id.size() - 1) }, { "Version", "v1" }, { "Slots", 4 }, { "State", m_leaving.contains(id) ? "draining" : "ready" }, { "ColdLeftMs", 0 }, { "DbRole", group->getPrimary() == id ? "primary" : "replica" }, { "Sequence", 1 }, { "born", kFirstBorn + group->getStarts(id) } };
             auto address = advertised.find(group->getAddress(id));
             if (address != advertised.end())
                 entry["Address"] = address->second;
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -32,6 +32,7 @@
     MemberFaults faults;
     size_t received { 0 }; // entries of the log
     size_t applied { 0 };
+    unsigned starts { 0 }; // after the first
     std::set<std::shared_ptr<Connection>> connections;
     size_t connectionsMost { 0 };
     unsigned busySlots { 0 };
@@ -494,6 +495,19 @@
         it->close();
 }
 
+void LineGroup::beginEmpty(const std::string& id)
+{
+    kill(id);
+    auto& member = m_impl->members.at(id);
+    member.received = member.applied = 0;
+    begin(id);
+}
+
+unsigned LineGroup::getStarts(const std::string& id) const
+{
+    return m_impl->members.at(id).starts;
+}
+
 void LineGroup::begin(const std::string& id)
 {
     auto& member = m_impl->members.at(id);
@@ -503,6 +517,7 @@
         bindPort(m_impl->context, member);
     member.acceptor->listen();
     member.isRunning = true;
+    ++member.starts;
     member.received = member.applied = std::min(member.applied, m_impl->log.size());
     m_impl->accept(member);
     m_impl->spread();
--- a/tests/standins/line_group.h
+++ b/tests/standins/line_group.h
@@ -50,6 +50,9 @@
     // Ends the member's connections and its listening; `begin` brings it back as a replica, or as primary if none was promoted since.
     void kill(const std::string& id);
     void begin(const std::string& id);
+    // Starts a member again at once under its id; it holds nothing of before and, if it was the primary, still calls itself that.
+    void beginEmpty(const std::string& id);
+    unsigned getStarts(const std::string& id) const; // of its process, the first not counted
     size_t getConnections(const std::string& id) const; // open now
     size_t getConnectionsMost(const std::string& id) const; // most at a time
     const std::vector<RanStatement>& getRan() const;
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -180,7 +180,7 @@
     listed.id = "m";
     listed.group = "g";
     listed.dataCentre = "a";
-    takeMember(view, listed, 1, {});
+    takeMember(view, listed, 1, {}, {});
     auto& member = view.members.at("m");
     auto before = getCarriers(view, member);
     BOOST_REQUIRE(before.size() == 3u);
@@ -212,7 +212,7 @@
             dropHost(view, name);
     }
     listed.dataCentre = "b"; // an address or a data centre may be given to another process under the same id
-    takeMember(view, listed, 1, {});
+    takeMember(view, listed, 1, {}, {});
     BOOST_TEST(getCarriers(view, member)[0] == "b1");
     BOOST_TEST(getRankedHosts(view, "g").size() == 3u);
 }
--- a/tests/unit/member_exchange_test.cpp
+++ b/tests/unit/member_exchange_test.cpp
@@ -21,7 +21,7 @@
         if (it.is_unlisted())
             takeMemberGone(view, it.id(), it.revision(), sentAt);
         else
-            takeMember(view, readMember(it), it.revision(), sentAt - milliseconds(it.leaving_ms()));
+            takeMember(view, readMember(it), it.revision(), sentAt - milliseconds(it.leaving_ms()), kStart);
     }
     for (auto& id : findMissing(answer, view))
         takeMemberGone(view, id, answer.revision(), sentAt);
@@ -34,15 +34,15 @@
 BOOST_AUTO_TEST_CASE(only_what_changed_is_told_and_with_its_age)
 {
     ClusterView able;
-    takeMember(able, makeMember("old"), 5, {});
-    takeMember(able, makeMember("leaves", true), 12, kStart);
+    takeMember(able, makeMember("old"), 5, {}, kStart);
+    takeMember(able, makeMember("leaves", true), 12, kStart, kStart);
     peer::MembersAnswer answer;
     writeMembers(answer, able, 5, kStart + milliseconds(3000));
     BOOST_REQUIRE(answer.members_size() == 1);
     BOOST_TEST(answer.members(0).id() == "leaves");
     ClusterView cut;
-    takeMember(cut, makeMember("old"), 5, {});
-    takeMember(cut, makeMember("leaves"), 4, {});
+    takeMember(cut, makeMember("old"), 5, {}, kStart);
+    takeMember(cut, makeMember("leaves"), 4, {}, kStart);
     take(cut, answer, kStart + milliseconds(3000));
     BOOST_TEST((cut.members.at("leaves").leavingSince == kStart)); // not since it was told
     BOOST_TEST((cut.members.at("leaves").listed == able.members.at("leaves").listed));
@@ -52,15 +52,15 @@
 BOOST_AUTO_TEST_CASE(what_is_older_than_what_is_known_changes_nothing)
 {
     ClusterView view;
-    BOOST_TEST(takeMember(view, makeMember("m", true), 9, kStart));
-    BOOST_TEST(!takeMember(view, makeMember("m"), 8, kStart));
+    BOOST_TEST((takeMember(view, makeMember("m", true), 9, kStart, kStart) == MemberChange::Taken));
+    BOOST_TEST((takeMember(view, makeMember("m"), 8, kStart, kStart) == MemberChange::Outdated));
     BOOST_TEST(view.members.at("m").listed.isLeaving);
     BOOST_TEST(!takeMemberGone(view, "m", 8, kStart));
     BOOST_TEST(!view.members.at("m").unlistedAt.has_value());
     BOOST_TEST(takeMemberGone(view, "m", 10, kStart));
-    BOOST_TEST(!takeMember(view, makeMember("m"), 9, kStart)); // the watch brings what was missed, in its order
+    BOOST_TEST((takeMember(view, makeMember("m"), 9, kStart, kStart) == MemberChange::Outdated)); // the watch brings what was missed, in its order
     BOOST_TEST(view.members.at("m").unlistedAt.has_value());
-    BOOST_TEST(takeMember(view, makeMember("m"), 11, kStart));
+    BOOST_TEST((takeMember(view, makeMember("m"), 11, kStart, kStart) == MemberChange::Taken));
     BOOST_TEST(!view.members.at("m").unlistedAt.has_value());
     BOOST_TEST(!takeMemberGone(view, "nobody", 99, kStart));
 }
@@ -70,8 +70,8 @@
     ClusterView able;
     ClusterView cut;
     for (auto* view : { &able, &cut }) {
-        takeMember(*view, makeMember("a"), 1, {});
-        takeMember(*view, makeMember("b"), 2, {});
+        takeMember(*view, makeMember("a"), 1, {}, kStart);
+        takeMember(*view, makeMember("b"), 2, {}, kStart);
     }
     takeMemberGone(able, "a", 7, kStart);
     BOOST_REQUIRE(forgetMembers(able, milliseconds(4000), kStart + milliseconds(5000)).size() == 1);
