--- a/tests/unit/entries_test.cpp
+++ b/tests/unit/entries_test.cpp
@@ -102,7 +102,7 @@
     }
     auto whole = makeEntry();
     for (auto& field : whole) {
-        for (json::value wrong : { json::value(nullptr), json::value(true), json::value(json::array()), json::value(json::object()), json::value(-1), json::value(0.5), json::value(""), json::value(1e300) }) {
+        for (const json::value& wrong : { json::value(nullptr), json::value(true), json::value(json::array()), json::value(json::object()), json::value(-1), json::value(0.5), json::value(""), json::value(1e300) }) {
             bool isCount = field.value().is_number();
             auto entry = whole;
             entry[field.key()] = wrong;
@@ -143,7 +143,7 @@
 {
     BOOST_REQUIRE(isInForce(makeConfiguration()));
     for (auto* name : { "Version", "Routes", "Services", "Limits" }) {
-        for (json::value wrong : { json::value(nullptr), json::value("7"), json::value(-7), json::value(json::array { 1 }) }) {
+        for (const json::value& wrong : { json::value(nullptr), json::value("7"), json::value(-7), json::value(json::array { 1 }) }) {
             auto configuration = makeConfiguration();
             configuration[name] = wrong;
             BOOST_TEST(!isInForce(configuration), name << " is " << json::serialize(wrong));
