--- a/src/gateway/promoter_evidence.cpp
+++ b/src/gateway/promoter_evidence.cpp
@@ -11,7 +11,6 @@
 namespace asio = boost::asio;
 using base::Clock;
 using base::LogClass;
-using decisions::MemberFinding;
 
 static constexpr milliseconds kCatchUpLimit { 800 }; // a planned change waits this long for a replica
 static constexpr milliseconds kHeardAfter { 60 }; // until all hosts have heard that writes wait, and what they had sent has run: one way is 20 ms at most on the sites that were seen
