A host that has just started compares a primary with its replicas before it believes it

Ruled out: waiting for a floor of another host, as all may have been killed; the member's time of birth, as a starting host has nothing to compare it with.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -92,9 +92,9 @@
     return now.sequence < before.sequence;
 }
 
-Mark getNewestFloor(const GroupBelief& group)
+Mark getKnownMark(const GroupBelief& group)
 {
-    return group.floors.isEmpty() ? Mark {} : group.floors.floors.back().mark;
+    return group.floors.isEmpty() ? group.heldByReplicas : std::max(group.heldByReplicas, group.floors.floors.back().mark);
 }
 
 // Addresses and rankings go by id; all that was seen of the process goes with it. Floors are the group's: what was acknowledged stays so.
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -29,6 +29,9 @@
     TimePoint pendingUntil {}; // a change of primary was ordered; until then the new one may not know yet that it leads
     TimePoint provenAt {}; // when the primary last showed this host itself that it leads
     std::vector<std::string> members {}; // ids
+    bool isComparing { false }; // its replicas are being asked what they hold
+    bool wasCompared { false };
+    Mark heldByReplicas {}; // as they answered then
 };
 
 // Hosts in the order in which they are asked, kept between uses. See getCarriers() and getRankedHosts().
@@ -84,8 +87,10 @@
 // Whether two entries under one id come from different runs of a process. A time of start that differs says so, whichever is later: clocks are set.
 // Where one of them does not say it, a count that went back does.
 bool isOtherLife(const links::MemberLife& before, const links::MemberLife& now);
-// The newest floor. A primary that is asked from now on holds it, or has lost its log.
-Mark getNewestFloor(const GroupBelief& group);
+// The newest floor, or what a replica holds. A primary that is asked from now on holds it, or has lost its log.
+Mark getKnownMark(const GroupBelief& group);
+// Whether that can be told: a host that has just started knows no floor, and a primary that started again with nothing would be believed.
+inline bool canTellLostLog(const GroupBelief& group) { return !group.floors.isEmpty() || group.wasCompared; }
 bool takeMemberGone(ClusterView& view, const std::string& id, uint64_t revision, TimePoint now);
 // Forgets members that were unlisted for longer than `keep`. Returns their ids.
 std::vector<std::string> forgetMembers(ClusterView& view, milliseconds keep, TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,17 +165,51 @@
 // Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
 PoolLimits Gateway::getLimits(const TargetAddress& target) const
 {
+        pool->setAwaitsComparison(mustCompare(target));
     auto group = m_view.configuration.groups.find(target.group);
     auto most = group == m_view.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
     auto member = m_view.members.find(target.member);
     auto slots = member == m_view.members.end() ? 1U : std::max(1U, member->second.listed.slots);
+bool Gateway::mustCompare(const TargetAddress& target)
+{
+    auto& group = m_view.groups[target.group];
+    if (group.lead.member != target.member || canTellLostLog(group))
+        return false;
+    compareWithReplicas(target.group);
+    return !group.wasCompared;
+}
+
+// A host that has just started knows no floor, and would take the word of a primary that started again with nothing. Replicas of its term hold nothing
+// that it lacks, unless it lost its log. Two connections a group at a carrier's start; those that do not answer are waited for kInquiryLimit.
+void Gateway::compareWithReplicas(const std::string& name)
+{
+    auto& group = m_view.groups[name];
+    if (group.isComparing)
+        return;
+    group.isComparing = true;
+    auto replicas = group.members;
+    std::erase(replicas, group.lead.member);
+    group.wasCompared = replicas.empty();
+    auto left = std::make_shared<size_t>(replicas.size());
+    for (auto& id : replicas) {
+        inquire(m_view.members.at(id).getTarget(), [this, name, left](const StatusReport& report) {
+            auto& group = m_view.groups[name];
+            if (report.status.term != 0)
+                group.heldByReplicas = std::max(group.heldByReplicas, report.status.received);
+            group.wasCompared = --*left == 0;
+            if (group.wasCompared)
+                base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(name) }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
+        });
+    }
+}
+
     return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 };
 }
 
 PoolObserver Gateway::makeObserver()
 {
     PoolObserver observer;
-    observer.getKnown = [this](const TargetAddress& target) { return getNewestFloor(m_view.groups[target.group]); };
+    observer.getKnown = [this](const TargetAddress& target) { return getKnownMark(m_view.groups[target.group]); };
     observer.onLostLog = [this](const TargetAddress& target, const Mark& position) {
         base::logEvent(LogClass::State, "primary-lost-log", { { "group", std::string_view(target.group) }, { "member", std::string_view(target.member) }, { "term", static_cast<int64_t>(position.term) }, { "position", static_cast<int64_t>(position.position) } });
         takeLead(target.group, decisions::takeDenial(m_view.groups[target.group].lead, target.member), "denied");
@@ -424,7 +458,7 @@
     auto& belief = m_view.members.at(member.id);
     if (!member.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), belief))
         return;
-    auto known = getNewestFloor(m_view.groups[member.group]);
+    auto known = getKnownMark(m_view.groups[member.group]);
     inquire(belief.getTarget(), [this, id = member.id, group = member.group, known](const StatusReport& report) {
         if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
             takeLead(group, decisions::takeProof(m_view.groups[group].lead, id, report.status.term), "proof");
@@ -593,6 +627,7 @@
         auto member = m_view.members.find(id);
         bool leads = member != m_view.members.end() && m_view.groups[member->second.listed.group].lead.member == id;
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
+        pool->setAwaitsComparison(mustCompare(pool->getTarget()));
         bool carries = member != m_view.members.end() && isCarrier(m_view, m_peers, getPlace(), member->second);
         pool->setCarrier(carries);
         pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), now));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,6 +31,8 @@
     void sweepStop(TimePoint now);
     std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
     PoolLimits getLimits(const TargetAddress& target) const;
+    void compareWithReplicas(const std::string& group);
+    bool mustCompare(const TargetAddress& target);
     PoolObserver makeObserver();
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -107,10 +107,16 @@
     return mayWrite && now < m_holdUntil;
 }
 
+static bool needsLeader(const Order& order)
+{
+    bool isWrite = order.kind == OrderKind::Single && order.statement.isWrite;
+    return isWrite || order.kind == OrderKind::ProvenSingle || (order.kind == OrderKind::Begin && !order.isReadOnly);
+}
+
 bool TargetPool::isRunnable(const Job& job, TimePoint now) const
 {
     auto& order = job.order;
-    if (now < job.notBefore || isHeld(job, now))
+    if (now < job.notBefore || isHeld(job, now) || (m_awaitsComparison && needsLeader(order)))
         return false;
     if (order.kind == OrderKind::Continue) {
         auto it = m_transactions.find(order.transaction);
@@ -192,6 +198,8 @@
 // As many connections as statements wait for, within the limits.
 void TargetPool::openSessions(TimePoint now)
 {
+    if (m_awaitsComparison) // the first position that a connection tells is compared with what is known then
+        return;
     auto needed = countWaitingForConnection();
     auto wanted = std::min<size_t>(needed, m_limits.running) + m_transactions.size() + m_running.size();
     auto most = std::min<size_t>(wanted, m_limits.connections);
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -89,6 +89,8 @@
     bool isCarrier() const { return m_isCarrier; }
     // Whether operations may begin at the target; else those that wait here are given back unsent, and transactions go on.
     void setTakesNew(bool takesNew) { m_takesNew = takesNew; }
+    // Whether what only a leader may run waits: it is being found out whether the target still holds its log.
+    void setAwaitsComparison(bool awaits) { m_awaitsComparison = awaits; }
     // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
     void shutDown(const std::string& reason);
     // Statements that write wait until then: a planned change of primary is under way.
@@ -186,6 +188,7 @@
     bool m_isDispatching { false };
     bool m_isCarrier { true };
     bool m_takesNew { true };
+    bool m_awaitsComparison { false };
 };
 
 }
--- a/tests/unit/member_life_test.cpp
+++ b/tests/unit/member_life_test.cpp
@@ -63,9 +63,9 @@
 BOOST_AUTO_TEST_CASE(a_primary_that_holds_less_than_it_acknowledged_has_lost_its_log)
 {
     GroupBelief group;
-    BOOST_TEST(!decisions::hasLostLog(getNewestFloor(group), { 1, 0 })); // nothing is known of it
+    BOOST_TEST(!decisions::hasLostLog(getKnownMark(group), { 1, 0 })); // nothing is known of it
     group.floors = decisions::takeFloor({}, { { 2, 50 }, kStart });
-    auto known = getNewestFloor(group); // when it is asked: answers that overtake each other do not matter
+    auto known = getKnownMark(group); // when it is asked: answers that overtake each other do not matter
     group.floors = decisions::takeFloor(group.floors, { { 2, 60 }, kStart + milliseconds(500) });
     BOOST_TEST(decisions::hasLostLog(known, { 2, 49 }));
     BOOST_TEST(!decisions::hasLostLog(known, { 2, 50 }));
