Hosts of a data centre hear of members through two relays

Cause: each host kept up an exchange with the carriers of all members (52 partners at 295 hosts and 60 members), and each carrier answered all hosts: H x M links, all pinged each 750 ms, most of what crosses between regions. Each host also looked every 20 ms at all members for what it carries, told its links of each host that came one by one (H x H copies at a start), and at a primary's death all hosts alarmed three orderers ten times a second. Now: the two watchers of a data centre exchange with carriers, the others with these (docs/design/0010-relays.md: soundness, failures, what was ruled out); links to other hosts are pinged while an answer is awaited for 60 ms; placement is looked at when a host, a member or a lead changes, at least each 500 ms; alarms of all hosts for one group come to 300 a second at most.

--- a/src/decisions/watching.cpp
+++ b/src/decisions/watching.cpp
@@ -8,12 +8,22 @@
 static constexpr double kRetryMostMs = 1000; // how late the store's return may be noticed
 static constexpr unsigned kDoublingsMost = 10;
 
+std::vector<std::string> chooseWatchers(const std::vector<WatcherHost>& ranked)
+{
+    std::vector<std::string> names;
+    for (bool hasStore : { true, false }) {
+        for (auto& it : ranked) {
+            if (it.hasStore == hasStore && names.size() < kWatchersOfDataCentre)
+                names.push_back(it.name);
+        }
+    }
+    return names;
+}
+
 bool isWatcher(const std::string& self, const std::vector<WatcherHost>& ranked)
 {
-    auto order = ranked;
-    std::ranges::stable_partition(order, &WatcherHost::hasStore);
-    auto it = std::ranges::find(order, self, &WatcherHost::name);
-    return it != order.end() && static_cast<size_t>(it - order.begin()) < kWatchersOfDataCentre;
+    auto names = chooseWatchers(ranked);
+    return std::ranges::find(names, self) != names.end();
 }
 
 milliseconds getWatchPause(milliseconds previous, bool wasAtOnce)
--- a/src/decisions/watching.h
+++ b/src/decisions/watching.h
@@ -20,6 +20,7 @@
 // Whether `self` is one of the watchers. `ranked`: the usable hosts of its data centre, in an order that all agree on. One that has lost the store
 // answers the others and hears of nothing: it is passed over while there are others.
 bool isWatcher(const std::string& self, const std::vector<WatcherHost>& ranked);
+std::vector<std::string> chooseWatchers(const std::vector<WatcherHost>& ranked);
 
 // The pause after a watch that answered, before the next. Changes that come in a row, as when all hosts start, are taken together: `wasAtOnce`,
 // they stood ready when the watch was sent. Members that register within five seconds of a start cost each host five calls in place of twenty.
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -85,6 +85,16 @@
     return getRanked(view, group, "");
 }
 
+const std::vector<std::string>& getRelayOrder(ClusterView& view, const std::string& dataCentre)
+{
+    return getRanked(view, "watchers of " + dataCentre, dataCentre);
+}
+
+const std::vector<std::string>& getNeighbours(ClusterView& view, const std::string& self)
+{
+    return getRanked(view, "neighbours of " + self, "");
+}
+
 bool isOtherLife(const links::MemberLife& before, const links::MemberLife& now)
 {
     if (before.born != 0 && now.born != 0)
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -47,6 +47,7 @@
     std::map<std::string, links::ListedHost> hosts {}; // by name, this one included; changed through takeHost() and dropHost()
     std::map<std::string, Ranking> rankings {}; // by member or group
     bool hasMembers { false }; // the list of members was read at least once
+    bool isPlacementDue { true }; // who leads, or what there is, has changed since this host last looked what it carries
     uint64_t membersRevision { 0 }; // of the newest change of a member that is known
     uint64_t forgottenRevision { 0 }; // of the newest one of a member that was forgotten since
 };
@@ -76,6 +77,11 @@
 // All hosts in the order in which they are asked to be in charge of a group.
 const std::vector<std::string>& getRankedHosts(ClusterView& view, const std::string& group);
 
+// The hosts of a data centre in the order in which they are asked to watch the store for it and to relay, then all others.
+const std::vector<std::string>& getRelayOrder(ClusterView& view, const std::string& dataCentre);
+// All other hosts, in an order of this host's own: it keeps in touch with the first few, so that each is known to a few others.
+const std::vector<std::string>& getNeighbours(ClusterView& view, const std::string& self);
+
 // Takes the members as listed now. Those that are missing are marked, not dropped: a leader may still serve.
 // `revision`: of the change in the store. `leavingSince`: what to believe of a member that is listed as leaving and was not known to.
 enum class MemberChange {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/families.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "decisions/relaying.h"
 #include "gateway/member_exchange.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -30,7 +31,8 @@
 static constexpr milliseconds kProofMissed { 1500 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, pings each second at most
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
-static constexpr milliseconds kAlarmInterval { 100 }; // between two alarms to other hosts on one group
+static constexpr milliseconds kPlacementInterval { 500 }; // at most, between two looks at what this host carries while nothing that decides it changed
+static constexpr milliseconds kRelayAskedFor { 2000 }; // a host that others ask what it hears goes on relaying this long
 static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
@@ -127,6 +129,11 @@
     return m_view.configuration.version > 0 && m_view.hasMembers && !m_isDraining;
 }
 
+HostPlace Gateway::getPlace() const
+{
+    return { m_self.name, m_settings.dataCentre, m_isDraining, m_directory.isReachable(), Clock::now() - m_askedToRelayAt < kRelayAskedFor };
+}
+
 void Gateway::noteReadiness()
 {
     if (isReady() == m_wasReady)
@@ -158,18 +165,11 @@
         pool->setLimits(getLimits(target));
         auto member = m_view.members.find(target.member);
         pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), Clock::now()));
+        pool->setAwaitsComparison(mustCompare(target));
     }
     return pool;
 }
 
-// Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
-PoolLimits Gateway::getLimits(const TargetAddress& target) const
-{
-        pool->setAwaitsComparison(mustCompare(target));
-    auto group = m_view.configuration.groups.find(target.group);
-    auto most = group == m_view.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
-    auto member = m_view.members.find(target.member);
-    auto slots = member == m_view.members.end() ? 1U : std::max(1U, member->second.listed.slots);
 bool Gateway::mustCompare(const TargetAddress& target)
 {
     auto& group = m_view.groups[target.group];
@@ -197,12 +197,20 @@
             if (report.status.term != 0)
                 group.heldByReplicas = std::max(group.heldByReplicas, report.status.received);
             group.wasCompared = --*left == 0;
+            m_view.isPlacementDue = m_view.isPlacementDue || group.wasCompared;
             if (group.wasCompared)
                 base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(name) }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
         });
     }
 }
 
+// Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
+PoolLimits Gateway::getLimits(const TargetAddress& target) const
+{
+    auto group = m_view.configuration.groups.find(target.group);
+    auto most = group == m_view.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
+    auto member = m_view.members.find(target.member);
+    auto slots = member == m_view.members.end() ? 1U : std::max(1U, member->second.listed.slots);
     return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 };
 }
 
@@ -262,7 +270,7 @@
     m_promoter.raiseAlarm(group, reason);
     auto now = Clock::now();
     auto& alarmedAt = m_alarmedAt[group];
-    if (now - alarmedAt < kAlarmInterval)
+    if (now - alarmedAt < decisions::getAlarmInterval(m_view.hosts.size()))
         return;
     alarmedAt = now;
     auto& leader = m_view.groups[group].lead.member;
@@ -285,6 +293,7 @@
     current = lead;
     if (!isNews)
         return;
+    m_view.isPlacementDue = true;
     m_promoter.noteNewLead(group);
     base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
 }
@@ -301,7 +310,7 @@
     return it != m_view.members.end() && it->second.troubleAt != TimePoint {} && Clock::now() - it->second.troubleAt < kTroubleFor;
 }
 
-void Gateway::fillStatus(peer::Pong& message, TimePoint now) const
+void Gateway::fillStatus(peer::Pong& message) const
 {
     message.set_configuration(m_view.configuration.version);
     message.set_change(m_directory.getNewestChange());
@@ -309,7 +318,6 @@
     auto ability = m_promoter.getAbility();
     message.set_lacks_store(!ability.hasStore);
     message.set_lacks_orders(!ability.hasOrders);
-    writeGroups(message, m_view, now);
 }
 
 void Gateway::takeStatus(const peer::Pong& message, TimePoint sentAt)
@@ -357,17 +365,23 @@
         ping.set_change(m_directory.getNewestChange());
         ping.set_is_leaving(m_isDraining);
     };
-    service.fillPong = [this](peer::Pong& pong) {
+    service.fillPong = [this](const peer::Ping& ping, peer::Pong& pong) {
         auto now = Clock::now();
-        fillStatus(pong, now);
+        fillStatus(pong);
+        writeGroups(pong, m_view, ping.wants_heard(), now);
+        if (ping.wants_heard()) {
+            m_partnersDue = m_partnersDue || now - m_askedToRelayAt > kRelayAskedFor;
+            m_askedToRelayAt = now;
+            m_peers.writeHeard(pong, ping.wants_loads());
+        }
         for (auto& [member, pool] : m_pools) {
             bool isOfUse = pool->isCarrier() || isTroubled(pool->getTarget());
             if (!isOfUse)
                 continue;
-            auto& wire = *pong.add_loads();
-            writeLoad(wire, member, pool->getLoad(), isTroubled(pool->getTarget()));
-            writePosition(wire, m_view, now);
+            writeLoad(*pong.add_loads(), member, pool->getLoad(), isTroubled(pool->getTarget()));
         }
+        for (auto& wire : *pong.mutable_loads())
+            writePosition(wire, m_view, now);
     };
     service.onPing = [this](const std::string&, const peer::Ping& ping) {
         m_directory.refreshConfiguration(ping.configuration());
@@ -402,7 +416,9 @@
     events.onConfiguration = [this](const links::GatewayConfiguration& configuration) {
         base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_view.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
         m_view.configuration = configuration;
-        m_peers.setQuietPingInterval(decisions::getPingInterval(getLeastAge(configuration)));
+        m_view.isPlacementDue = true;
+        m_quietInterval = decisions::getPingInterval(getLeastAge(configuration));
+        m_partnersDue = true;
     };
     events.onMember = [this](const links::ListedMember& member, uint64_t revision, bool isRecent) {
         auto now = Clock::now();
@@ -415,7 +431,7 @@
             return;
         m_hostsGoneAt.erase(host.name);
         takeHost(m_view, host);
-        tellPeers();
+        m_hostsDue = true;
     };
     events.onHostGone = [this](const std::string& name) {
         if (name != m_self.name && m_view.hosts.contains(name))
@@ -439,6 +455,7 @@
         endLife(member);
     takeRoleChange(before, member);
     m_partnersDue = m_partnersDue || !wasKnown;
+    m_view.isPlacementDue = true;
     before.life = member.life; // its count moves with every word of it
     if (before == member && !wasUnlisted)
         return;
@@ -522,6 +539,7 @@
     for (auto& [name, it] : m_view.hosts)
         hosts.push_back(it);
     m_peers.setHosts(hosts);
+    m_hostsDue = false;
     m_partnersDue = true;
 }
 
@@ -534,15 +552,22 @@
             continue;
         m_hostsGoneAt.erase(name);
         dropHost(m_view, name);
-        tellPeers();
+        m_hostsDue = true;
     }
+    if (m_hostsDue)
+        tellPeers();
     if (!m_partnersDue && now - m_partnersAt < kPartnersInterval)
         return;
     m_partnersDue = false;
     m_partnersAt = now;
     // Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
-    m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOtherOrderers()));
-    m_directory.setWatcher(isStoreWatcher(m_view, m_peers, getPlace(), m_directory.isReachable()));
+    m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOrdererPlace(), m_quietInterval));
+    auto relays = getRelays(m_view, m_peers, getPlace());
+    m_directory.setWatcher(std::ranges::find(relays, m_self.name) != relays.end());
+    if (relays == m_relays)
+        return;
+    m_relays = relays;
+    base::logEvent(LogClass::State, "relays", { { "hosts", std::string_view(fmt::format("{}", fmt::join(relays, " "))) } });
 }
 
 // Asks a member for its status on a connection of its own. Any answer to ordinary statements meanwhile shows that it lives, too.
@@ -617,24 +642,41 @@
         it->second->shutDown("the member is gone");
         m_pools.erase(it);
     }
+    bool isPlacementDue = m_view.isPlacementDue || m_placedVersion != m_peers.getVersion() || now - m_placedAt >= kPlacementInterval;
+    if (isPlacementDue)
+        placePools(now);
+    for (auto& [id, pool] : m_pools) {
+        auto member = m_view.members.find(id);
+        bool isKnown = member != m_view.members.end();
+        pool->setTakesNew(isKnown && takesNewOperations(member->second, getDrainTime(), now));
+        bool isBehind = isKnown && (mustShow(member->second) || isFarBehind(m_view.groups[member->second.listed.group], member->second, now));
+        pool->setPositionInterval(isBehind && pool->isCarrier() ? kPositionInterval : milliseconds(0));
+        pool->sweep(now);
+    }
+}
+
+// What this host carries changes when a host or a member comes, goes or changes its role. Walking all members each 20 ms for it took a fifth of an
+// idle host's processor time at 295 hosts and 60 members.
+void Gateway::placePools(TimePoint now)
+{
+    m_view.isPlacementDue = false;
+    m_placedVersion = m_peers.getVersion();
+    m_placedAt = now;
+    auto place = getPlace();
     for (auto& [id, member] : m_view.members) {
         bool leads = m_view.groups[member.listed.group].lead.member == id;
-        if ((!leads && !mustShow(member)) || !isCarrier(m_view, m_peers, getPlace(), member))
-            continue;
-        getPool(member.getTarget());
+        if ((leads || mustShow(member)) && isCarrier(m_view, m_peers, place, member))
+            getPool(member.getTarget());
     }
     for (auto& [id, pool] : m_pools) {
         auto member = m_view.members.find(id);
-        bool leads = member != m_view.members.end() && m_view.groups[member->second.listed.group].lead.member == id;
+        bool isKnown = member != m_view.members.end();
+        bool leads = isKnown && m_view.groups[member->second.listed.group].lead.member == id;
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
         pool->setAwaitsComparison(mustCompare(pool->getTarget()));
-        bool carries = member != m_view.members.end() && isCarrier(m_view, m_peers, getPlace(), member->second);
+        bool carries = isKnown && isCarrier(m_view, m_peers, place, member->second);
         pool->setCarrier(carries);
-        pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), now));
         pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
-        bool isBehind = member != m_view.members.end() && (mustShow(member->second) || isFarBehind(m_view.groups[member->second.listed.group], member->second, now));
-        pool->setPositionInterval(isBehind && carries ? kPositionInterval : milliseconds(0));
-        pool->sweep(now);
     }
 }
 
@@ -652,6 +694,7 @@
     if (m_isDraining)
         return;
     m_isDraining = true;
+    m_view.isPlacementDue = true;
     m_stopBegan = Clock::now();
     base::logEvent(LogClass::State, "stop-begins", { { "sessions", static_cast<int64_t>(m_sessions.size()) }, { "grace_ms", static_cast<int64_t>(m_settings.graceMs) } });
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,11 +28,12 @@
     void accept();
     void sweep();
     void sweepPools(TimePoint now);
+    void placePools(TimePoint now);
     void sweepStop(TimePoint now);
     std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
-    PoolLimits getLimits(const TargetAddress& target) const;
     void compareWithReplicas(const std::string& group);
     bool mustCompare(const TargetAddress& target);
+    PoolLimits getLimits(const TargetAddress& target) const;
     PoolObserver makeObserver();
     PeerService makePeerService();
     DirectoryEvents makeDirectoryEvents();
@@ -42,7 +43,7 @@
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
-    void fillStatus(peer::Pong& message, TimePoint now) const;
+    void fillStatus(peer::Pong& message) const;
     void takeStatus(const peer::Pong& message, TimePoint sentAt);
     void takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source);
     void endLife(const links::ListedMember& member);
@@ -53,7 +54,7 @@
     void tellPeers();
     void sweepHosts(TimePoint now);
     milliseconds getDrainTime() const { return milliseconds(m_settings.memberDrainMs); }
-    HostPlace getPlace() const { return { m_self.name, m_settings.dataCentre, m_isDraining }; }
+    HostPlace getPlace() const;
     boost::asio::awaitable<links::HttpAnswer> answerReady(links::HttpRequest request);
     void noteReadiness();
     void measure() const;
@@ -73,6 +74,12 @@
     TimePoint m_membersAskedAt {}; // when another host was last asked, the store being lost
     TimePoint m_partnersAt {}; // when partners were last chosen
     bool m_partnersDue { true };
+    bool m_hostsDue { false }; // hosts came or went since the parts that talk to them were told
+    std::vector<std::string> m_relays {}; // of this host's data centre, as last chosen
+    TimePoint m_askedToRelayAt {}; // when another host last asked what this one hears
+    milliseconds m_quietInterval { decisions::kPingIntervalLeast }; // between exchanges that nothing else calls for
+    TimePoint m_placedAt {}; // when this host last looked which members it carries to
+    uint64_t m_placedVersion { 0 }; // of the other hosts, then
     std::map<std::string, TimePoint> m_alarmedAt; // by group: when other hosts were last told
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -76,7 +76,7 @@
     m_service.onPing(peer->host, ping);
     peer::Frame reply;
     reply.mutable_pong()->set_number(ping.number());
-    m_service.fillPong(*reply.mutable_pong());
+    m_service.fillPong(ping, *reply.mutable_pong());
     sendFrame(*peer->channel, reply);
 }
 
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -18,7 +18,7 @@
     std::function<void(const std::string& host, const std::string& group, const std::string& member, uint64_t term)> onLead; // `host` ordered it
     // Fills in what this host knows and tells with each exchange.
     std::function<void(peer::Ping&)> fillPing;
-    std::function<void(peer::Pong&)> fillPong;
+    std::function<void(const peer::Ping&, peer::Pong&)> fillPong;
     // Takes what another host tells. `sentAt` is before the time at which it was told.
     std::function<void(const std::string& host, const peer::Ping&)> onPing;
     std::function<void(const std::string& host, const peer::Pong&, TimePoint sentAt)> onPong;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -1,4 +1,5 @@
 #include "gateway/peers.h"
+#include "decisions/relaying.h"
 #include <algorithm>
 
 namespace alderward::gateway {
@@ -7,7 +8,8 @@
 using decisions::ErrorKind;
 
 static constexpr milliseconds kPingInterval { 250 }; // where orders are under way: bounds how late a silent host is noticed
-static constexpr milliseconds kUnusedFor { 5000 }; // a connection to a host that is no partner is closed after this
+static constexpr milliseconds kUnusedFor { 20000 }; // a connection to a host that is no partner is closed after this; idle, it costs a descriptor and the kernel's probes
+static constexpr milliseconds kHeardFor { 2000 }; // what another host told counts this long: longer than two exchanges that fail
 static constexpr milliseconds kSilentLimit { 700 }; // without any answer to a ping, the host counts as down
 static constexpr milliseconds kConnectLimit { 250 }; // connecting takes one way there and back, 40 ms at most on the sites that were seen; a host that is not up yet swallows it
 static constexpr milliseconds kConnectUsual { 100 }; // a host that takes longer to connect to is passed over until it is connected
@@ -21,13 +23,14 @@
     OrderDone done;
     std::string member;
     TimePoint limit;
+    TimePoint sentAt;
 };
 
 // A connection that this host opened.
 struct Peers::Link {
     links::ListedHost host;
     std::shared_ptr<links::Channel> channel;
-    bool isPartner { false };
+    Partner partner {};
     bool isUp { true };
     bool isLeaving { false };
     decisions::Ability ability {};
@@ -44,9 +47,12 @@
     std::map<uint64_t, TimePoint> pings; // unanswered: when sent
     std::unordered_map<uint64_t, Call> calls;
     std::unordered_map<uint64_t, std::function<void(const StatusReport&)>> inquiries;
-    std::map<std::string, peer::Load> loads;
+    Loads loads;
+    std::set<std::string> unusable; // other hosts, as a relay said last
+    bool wasConnecting { false }; // at the last sweep, and too long for it to count as up
     std::map<std::string, TimePoint> lacked; // members that it did not know, and when it said so
     double distanceMs { kDistanceGuessMs };
+    bool isPartner() const { return partner.interval.count() > 0; }
 };
 
 Peers::Peers(boost::asio::io_context& context, std::string name, PeerService service)
@@ -79,22 +85,26 @@
             link->host = known->second;
             continue;
         }
-        bool wasPartner = link->isPartner;
+        auto partner = link->partner;
         m_links.erase(name);
         loseLink(link, "the host is gone or has moved");
-        if (known != m_hosts.end() && wasPartner)
-            makeLink(name)->isPartner = true;
+        if (known != m_hosts.end() && link->isPartner())
+            makeLink(name)->partner = partner;
     }
+    std::erase_if(m_toldLoads, [&](auto& it) { return !m_hosts.contains(it.first); });
+    ++m_version;
 }
 
-void Peers::setPartners(const std::set<std::string>& names)
+void Peers::setPartners(const Partners& partners)
 {
-    for (auto& name : names) {
+    for (auto& [name, partner] : partners) {
         if (!m_links.contains(name) && m_hosts.contains(name))
             makeLink(name);
     }
-    for (auto& [name, link] : m_links)
-        link->isPartner = names.contains(name);
+    for (auto& [name, link] : m_links) {
+        auto it = partners.find(name);
+        link->partner = it == partners.end() ? Partner {} : it->second;
+    }
 }
 
 Peers::LinkPtr Peers::makeLink(const std::string& host)
@@ -134,8 +144,10 @@
     link->noConnectBefore = Clock::now() + kReconnectPause;
     link->loads.clear();
     link->lacked.clear();
+    link->unusable.clear();
     if (link->isUp) {
         link->isUp = false;
+        ++m_version;
         m_service.onLink(link->host.name, false, reason);
     }
     auto calls = std::move(link->calls);
@@ -155,10 +167,16 @@
 {
     auto it = m_links.find(host);
     if (it == m_links.end())
-        return m_hosts.contains(host);
+        return m_hosts.contains(host) && !isToldUnusable(host, {});
     auto& link = *it->second;
     bool isConnected = link.channel && link.channel->wasConnected();
-    return link.isUp && (isConnected || Clock::now() - link.connectedAt < kConnectUsual);
+    return link.isUp && (isConnected || Clock::now() - link.connectedAt < kConnectUsual) && !isToldUnusable(host, link.heardAt);
+}
+
+// What this host has heard itself goes before what relays say.
+bool Peers::isToldUnusable(const std::string& host, TimePoint heardAt) const
+{
+    return !m_unusable.empty() && m_unusable.contains(host) && Clock::now() - heardAt > kHeardFor;
 }
 
 bool Peers::isAnswering(const std::string& host) const
@@ -187,13 +205,17 @@
 
 std::optional<peer::Load> Peers::getLoad(const std::string& host, const std::string& member) const
 {
-    auto it = m_links.find(host);
-    if (it == m_links.end())
-        return std::nullopt;
-    auto load = it->second->loads.find(member);
-    if (load == it->second->loads.end())
-        return std::nullopt;
-    return load->second;
+    const TimedLoad* newest = nullptr;
+    auto look = [&](const Loads& loads) {
+        auto it = loads.find(member);
+        if (it != loads.end() && (!newest || it->second.at > newest->at))
+            newest = &it->second;
+    };
+    if (auto it = m_links.find(host); it != m_links.end())
+        look(it->second->loads);
+    if (auto it = m_toldLoads.find(host); it != m_toldLoads.end())
+        look(it->second);
+    return newest ? std::optional(newest->load) : std::nullopt;
 }
 
 bool Peers::lacksMember(const std::string& host, const std::string& member) const
@@ -220,6 +242,8 @@
     decisions::HostsInReach hosts;
     auto now = Clock::now();
     for (auto& [name, link] : m_links) {
+        if (!link->isPartner()) // it may have fallen silent long ago
+            continue;
         bool isAnswering = link->isUp && link->wasHeard;
         bool wasAnswering = link->pongAt != TimePoint {} && now - link->pongAt < decisions::kLostCountsFor;
         if (isAnswering)
@@ -252,7 +276,7 @@
     auto& wire = *frame.mutable_order();
     wire.set_call(++link->lastCall);
     writeOrder(wire, target, order, Clock::now());
-    link->calls[link->lastCall] = { std::move(done), target.member, order.deadline + kAnswerSlack };
+    link->calls[link->lastCall] = { std::move(done), target.member, order.deadline + kAnswerSlack, Clock::now() };
     sendFrame(*link->channel, frame);
 }
 
@@ -345,7 +369,7 @@
     } else if (frame.has_answer()) {
         auto& answer = frame.answer();
         if (answer.has_load())
-            link->loads[answer.load().member()] = answer.load();
+            link->loads[answer.load().member()] = { answer.load(), link->heardAt };
         auto it = link->calls.find(answer.call());
         if (it == link->calls.end())
             return; // given up before
@@ -377,18 +401,108 @@
     link->pongAt = now;
     std::chrono::duration<double, std::milli> took = now - sentAt;
     link->distanceMs = link->wasHeard ? link->distanceMs + kDistanceSmoothing * (took.count() - link->distanceMs) : took.count();
+    m_version += link->isLeaving == pong.is_leaving() ? 0 : 1;
     link->isLeaving = pong.is_leaving();
     link->ability = { !pong.lacks_store(), !pong.lacks_orders() };
     for (auto& load : pong.loads())
-        link->loads[load.member()] = load;
+        takeLoad(link, load, sentAt);
+    takeUnusable(link, pong);
     if (!link->wasHeard || !link->isUp) {
         link->wasHeard = true;
         link->isUp = true;
+        ++m_version;
         m_service.onLink(link->host.name, true, "answers");
     }
     m_service.onPong(link->host.name, pong, sentAt);
 }
 
+void Peers::takeLoad(const LinkPtr& link, const peer::Load& load, TimePoint sentAt)
+{
+    if (load.host() == m_name)
+        return;
+    auto& loads = load.host().empty() ? link->loads : m_toldLoads[load.host()];
+    auto at = sentAt - std::chrono::microseconds(load.age_us());
+    auto& known = loads[load.member()];
+    if (known.at <= at)
+        known = { load, at };
+}
+
+// A host that one relay does not reach may be reached by this one all the same, so all of them have to say it.
+void Peers::takeUnusable(const LinkPtr& link, const peer::Pong& pong)
+{
+    if (!link->partner.isRelay)
+        return;
+    std::set<std::string> told { pong.unusable_hosts().begin(), pong.unusable_hosts().end() };
+    if (told == link->unusable)
+        return;
+    link->unusable = std::move(told);
+    auto unusable = link->unusable;
+    for (auto& [name, other] : m_links) {
+        if (other->partner.isRelay && other->isUp && other->wasHeard)
+            std::erase_if(unusable, [&](const std::string& it) { return !other->unusable.contains(it); });
+    }
+    m_version += unusable == m_unusable ? 0 : 1;
+    m_unusable = std::move(unusable);
+}
+
+void Peers::writeHeard(peer::Pong& wire, bool withLoads) const
+{
+    auto now = Clock::now();
+    for (auto& [name, link] : m_links) {
+        if (!link->isPartner())
+            continue;
+        if (!isUsable(name)) {
+            wire.add_unusable_hosts(name);
+            continue;
+        }
+        for (auto& [member, timed] : link->loads) {
+            if (!withLoads || now - timed.at > kHeardFor)
+                continue;
+            auto& load = *wire.add_loads();
+            load = timed.load;
+            load.set_host(name);
+            load.clear_position(); // the newest that is known of the member is added instead, whoever told it
+            load.clear_position_age_us();
+            load.set_age_us(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now - timed.at).count()));
+        }
+    }
+}
+
+bool Peers::isPingDue(const Link& link, TimePoint now) const
+{
+    auto passed = now - link.pingedAt;
+    if (passed < kPingInterval)
+        return false;
+    bool isAwaited = std::ranges::any_of(link.calls, [&](auto& it) { return now - it.second.sentAt > decisions::kOrderUnansweredFor; });
+    return !link.wasHeard || isAwaited || !link.pings.empty() || (link.isPartner() && passed >= link.partner.interval);
+}
+
+void Peers::ping(const LinkPtr& link, TimePoint now)
+{
+    link->pingedAt = now;
+    link->pings[++link->pingNumber] = now;
+    peer::Frame frame;
+    frame.mutable_ping()->set_number(link->pingNumber);
+    frame.mutable_ping()->set_host(m_name);
+    frame.mutable_ping()->set_wants_heard(link->partner.isRelay);
+    frame.mutable_ping()->set_wants_loads(link->partner.tellsLoads);
+    m_service.fillPing(*frame.mutable_ping());
+    sendFrame(*link->channel, frame);
+}
+
+void Peers::endLateCalls(const LinkPtr& link, TimePoint now)
+{
+    std::vector<OrderDone> late;
+    std::erase_if(link->calls, [&](auto& it) {
+        bool isLate = now > it.second.limit;
+        if (isLate)
+            late.push_back(std::move(it.second.done));
+        return isLate;
+    });
+    for (auto& done : late)
+        done(decisions::makeFailure(ErrorKind::StatementTimedOut, "host " + link->host.name + " did not answer in time", true));
+}
+
 void Peers::sweep(TimePoint now)
 {
     std::vector<LinkPtr> links; // callbacks may change the map
@@ -397,7 +511,7 @@
     for (auto& link : links) {
         auto& name = link->host.name;
         if (!link->channel) {
-            if (!link->isPartner && now - link->usedAt > kUnusedFor)
+            if (!link->isPartner() && now - link->usedAt > kUnusedFor)
                 m_links.erase(name);
             else if (now >= link->noConnectBefore)
                 connect(link);
@@ -408,29 +522,15 @@
             loseLink(link, "silent");
             continue;
         }
-        std::vector<OrderDone> late;
-        std::erase_if(link->calls, [&](auto& it) {
-            bool isLate = now > it.second.limit;
-            if (isLate)
-                late.push_back(std::move(it.second.done));
-            return isLate;
-        });
-        for (auto& done : late)
-            done(decisions::makeFailure(ErrorKind::StatementTimedOut, "host " + name + " did not answer in time", true));
-        if (!link->isPartner && link->calls.empty() && now - link->usedAt > kUnusedFor) {
+        bool isConnecting = !link->channel->wasConnected() && now - link->connectedAt > kConnectUsual;
+        m_version += isConnecting == link->wasConnecting ? 0 : 1;
+        link->wasConnecting = isConnecting;
+        endLateCalls(link, now);
+        if (!link->isPartner() && link->calls.empty() && now - link->usedAt > kUnusedFor) {
             m_links.erase(name);
             link->channel->close();
-            continue;
-        }
-        if (now - link->pingedAt < (link->calls.empty() ? m_quietPingInterval : kPingInterval))
-            continue;
-        link->pingedAt = now;
-        link->pings[++link->pingNumber] = now;
-        peer::Frame frame;
-        frame.mutable_ping()->set_number(link->pingNumber);
-        frame.mutable_ping()->set_host(m_name);
-        m_service.fillPing(*frame.mutable_ping());
-        sendFrame(*link->channel, frame);
+        } else if (isPingDue(*link, now))
+            ping(link, now);
     }
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -10,6 +10,15 @@
 
 namespace alderward::gateway {
 
+// A host that this one exchanges with all the time.
+struct Partner {
+    milliseconds interval { 0 }; // between two exchanges while nothing else is under way; 0: no partner
+    bool isRelay { false }; // it is asked what it hears from others
+    bool tellsLoads { false }; // and how busy their connections are
+    friend bool operator==(const Partner&, const Partner&) = default;
+};
+using Partners = std::map<std::string, Partner>; // by name
+
 class Peers {
 public:
     Peers(boost::asio::io_context& context, std::string name, PeerService service);
@@ -18,13 +27,11 @@
     tl::expected<void, std::string> listen(const std::string& address);
     // The hosts that there are. A connection to one that is gone or has another address ends.
     void setHosts(const std::vector<links::ListedHost>& hosts);
-    // The hosts that are pinged all the time; to others a connection is made when something is sent.
-    void setPartners(const std::set<std::string>& names);
-
-    // How often hosts are pinged to which nothing is under way.
-    void setQuietPingInterval(milliseconds interval) { m_quietPingInterval = interval; }
+    // The hosts that are pinged all the time; to others a connection is made when something is sent, and pinged while answers are awaited.
+    void setPartners(const Partners& partners);
 
-    // False after a connection failed or fell silent, until the host answers again. A host without a connection counts as up.
+    // False after a connection failed or fell silent, until the host answers again. A host that this one has not heard lately counts as up, unless all
+    // relays say that it is not.
     bool isUp(const std::string& host) const;
     // Whether the host answered lately on a connection of ours.
     bool isAnswering(const std::string& host) const;
@@ -41,6 +48,10 @@
     bool lacksMember(const std::string& host, const std::string& member) const;
     std::vector<std::string> getUpHosts() const;
     decisions::HostsInReach countInReach() const;
+    // Goes up whenever another host may have become usable or unusable.
+    uint64_t getVersion() const { return m_version; }
+    // What partners told this host, for one that it relays to.
+    void writeHeard(peer::Pong& wire, bool withLoads) const;
 
     // Each order ends with one call of `done`. Returns the number of its transaction on the link for later orders.
     void sendOrder(const std::string& host, const TargetAddress& target, const Order& order, OrderDone done);
@@ -59,6 +70,11 @@
 
 private:
     struct Link;
+    struct TimedLoad {
+        peer::Load load;
+        TimePoint at;
+    };
+    using Loads = std::map<std::string, TimedLoad>; // by member
     using LinkPtr = std::shared_ptr<Link>;
 
     LinkPtr findUp(const std::string& host);
@@ -67,6 +83,12 @@
     void takeFromHost(const LinkPtr& link, std::string_view message);
     void sendToAll(const peer::Frame& frame);
     void takePong(const LinkPtr& link, const peer::Pong& pong);
+    void takeLoad(const LinkPtr& link, const peer::Load& load, TimePoint sentAt);
+    void takeUnusable(const LinkPtr& link, const peer::Pong& pong);
+    void ping(const LinkPtr& link, TimePoint now);
+    bool isPingDue(const Link& link, TimePoint now) const;
+    bool isToldUnusable(const std::string& host, TimePoint heardAt) const;
+    void endLateCalls(const LinkPtr& link, TimePoint now);
     void loseLink(const LinkPtr& link, const std::string& reason);
 
     boost::asio::io_context& m_context;
@@ -75,7 +97,9 @@
     InboundPeers m_inbound;
     std::map<std::string, links::ListedHost> m_hosts; // all that are known
     std::map<std::string, LinkPtr> m_links; // to some of them
-    milliseconds m_quietPingInterval { decisions::kPingIntervalLeast };
+    std::unordered_map<std::string, Loads> m_toldLoads; // of hosts that relays told about
+    std::set<std::string> m_unusable; // as all relays say that answer
+    uint64_t m_version { 0 };
     uint64_t m_lastTransaction { 0 };
 };
 
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -140,16 +140,17 @@
     return names;
 }
 
-std::set<std::string> Promoter::getOtherOrderers() const
+OrdererPlace Promoter::getOrdererPlace() const
 {
-    std::set<std::string> names;
+    OrdererPlace place;
     for (auto& [group, state] : m_states) {
         if (!decisions::findRank(state.succession, m_context.self))
             continue;
+        place.groups.insert(group);
         for (auto& it : state.succession.orderers)
-            names.insert(it.host);
+            place.orderers.insert(it.host);
     }
-    return names;
+    return place;
 }
 
 void Promoter::noteProof(const std::string& group, TimePoint provenAt)
@@ -284,11 +285,11 @@
     state.checkedAt = now;
     if (!isFirst(group))
         return;
-    std::ranges::stable_partition(ranked, [this](const decisions::RankedHost& it) { return canDo(it.orderer.host, decisions::Task::HandOver); });
     bool isSpent = state.spentBelow > 0 || state.mustRenew;
     if (!isSpent && !decisions::isSuccessionDue(state.succession, getLiveOrderers(group, state)))
         return;
     auto ranked = rankLive(group);
+    std::ranges::stable_partition(ranked, [this](const decisions::RankedHost& it) { return canDo(it.orderer.host, decisions::Task::HandOver); });
     state.isWriting = true;
     asio::co_spawn(m_context.context, writeSuccession(group, decisions::makeSuccession(state.succession, ranked), state.revision), asio::detached);
 }
@@ -356,6 +357,7 @@
         auto limits = m_context.view.configuration.groups[group];
         auto successor = decisions::chooseSuccessor(findings, limits.synchronousReplicas, countListed(group));
         auto& current = m_context.view.groups[group].lead;
+        m_context.view.isPlacementDue = true;
         auto newerTerm = decisions::findNewerTerm(findings, lead.term);
         if (leading != findings.end())
             current = decisions::takeProof(current, leading->member, leading->term);
@@ -409,6 +411,7 @@
         }
         if (isDone) {
             takeOrderedLead(m_context.view.groups[group], member, oldTerm + 1, Clock::now());
+            m_context.view.isPlacementDue = true;
             m_context.peers.sendLead(group, member, oldTerm + 1);
             co_return true;
         }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -2,7 +2,7 @@
 // Everything that decides safety stands in decisions/succession.h.
 #pragma once
 #include "decisions/succession.h"
-#include "gateway/peers.h"
+#include "gateway/partners.h"
 #include <boost/asio/awaitable.hpp>
 #include <set>
 
@@ -32,8 +32,8 @@
     void raiseAlarm(const std::string& group, const std::string& reason);
     // The hosts that may order for a group, the holder first.
     std::vector<std::string> getOrderers(const std::string& group) const;
-    // The hosts that this one shares the right to order with, in any group.
-    std::set<std::string> getOtherOrderers() const;
+    // The groups that this host may order for, and the hosts that it shares that with.
+    OrdererPlace getOrdererPlace() const;
     // The primary showed that it leads, to this host or another: an alarm from before is void.
     void noteProof(const std::string& group, TimePoint provenAt);
     // Another member is thought to lead, or none: what was due concerned the one before.
--- a/src/gateway/status_exchange.cpp
+++ b/src/gateway/status_exchange.cpp
@@ -6,22 +6,29 @@
 using std::chrono::microseconds;
 
 static constexpr milliseconds kProofToldFor { 1000 }; // a proof of ours is told to others this long
+static constexpr milliseconds kHeardToldFor { 2000 }; // a floor that was heard; an older one helps no read
 
 static uint64_t getAgeUs(TimePoint since, TimePoint now)
 {
     return static_cast<uint64_t>(duration_cast<microseconds>(now - since).count());
 }
 
-void writeGroups(peer::Pong& wire, const ClusterView& view, TimePoint now)
+void writeGroups(peer::Pong& wire, const ClusterView& view, bool withHeard, TimePoint now)
 {
     for (auto& [name, group] : view.groups) {
-        if (now - group.provenAt > kProofToldFor || group.floors.isEmpty())
+        if (group.floors.isEmpty())
             continue;
         auto& newest = group.floors.floors.back();
+        bool isProven = now - group.provenAt <= kProofToldFor;
+        bool isHeard = withHeard && now - newest.since <= kHeardToldFor;
+        if (!isProven && !isHeard)
+            continue;
         auto& floor = *wire.add_floors();
         floor.set_group(name);
         writeMark(*floor.mutable_mark(), newest.mark);
         floor.set_age_us(getAgeUs(newest.since, now));
+        if (!isProven && group.lead.term != newest.mark.term)
+            continue;
         auto& lead = *wire.add_leads();
         lead.set_group(name);
         lead.set_member(group.lead.member);
--- a/src/gateway/status_exchange.h
+++ b/src/gateway/status_exchange.h
@@ -5,8 +5,8 @@
 
 namespace alderward::gateway {
 
-// Leads and floors that this host has seen for itself: whoever needs a group's floor asks the host that carries to its primary.
-void writeGroups(peer::Pong& wire, const ClusterView& view, TimePoint now);
+// Leads and floors that this host has seen for itself and, `withHeard`, those that others told it (docs/design/0010-relays.md says why they stay sound).
+void writeGroups(peer::Pong& wire, const ClusterView& view, bool withHeard, TimePoint now);
 // Where the member's log stands, if anything is known of it.
 void writePosition(peer::Load& wire, const ClusterView& view, TimePoint now);
 // Positions that another host told. `sentAt` is before the time at which it did.
--- /dev/null
+++ b/tests/gateway/relays_test.cpp
@@ -0,0 +1,163 @@
+// Hosts that hear of members through a few relays of their data centre. A floor must stay fresh whatever becomes of a relay: 1.5 s old at most, or reads
+// have no place but the primary.
+#include "harness/gateway_rig.h"
+#include <algorithm>
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <sstream>
+
+using namespace harness;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr unsigned kHosts = 21; // seven a data centre: the least that relay
+constexpr double kFreshSeconds = 1.5; // as the bounded route of the rig allows
+constexpr milliseconds kReplaceLimit { 4000 }; // silence is noticed after 0.7 s; then others are connected to, on a busy machine
+
+RigShape makeShape()
+{
+    RigShape shape;
+    shape.hosts = kHosts;
+    return shape;
+}
+
+double getFloorAge(GatewayRig& rig, unsigned host)
+{
+    std::istringstream lines(rig.getMetrics(host));
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("alderward_floor_age_seconds{"))
+            return std::stod(line.substr(line.rfind(' ')));
+    }
+    return 1e9;
+}
+
+// The relays that a host named last, by number.
+std::vector<unsigned> findRelays(GatewayRig& rig, unsigned host)
+{
+    std::vector<unsigned> relays;
+    std::istringstream lines(rig.getLog(host));
+    for (std::string line; std::getline(lines, line);) {
+        if (line.find("\"event\":\"relays\"") == std::string::npos)
+            continue;
+        relays.clear();
+        auto text = boost::json::parse(line).at("hosts").as_string();
+        std::istringstream names { std::string(text) };
+        for (std::string name; names >> name;)
+            relays.push_back(static_cast<unsigned>(std::stoul(name.substr(1))));
+    }
+    return relays;
+}
+
+bool isIn(const std::vector<unsigned>& hosts, unsigned host) { return std::ranges::find(hosts, host) != hosts.end(); }
+
+std::vector<unsigned> getOthersOfDataCentre(const std::vector<unsigned>& relays)
+{
+    std::vector<unsigned> hosts;
+    for (unsigned i = 0; i < kHosts; i += 3) { // of the first data centre
+        if (!isIn(relays, i))
+            hosts.push_back(i);
+    }
+    return hosts;
+}
+
+bool waitFresh(GatewayRig& rig, const std::vector<unsigned>& hosts)
+{
+    auto until = Clock::now() + kReplaceLimit;
+    while (Clock::now() < until) {
+        if (std::ranges::all_of(hosts, [&](unsigned it) { return getFloorAge(rig, it) < kFreshSeconds; }))
+            return true;
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    return false;
+}
+
+// Floors stay as young as reads need them for a while: they come all the time, not once.
+bool staysFresh(GatewayRig& rig, const std::vector<unsigned>& hosts)
+{
+    auto until = Clock::now() + milliseconds(1500);
+    while (Clock::now() < until) {
+        for (auto it : hosts) {
+            if (getFloorAge(rig, it) >= kFreshSeconds)
+                return false;
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    return true;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(relays)
+
+BOOST_AUTO_TEST_CASE(hosts_agree_on_two_relays_a_data_centre_and_hear_floors_through_them)
+{
+    GatewayRig rig(makeShape());
+    rig.beginHosts();
+    auto relays = std::vector<unsigned>();
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] {
+        relays = findRelays(rig, 0);
+        bool isAgreed = relays.size() == 2;
+        for (unsigned i = 3; i < kHosts; i += 3)
+            isAgreed = isAgreed && findRelays(rig, i) == relays;
+        return isAgreed;
+    }));
+    std::vector<unsigned> all;
+    for (unsigned i = 0; i < kHosts; ++i)
+        all.push_back(i);
+    BOOST_TEST(waitFresh(rig, all));
+    BOOST_TEST(staysFresh(rig, all));
+}
+
+BOOST_AUTO_TEST_CASE(relays_that_freeze_or_die_are_replaced_before_floors_are_too_old_for_long)
+{
+    GatewayRig rig(makeShape());
+    rig.beginHosts();
+    BOOST_REQUIRE(waitUntil(milliseconds(5000), [&] { return findRelays(rig, 0).size() == 2; }));
+    auto relays = findRelays(rig, 0);
+    auto others = getOthersOfDataCentre(relays);
+    BOOST_REQUIRE(others.size() == 5u);
+    BOOST_REQUIRE(waitFresh(rig, others));
+    rig.getHost(relays[0]).signal(SIGSTOP);
+    rig.getHost(relays[1]).kill();
+    std::this_thread::sleep_for(milliseconds(1000));
+    BOOST_TEST(waitFresh(rig, others));
+    BOOST_TEST(staysFresh(rig, others));
+    for (auto it : others) {
+        auto now = findRelays(rig, it);
+        BOOST_TEST(now.size() == 2u);
+        BOOST_TEST(!isIn(now, relays[0]));
+        BOOST_TEST(!isIn(now, relays[1]));
+        BOOST_TEST(LineCaller(rig.getCallerAddress(it), "db0-bounded").ask("READ x").isOk());
+    }
+    rig.getHost(relays[0]).signal(SIGCONT);
+    BOOST_TEST(waitUntil(kReplaceLimit, [&] { return isIn(findRelays(rig, others[0]), relays[0]); }));
+    BOOST_TEST(staysFresh(rig, others));
+}
+
+// Both relays can lose the store and go on answering: others hear of changes there no more from them.
+BOOST_AUTO_TEST_CASE(relays_that_lose_the_store_leave_the_task_to_others)
+{
+    auto shape = makeShape();
+    shape.hasProxies = true;
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    BOOST_REQUIRE(waitUntil(milliseconds(5000), [&] { return findRelays(rig, 0).size() == 2; }));
+    auto relays = findRelays(rig, 0);
+    auto others = getOthersOfDataCentre(relays);
+    for (auto it : relays)
+        rig.setStoreCut(it, true);
+    rig.configure(2);
+    for (auto it : others)
+        BOOST_TEST(waitUntil(milliseconds(6000), [&] { return rig.getMetrics(it).find("alderward_configuration_version 2") != std::string::npos; }), "host " << it);
+    BOOST_TEST(waitUntil(milliseconds(8000), [&] {
+        auto now = findRelays(rig, others[0]);
+        return now.size() == 2 && !isIn(now, relays[0]) && !isIn(now, relays[1]);
+    }));
+    BOOST_TEST(waitFresh(rig, others));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
