Hosts hear of changes in the store from their relay, not by a watch each

Now relays, which watch anyway, pass on what their watches bring, with ages. Ruled out: longer pauses after a watch, as a leaving member must be known within 1.5 s; watches of a narrower prefix, as all hosts need members.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -24,6 +24,11 @@
 static constexpr milliseconds kStartCallLimit { 400 }; // ten times an answer from another region, and more than a slow store's 60 times 4 ms
 static constexpr milliseconds kProbeWait { 300 }; // of a watch that is to show whether the store is in reach: a host without it leaves its tasks to others
 static constexpr unsigned kStartShortCalls = 2; // in a row, then one with the whole limit: a store may be slower than that
+static constexpr milliseconds kToldFor { 1500 }; // a host that a relay tells all changes reads the store itself after this long without word
+static constexpr milliseconds kToldCheck { 100 }; // between two looks whether that is so
+static constexpr size_t kLogMost = 2000; // changes kept for others: more than all hosts of a site bring that restart within a second
+static constexpr size_t kLogBytesMost = 1 << 20;
+static constexpr size_t kToldValueMost = 16 << 10; // bytes; a larger value, as of a whole configuration, would fill a relay's link: each host reads it itself
 static constexpr double kStartRetryMs = 60; // pause, spread by half
 
 static milliseconds getStartRetryPause()
@@ -96,6 +101,11 @@
 {
     if (version <= m_version || m_mustReread)
         return;
+    if (isToldByRelay()) { // it comes that way, unless something is amiss
+        m_heardVersion = decisions::takeHeard(m_heardVersion, version, m_version, Clock::now());
+        if (!decisions::isWatchSilent(m_heardVersion, m_version, Clock::now()))
+            return;
+    }
     base::logEvent(LogClass::State, "configuration-behind", { { "here", static_cast<int64_t>(m_version) }, { "elsewhere", static_cast<int64_t>(version) } });
     m_mustReread = true;
     m_platform.getStore().interruptWatch();
@@ -161,6 +171,11 @@
             isGood = co_await readConfiguration();
             m_mustReread = !isGood;
         }
+        if (isGood && isToldByRelay()) {
+            m_failures = 0;
+            co_await base::sleepFor(kToldCheck);
+            continue;
+        }
         if (isGood)
             isGood = m_mustList ? co_await readAll() : co_await watchOnce();
         m_failures = isGood ? 0 : m_failures + 1;
@@ -202,6 +217,9 @@
     takeAll(items, *revision);
     m_answeredAt = Clock::now();
     m_revision = *revision;
+    m_log.clear();
+    m_logBytes = 0;
+    m_logSince = *revision;
     m_mustList = false;
     setReachable(true, "listed");
     m_events.onMembersRead();
@@ -218,12 +236,12 @@
         for (auto& it : items) {
             listed.insert(it.key);
             if (isMember(it) == takesMembers)
-                takeItem(it, false);
+                takeItem(it, std::nullopt);
         }
     }
     for (auto& key : std::set(m_known)) {
         if (!listed.contains(key))
-            takeItem({ .key = key, .revision = revision, .isDeleted = true }, false);
+            takeItem({ .key = key, .revision = revision, .isDeleted = true }, std::nullopt);
     }
     m_known = listed;
 }
@@ -232,7 +250,13 @@
 {
     m_isInterrupted = false;
     auto askedAt = Clock::now();
-    auto changes = co_await m_platform.getStore().watch("", m_revision, getWatchWait());
+    auto since = m_revision;
+    if (m_logSince == 0) {
+        m_log.clear();
+        m_logBytes = 0;
+        m_logSince = since;
+    }
+    auto changes = co_await m_platform.getStore().watch("", since, getWatchWait());
     if (changes) {
         m_isInDoubt = false;
         setReachable(true, "watch answered");
@@ -241,8 +265,13 @@
         bool isRecent = !wasAtOnce || now - m_answeredAt <= decisions::kChangeLate;
         m_answeredAt = now;
         for (auto& it : changes->items) {
+            if (it.revision <= m_revision && m_revision != since)
+                continue;
             m_newestChange = std::max(m_newestChange, it.revision);
-            takeItem(it, isRecent);
+            ToldChange change { it, isRecent ? std::optional(now) : std::nullopt, now };
+            if (m_logSince != 0) // else a relay has told changes meanwhile, and the log would have a gap
+                logChange(change);
+            takeItem(it, change.changedAt);
         }
         m_revision = std::max(m_revision, changes->revision);
         if (!changes->items.empty()) {
@@ -263,7 +292,63 @@
     co_return false;
 }
 
-void Directory::takeItem(const links::StoreItem& item, bool isRecent)
+void Directory::logChange(const ToldChange& change)
+{
+    m_log.push_back(change);
+    m_logBytes += change.item.value.size();
+    while (m_log.size() > kLogMost || m_logBytes > kLogBytesMost) {
+        m_logSince = std::max(m_logSince, m_log.front().item.revision);
+        m_logBytes -= m_log.front().item.value.size();
+        m_log.pop_front();
+    }
+}
+
+// A host that has lost the store knows of no change: it must not say that there is none.
+ToldChanges Directory::getChanges(uint64_t since) const
+{
+    ToldChanges told;
+    bool isSure = m_isReachable && !m_isInDoubt && !m_mustList && m_isWatcher && m_logSince != 0;
+    if (!isSure || since < m_logSince || since > m_revision)
+        return told;
+    auto first = std::ranges::upper_bound(m_log, since, {}, [](const ToldChange& it) { return it.item.revision; });
+    for (auto it = first; it != m_log.end(); ++it) {
+        told.changes.push_back(*it);
+        told.changes.back().isLarge = it->item.value.size() > kToldValueMost;
+    }
+    told.until = m_revision;
+    return told;
+}
+
+void Directory::takeChanges(const ToldChanges& told)
+{
+    if (told.until == 0 || m_mustList || m_isWatcher)
+        return;
+    m_toldAt = Clock::now();
+    if (told.until < m_revision) // this host has read the store later than its relay
+        return;
+    for (auto& it : told.changes) {
+        if (it.item.revision <= m_revision)
+            continue;
+        m_newestChange = std::max(m_newestChange, it.item.revision);
+        if (!it.isLarge)
+            takeItem(it.item, it.changedAt);
+        else if (it.item.key == m_platform.getConfigurationKey())
+            m_mustReread = true;
+        else
+            m_mustList = true;
+    }
+    m_revision = told.until;
+    m_answeredAt = m_toldAt;
+    m_logSince = 0; // it has not read these itself
+}
+
+// The store answers the renewals of this host's lease all the while: without one there is a doubt, and the host looks itself.
+bool Directory::isToldByRelay() const
+{
+    return !m_isWatcher && !m_mustList && m_isReachable && !m_isInDoubt && Clock::now() - m_toldAt < kToldFor;
+}
+
+void Directory::takeItem(const links::StoreItem& item, std::optional<TimePoint> changedAt)
 {
     auto members = m_platform.getMembersPrefix();
     if (item.key == m_platform.getConfigurationKey()) {
@@ -282,7 +367,7 @@
         }
         auto member = m_platform.parseMember(item.key, item.value);
         if (member) {
-            m_events.onMember(*member, item.revision, isRecent);
+            m_events.onMember(*member, item.revision, changedAt);
             return;
         }
         // It names no member to use: one that it named before is out of use, as if the entry were gone.
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -3,6 +3,7 @@
 #include "decisions/watching.h"
 #include "links/directory.h"
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -15,8 +16,8 @@
 
 struct DirectoryEvents {
     std::function<void(const links::GatewayConfiguration&)> onConfiguration;
-    // `isRecent`: the entry changed just now; else it may have done so long ago.
-    std::function<void(const links::ListedMember&, uint64_t revision, bool isRecent)> onMember;
+    // `changedAt`: when this host, or the one that told it, heard of the change; empty: it may be long ago.
+    std::function<void(const links::ListedMember&, uint64_t revision, std::optional<base::TimePoint> changedAt)> onMember;
     std::function<void(const std::string& id, uint64_t revision)> onMemberGone;
     std::function<void()> onMembersRead; // the list of members was read whole
     std::function<void(const links::ListedHost&)> onHost;
@@ -24,6 +25,20 @@
     std::function<void(const std::string& group, const links::StoreItem&)> onSuccession;
 };
 
+// A change in the store, and when the host that reads there heard of it.
+struct ToldChange {
+    links::StoreItem item {};
+    std::optional<base::TimePoint> changedAt {}; // on this host's clock; empty: it may be long ago
+    base::TimePoint heardAt {};
+    bool isLarge { false }; // the value is left out
+};
+
+// All changes behind a revision, oldest first.
+struct ToldChanges {
+    std::vector<ToldChange> changes {};
+    uint64_t until { 0 }; // revision; 0: the teller cannot say
+};
+
 struct DirectoryTimings {
     base::milliseconds callLimit { 1000 };
     base::milliseconds watchWait { 2000 };
@@ -46,6 +61,13 @@
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
     void hearChange(uint64_t change);
+    // What changed in the store behind a revision, for a host that has this one for a relay. Only what this host's own watches brought: hearsay is not
+    // passed on.
+    ToldChanges getChanges(uint64_t since) const;
+    // What a relay told. While one does, this host holds no watch of its own, and a change costs the store a few answers and not one a host.
+    void takeChanges(const ToldChanges& told);
+    // Up to which all changes are known; 0 until the store was read.
+    uint64_t getRevision() const { return m_mustList ? 0 : m_revision; }
     // Whether the last call that told so was answered. Found out within kProbeWait and an answer's time once there is a doubt.
     bool isReachable() const { return m_isReachable; }
     // Whether this host may miss changes: the store is lost, or a change that others know has not come.
@@ -62,7 +84,9 @@
     void doubtStore();
     base::milliseconds getWatchWait() const;
     void takeAll(const std::vector<links::StoreItem>& items, uint64_t revision);
-    void takeItem(const links::StoreItem& item, bool isRecent);
+    void takeItem(const links::StoreItem& item, std::optional<base::TimePoint> changedAt);
+    void logChange(const ToldChange& change);
+    bool isToldByRelay() const;
     void takeConfiguration(const links::StoreItem& item);
     void takeHost(const links::StoreItem& item);
     void noteUnreadable(const links::StoreItem& item, const std::string& reason);
@@ -83,6 +107,11 @@
     uint64_t m_newestChange { 0 }; // revision of the newest change that a watch brought; the store's own revision moves with more than these
     decisions::HeardChange m_heard {};
     base::milliseconds m_watchPause { 0 }; // the last
+    std::deque<ToldChange> m_log {}; // changes that this host's watches brought, for those that it relays to
+    size_t m_logBytes { 0 };
+    uint64_t m_logSince { 0 }; // the log holds all changes behind this revision up to m_revision; 0: it holds none
+    base::TimePoint m_toldAt {}; // when a relay last told all changes
+    decisions::HeardChange m_heardVersion {}; // of the configuration
     unsigned m_failures { 0 }; // in a row
     bool m_isWatcher { true };
     bool m_isInterrupted { false };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -322,6 +322,8 @@
 
 void Gateway::takeStatus(const peer::Pong& message, TimePoint sentAt)
 {
+    if (message.entries_until() != 0)
+        m_directory.takeChanges(readChanges(message, sentAt));
     m_directory.refreshConfiguration(message.configuration());
     m_directory.hearChange(message.change());
     for (auto& it : message.leads()) {
@@ -364,6 +366,8 @@
         ping.set_configuration(m_view.configuration.version);
         ping.set_change(m_directory.getNewestChange());
         ping.set_is_leaving(m_isDraining);
+        if (ping.wants_loads())
+            ping.set_known_revision(m_directory.getRevision());
     };
     service.fillPong = [this](const peer::Ping& ping, peer::Pong& pong) {
         auto now = Clock::now();
@@ -373,6 +377,8 @@
             m_partnersDue = m_partnersDue || now - m_askedToRelayAt > kRelayAskedFor;
             m_askedToRelayAt = now;
             m_peers.writeHeard(pong, ping.wants_loads());
+            if (ping.known_revision() != 0)
+                writeChanges(pong, m_directory.getChanges(ping.known_revision()), now);
         }
         for (auto& [member, pool] : m_pools) {
             bool isOfUse = pool->isCarrier() || isTroubled(pool->getTarget());
@@ -420,9 +426,8 @@
         m_quietInterval = decisions::getPingInterval(getLeastAge(configuration));
         m_partnersDue = true;
     };
-    events.onMember = [this](const links::ListedMember& member, uint64_t revision, bool isRecent) {
-        auto now = Clock::now();
-        takeListed(member, revision, isRecent ? now : decisions::assumeLeavingSince(getDrainTime(), now), "listed");
+    events.onMember = [this](const links::ListedMember& member, uint64_t revision, std::optional<TimePoint> changedAt) {
+        takeListed(member, revision, changedAt ? *changedAt : decisions::assumeLeavingSince(getDrainTime(), Clock::now()), "listed");
     };
     events.onMemberGone = [this](const std::string& id, uint64_t revision) { takeUnlisted(id, revision, "listed"); };
     events.onMembersRead = [this] { m_view.hasMembers = true; };
@@ -563,7 +568,8 @@
     // Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
     m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOrdererPlace(), m_quietInterval));
     auto relays = getRelays(m_view, m_peers, getPlace());
-    m_directory.setWatcher(std::ranges::find(relays, m_self.name) != relays.end());
+    bool isWatcher = std::ranges::find(relays, m_self.name) != relays.end() || getPlace().isAskedToRelay;
+    m_directory.setWatcher(isWatcher);
     if (relays == m_relays)
         return;
     m_relays = relays;
--- a/src/gateway/member_exchange.cpp
+++ b/src/gateway/member_exchange.cpp
@@ -47,6 +47,34 @@
     return member;
 }
 
+void writeChanges(peer::Pong& wire, const ToldChanges& told, TimePoint now)
+{
+    wire.set_entries_until(told.until);
+    for (auto& it : told.changes) {
+        auto& entry = *wire.add_entries();
+        entry.set_key(it.item.key);
+        entry.set_revision(it.item.revision);
+        entry.set_is_deleted(it.item.isDeleted);
+        entry.set_is_large(it.isLarge);
+        if (!it.isLarge)
+            entry.set_value(it.item.value);
+        entry.set_is_old(!it.changedAt);
+        entry.set_age_us(static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now - it.heardAt).count()));
+    }
+}
+
+ToldChanges readChanges(const peer::Pong& wire, TimePoint sentAt)
+{
+    ToldChanges told;
+    told.until = wire.entries_until();
+    for (auto& it : wire.entries()) {
+        auto heardAt = sentAt - std::chrono::microseconds(it.age_us());
+        links::StoreItem item { .key = it.key(), .value = it.value(), .revision = it.revision(), .isDeleted = it.is_deleted() };
+        told.changes.push_back({ std::move(item), it.is_old() ? std::nullopt : std::optional(heardAt), heardAt, it.is_large() });
+    }
+    return told;
+}
+
 std::vector<std::string> findMissing(const peer::MembersAnswer& wire, const ClusterView& view)
 {
     std::vector<std::string> missing;
--- a/src/gateway/member_exchange.h
+++ b/src/gateway/member_exchange.h
@@ -4,6 +4,7 @@
 // Asked for, not sent around: it costs nothing while the store is there. Hearsay is not passed on; only a host that reads the store itself answers.
 #pragma once
 #include "gateway/cluster_view.h"
+#include "gateway/directory.h"
 #include "gateway/peer_codec.h"
 
 namespace alderward::gateway {
@@ -14,6 +15,11 @@
 // One entry that another host told.
 links::ListedMember readMember(const peer::MemberEntry& wire);
 
+// Changes in the store that a relay tells.
+void writeChanges(peer::Pong& wire, const ToldChanges& told, TimePoint now);
+// `sentAt`: before the time at which they were told.
+ToldChanges readChanges(const peer::Pong& wire, TimePoint sentAt);
+
 // Members that the answer says by their absence are gone.
 std::vector<std::string> findMissing(const peer::MembersAnswer& wire, const ClusterView& view);
 
--- a/tests/gateway/relays_test.cpp
+++ b/tests/gateway/relays_test.cpp
@@ -138,6 +138,25 @@
     BOOST_TEST(staysFresh(rig, others));
 }
 
+// Each change returned the watch of each host: 210 in ten changes; two a data centre now.
+BOOST_AUTO_TEST_CASE(a_change_in_the_store_reaches_all_hosts_and_is_asked_for_by_a_few)
+{
+    GatewayRig rig(makeShape());
+    rig.beginHosts();
+    BOOST_REQUIRE(waitUntil(milliseconds(5000), [&] { return findRelays(rig, 0).size() == 2; }));
+    std::this_thread::sleep_for(milliseconds(3000)); // hosts that came ask no more
+    auto before = rig.call([&] { return rig.getStore().getWatches(); });
+    for (int i = 0; i < 10; ++i) {
+        rig.call([&] { rig.getStore().put("other/key", std::to_string(i)); });
+        std::this_thread::sleep_for(milliseconds(400));
+    }
+    auto watches = rig.call([&] { return rig.getStore().getWatches(); }) - before;
+    BOOST_TEST(watches <= 100u);
+    rig.configure(2);
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(waitUntil(milliseconds(3000), [&] { return rig.getMetrics(i).find("alderward_configuration_version 2") != std::string::npos; }), "host " << i);
+}
+
 // Both relays can lose the store and go on answering: others hear of changes there no more from them.
 BOOST_AUTO_TEST_CASE(relays_that_lose_the_store_leave_the_task_to_others)
 {
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -267,6 +267,7 @@
     }
     if (path.starts_with("/-/kv-range"))
         co_return list(getQuery(path, "Prefix"));
+    m_watches += path.starts_with("/-/kv-watch") ? 1 : 0;
     if (path.starts_with("/-/kv-watch"))
         co_return co_await watch(getQuery(path, "Prefix"), std::stoull(getQuery(path, "after")), std::stoi(getQuery(path, "WaitMs")));
     if (path == "/-/kv-txn") {
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -46,6 +46,7 @@
     void compact();
     const std::vector<PromotionSeen>& getPromotions() const { return m_promotions; }
     uint64_t getCalls() const { return m_calls; }
+    uint64_t getWatches() const { return m_watches; }
 
 private:
     struct Item {
@@ -80,6 +81,7 @@
     uint64_t m_forgotten { 0 };
     uint64_t m_lastLease { 100 };
     uint64_t m_calls { 0 };
+    uint64_t m_watches { 0 };
 };
 
 }
--- a/tests/unit/member_exchange_test.cpp
+++ b/tests/unit/member_exchange_test.cpp
@@ -31,6 +31,28 @@
 
 BOOST_AUTO_TEST_SUITE(member_exchange)
 
+// What a relay read 400 ms before it tells it did not change just now.
+BOOST_AUTO_TEST_CASE(changes_are_told_with_their_age)
+{
+    ToldChanges told;
+    told.until = 12;
+    told.changes.push_back({ { .key = "a", .value = "1", .revision = 10 }, kStart, kStart });
+    told.changes.push_back({ { .key = "b", .revision = 11, .isDeleted = true }, std::nullopt, kStart });
+    told.changes.push_back({ { .key = "c", .value = "large", .revision = 12 }, kStart, kStart, true });
+    peer::Pong wire;
+    writeChanges(wire, told, kStart + milliseconds(400));
+    auto sentAt = kStart + milliseconds(50'000); // on another clock
+    auto heard = readChanges(wire, sentAt);
+    BOOST_TEST(heard.until == 12u);
+    BOOST_REQUIRE(heard.changes.size() == 3u);
+    BOOST_TEST((heard.changes[0].changedAt == sentAt - milliseconds(400)));
+    BOOST_TEST(heard.changes[0].item.value == "1");
+    BOOST_TEST(!heard.changes[1].changedAt.has_value());
+    BOOST_TEST(heard.changes[1].item.isDeleted);
+    BOOST_TEST(heard.changes[2].isLarge);
+    BOOST_TEST(heard.changes[2].item.value.empty());
+}
+
 BOOST_AUTO_TEST_CASE(only_what_changed_is_told_and_with_its_age)
 {
     ClusterView able;
