A host looks at sessions, groups and members that rest less often, and starts without a watch of its own

Now sessions are looked at each 100 ms, unlisted members each 500 ms, groups each 100 ms where this host orders for none; a host that has read the store gives its relays 1.5 s to tell it changes before it watches; the lease is 15 s in place of 9 (renewals: a tenth of a call each, 3 s apart before, 5 s now). Ruled out: reading the list at a tenth of the price (it may be seconds old, and a host would be ready with it).

--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -61,7 +61,7 @@
     int callLimitMs { 1000 }; // ms; the store answers in a few ms; one that is slow may need some hundred
     int watchWaitMs { 2800 }; // ms; a watch on a silent connection is found out within this and a second
     int longWatchWaitMs { 25000 }; // ms; below what the platform allows (30 s)
-    int leaseMs { 9000 }; // ms; renewed three times within it; who is alive is seen by asking, not by the entry
+    int leaseMs { 15000 }; // ms; renewed three times within it: a tenth of a call each, of every host; who is alive is seen by asking, not by the entry
     int memberDrainMs { 7000 }; // ms; a member gets no new operation this long after it said that it leaves
     // [stop]
     int graceMs { 6000 }; // ms
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -24,6 +24,7 @@
 static constexpr milliseconds kStartCallLimit { 400 }; // ten times an answer from another region, and more than a slow store's 60 times 4 ms
 static constexpr milliseconds kProbeWait { 300 }; // of a watch that is to show whether the store is in reach: a host without it leaves its tasks to others
 static constexpr unsigned kStartShortCalls = 2; // in a row, then one with the whole limit: a store may be slower than that
+static constexpr milliseconds kRelayKnownIn { 100 }; // a host that has read the store chooses its relays within this; then it needs no watch of its own
 static constexpr milliseconds kToldFor { 1500 }; // a host that a relay tells all changes reads the store itself after this long without word
 static constexpr milliseconds kToldCheck { 100 }; // between two looks whether that is so
 static constexpr size_t kLogMost = 2000; // changes kept for others: more than all hosts of a site bring that restart within a second
@@ -111,8 +112,9 @@
     m_platform.getStore().interruptWatch();
 }
 
-void Directory::setWatcher(bool isWatcher)
+void Directory::setWatcher(bool isWatcher, bool hasRelay)
 {
+    m_hasRelay = hasRelay;
     if (isWatcher && !m_isWatcher)
         interruptWatch();
     m_isWatcher = isWatcher;
@@ -216,6 +218,7 @@
     }
     takeAll(items, *revision);
     m_answeredAt = Clock::now();
+    m_toldAt = m_answeredAt;
     m_revision = *revision;
     m_log.clear();
     m_logBytes = 0;
@@ -223,6 +226,7 @@
     m_mustList = false;
     setReachable(true, "listed");
     m_events.onMembersRead();
+    co_await base::sleepFor(kRelayKnownIn);
     co_return true;
 }
 
@@ -345,7 +349,7 @@
 // The store answers the renewals of this host's lease all the while: without one there is a doubt, and the host looks itself.
 bool Directory::isToldByRelay() const
 {
-    return !m_isWatcher && !m_mustList && m_isReachable && !m_isInDoubt && Clock::now() - m_toldAt < kToldFor;
+    return m_hasRelay && !m_isWatcher && !m_mustList && m_isReachable && !m_isInDoubt && Clock::now() - m_toldAt < kToldFor;
 }
 
 void Directory::takeItem(const links::StoreItem& item, std::optional<TimePoint> changedAt)
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -55,8 +55,8 @@
     boost::asio::awaitable<void> end();
     // Another host has a newer configuration than this one: look at once.
     void refreshConfiguration(uint64_t version);
-    // Whether this host looks often itself.
-    void setWatcher(bool isWatcher);
+    // Whether this host looks often itself, or has a relay that tells it what changes.
+    void setWatcher(bool isWatcher, bool hasRelay);
     // The newest change that this host has seen, for other hosts.
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
@@ -114,6 +114,7 @@
     decisions::HeardChange m_heardVersion {}; // of the configuration
     unsigned m_failures { 0 }; // in a row
     bool m_isWatcher { true };
+    bool m_hasRelay { false };
     bool m_isInterrupted { false };
     bool m_isInDoubt { false }; // the store may be out of reach: the next watch finds out
     unsigned m_listTries { 0 }; // pages asked for so far
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kPlacementInterval { 500 }; // at most, between two looks at what this host carries while nothing that decides it changed
+static constexpr milliseconds kForgetInterval { 500 }; // between two looks for members that have been unlisted for kUnlistedFor
+static constexpr milliseconds kSessionsInterval { 100 }; // how late a transaction that rested too long is ended; operators allow it seconds
 static constexpr milliseconds kRelayAskedFor { 2000 }; // a host that others ask what it hears goes on relaying this long
 static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
@@ -566,10 +568,12 @@
     m_partnersDue = false;
     m_partnersAt = now;
     // Decided anew with the partners: a watcher that stops or falls silent is replaced by the next.
-    m_peers.setPartners(choosePartners(m_view, m_peers, getPlace(), m_promoter.getOrdererPlace(), m_quietInterval));
+    auto partners = choosePartners(m_view, m_peers, getPlace(), m_promoter.getOrdererPlace(), m_quietInterval);
+    m_peers.setPartners(partners);
     auto relays = getRelays(m_view, m_peers, getPlace());
     bool isWatcher = std::ranges::find(relays, m_self.name) != relays.end() || getPlace().isAskedToRelay;
-    m_directory.setWatcher(isWatcher);
+    bool hasRelay = std::ranges::any_of(partners, [](auto& it) { return it.second.tellsLoads; });
+    m_directory.setWatcher(isWatcher, hasRelay);
     if (relays == m_relays)
         return;
     m_relays = relays;
@@ -631,16 +635,29 @@
     m_peers.sweep(now);
     m_router.sweep(now);
     m_promoter.sweep(now);
-    auto sessions = std::vector(m_sessions.begin(), m_sessions.end());
-    for (auto& it : sessions)
-        it->sweep(now);
+    sweepSessions(now);
     if (m_isDraining)
         sweepStop(now);
     base::flushEventLog();
 }
 
-void Gateway::sweepPools(TimePoint now)
+// What a session waits for lasts seconds, but for its host's first configuration.
+void Gateway::sweepSessions(TimePoint now)
+{
+    bool isStarting = now < m_startedAt + kStartTakes;
+    if (!isStarting && now - m_sessionsAt < kSessionsInterval)
+        return;
+    m_sessionsAt = now;
+    auto sessions = std::vector(m_sessions.begin(), m_sessions.end());
+    for (auto& it : sessions)
+        it->sweep(now);
+}
+
+void Gateway::forgetUnlisted(TimePoint now)
 {
+    if (now - m_forgottenAt < kForgetInterval)
+        return;
+    m_forgottenAt = now;
     for (auto& id : forgetMembers(m_view, kUnlistedFor, now)) {
         auto it = m_pools.find(id);
         if (it == m_pools.end())
@@ -648,6 +665,11 @@
         it->second->shutDown("the member is gone");
         m_pools.erase(it);
     }
+}
+
+void Gateway::sweepPools(TimePoint now)
+{
+    forgetUnlisted(now);
     bool isPlacementDue = m_view.isPlacementDue || m_placedVersion != m_peers.getVersion() || now - m_placedAt >= kPlacementInterval;
     if (isPlacementDue)
         placePools(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,8 @@
     void accept();
     void sweep();
     void sweepPools(TimePoint now);
+    void sweepSessions(TimePoint now);
+    void forgetUnlisted(TimePoint now);
     void placePools(TimePoint now);
     void sweepStop(TimePoint now);
     std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
@@ -78,6 +80,8 @@
     std::vector<std::string> m_relays {}; // of this host's data centre, as last chosen
     TimePoint m_askedToRelayAt {}; // when another host last asked what this one hears
     milliseconds m_quietInterval { decisions::kPingIntervalLeast }; // between exchanges that nothing else calls for
+    TimePoint m_forgottenAt {}; // when unlisted members were last looked for
+    TimePoint m_sessionsAt {}; // when sessions were last looked at
     TimePoint m_placedAt {}; // when this host last looked which members it carries to
     uint64_t m_placedVersion { 0 }; // of the other hosts, then
     std::map<std::string, TimePoint> m_alarmedAt; // by group: when other hosts were last told
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -260,8 +260,13 @@
     return place && now >= due.at + *place * decisions::getTaskLimit(due.task); // no differences: a product with a size is unsigned
 }
 
+// Most hosts order for no group: they only look now and then whether a record is due.
 void Promoter::sweep(TimePoint now)
 {
+    if (!m_isOrderer && now - m_lookedAt < kCheckInterval)
+        return;
+    m_lookedAt = now;
+    m_isOrderer = std::ranges::any_of(m_states, [&](auto& it) { return decisions::findRank(it.second.succession, m_context.self).has_value(); });
     for (auto& [group, belief] : m_context.view.groups) {
         if (!m_context.view.configuration.groups.contains(group)) // some entry names it, operators do not
             continue;
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -96,6 +96,8 @@
 
     PromoterContext m_context;
     std::map<std::string, State> m_states;
+    TimePoint m_lookedAt {}; // when all groups were last looked at
+    bool m_isOrderer { false }; // of any group, as of then
     TimePoint m_ordersLostAt {}; // when an order was not taken; zero: the last one was
 };
 
