A store that is gone for all is looked for by relays

While all its relays say that they have lost the store, a host now leaves it to them, for 6 s (spread) at most. And hosts that lack the store are passed over as relays among the next four only: with no bound, a store that is gone for all made each host of a data centre a relay in turn, and each asks all carriers.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -2,6 +2,7 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/random.h"
+#include "decisions/limits.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,6 +27,8 @@
 static constexpr unsigned kStartShortCalls = 2; // in a row, then one with the whole limit: a store may be slower than that
 static constexpr milliseconds kRelayKnownIn { 100 }; // a host that has read the store chooses its relays within this; then it needs no watch of its own
 static constexpr milliseconds kToldFor { 1500 }; // a host that a relay tells all changes reads the store itself after this long without word
+static constexpr milliseconds kLostPause { 6000 }; // spread by half: relays say within an exchange that the store is back, this is for when they cannot
+static constexpr unsigned kSpreadFailures = 3; // the pause after so many is half a second to a second and a half
 static constexpr milliseconds kToldCheck { 100 }; // between two looks whether that is so
 static constexpr size_t kLogMost = 2000; // changes kept for others: more than all hosts of a site bring that restart within a second
 static constexpr size_t kLogBytesMost = 1 << 20;
@@ -182,10 +185,27 @@
             isGood = m_mustList ? co_await readAll() : co_await watchOnce();
         m_failures = isGood ? 0 : m_failures + 1;
         if (!isGood)
-            co_await base::sleepFor(m_version == 0 ? getStartRetryPause() : decisions::getRetryPause(m_failures, base::getRandom()));
+            co_await waitForStore(m_version == 0 ? getStartRetryPause() : decisions::getRetryPause(m_failures, base::getRandom()));
     }
 }
 
+bool Directory::leavesStoreToRelays() const
+{
+    return m_isLostByRelays && m_hasRelay && !m_isWatcher && m_version != 0;
+}
+
+// The pause after a failed call. While the relays have lost the store as well, it is gone for all: a host that is none waits until one has it again, or for
+// kLostPause. 295 hosts that looked each second for 7 s made 11,000 calls in vain, 0.065 of a day's worth. Then they do not come at one moment.
+asio::awaitable<void> Directory::waitForStore(milliseconds pause)
+{
+    auto began = Clock::now();
+    bool wasLeft = leavesStoreToRelays();
+    auto spread = decisions::spreadRetryAfter(kLostPause, base::getRandom());
+    while (leavesStoreToRelays() && Clock::now() - began < spread && !m_isEnding)
+        co_await base::sleepFor(kToldCheck);
+    co_await base::sleepFor(wasLeft ? decisions::getRetryPause(kSpreadFailures, base::getRandom()) : pause);
+}
+
 asio::awaitable<bool> Directory::readConfiguration()
 {
     auto item = co_await m_platform.getStore().get(m_platform.getConfigurationKey(), getDeadline());
@@ -454,11 +474,11 @@
             bool isWritten = co_await writeEntry();
             renewedAt = Clock::now();
             if (!isWritten)
-                co_await base::sleepFor(decisions::getRetryPause(m_entryTries, base::getRandom()));
+                co_await waitForStore(decisions::getRetryPause(m_entryTries, base::getRandom()));
             continue;
         }
         co_await base::sleepFor(step);
-        if (Clock::now() - renewedAt < m_timings.lease / 3)
+        if (Clock::now() - renewedAt < m_timings.lease / 3 || leavesStoreToRelays())
             continue;
         renewedAt = Clock::now();
         auto renewed = co_await m_platform.getStore().renewLease(m_lease, getDeadline());
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -57,6 +57,8 @@
     void refreshConfiguration(uint64_t version);
     // Whether this host looks often itself, or has a relay that tells it what changes.
     void setWatcher(bool isWatcher, bool hasRelay);
+    // Whether all relays of this host say that they have lost the store: it looks for the store's return seldom then, they look often.
+    void setLostByRelays(bool isLost) { m_isLostByRelays = isLost; }
     // The newest change that this host has seen, for other hosts.
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
@@ -82,6 +84,8 @@
     boost::asio::awaitable<bool> writeEntry();
     void interruptWatch();
     void doubtStore();
+    bool leavesStoreToRelays() const;
+    boost::asio::awaitable<void> waitForStore(base::milliseconds pause);
     base::milliseconds getWatchWait() const;
     void takeAll(const std::vector<links::StoreItem>& items, uint64_t revision);
     void takeItem(const links::StoreItem& item, std::optional<base::TimePoint> changedAt);
@@ -115,6 +119,7 @@
     unsigned m_failures { 0 }; // in a row
     bool m_isWatcher { true };
     bool m_hasRelay { false };
+    bool m_isLostByRelays { false };
     bool m_isInterrupted { false };
     bool m_isInDoubt { false }; // the store may be out of reach: the next watch finds out
     unsigned m_listTries { 0 }; // pages asked for so far
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -574,6 +574,7 @@
     bool isWatcher = std::ranges::find(relays, m_self.name) != relays.end() || getPlace().isAskedToRelay;
     bool hasRelay = std::ranges::any_of(partners, [](auto& it) { return it.second.tellsLoads; });
     m_directory.setWatcher(isWatcher, hasRelay);
+    m_directory.setLostByRelays(std::ranges::none_of(partners, [this](auto& it) { return it.second.isRelay && m_peers.getAbility(it.first).hasStore; }));
     if (relays == m_relays)
         return;
     m_relays = relays;
--- a/src/gateway/partners.cpp
+++ b/src/gateway/partners.cpp
@@ -7,6 +7,9 @@
 namespace alderward::gateway {
 
 static constexpr size_t kStandIns = 3; // hosts of a ranking that watch those before them, so that the first is replaced by one that knows
+// Hosts that are asked in turn for one that has the store. Once it is gone for all, the first two relay all the same: without a bound, all hosts of a data centre
+// would be made relays one after the other, and each asks all carriers.
+static constexpr size_t kRelayCandidates = 4;
 static constexpr size_t kPartnersLeast = 8; // with neighbours: a host that has lost most of so many is cut off itself
 static constexpr size_t kPartnersOfOrderer = 20; // of those that judge whether a primary is dead: where a third of all hosts are cut off, most of 20 are lost once in 60 times
 
@@ -15,7 +18,8 @@
     std::vector<decisions::WatcherHost> usable;
     size_t able = 0;
     for (auto& name : getRelayOrder(view, self.dataCentre)) {
-        if (view.hosts.at(name).dataCentre != self.dataCentre || able == decisions::kWatchersOfDataCentre)
+        bool isEnough = able == decisions::kWatchersOfDataCentre || usable.size() == kRelayCandidates;
+        if (view.hosts.at(name).dataCentre != self.dataCentre || isEnough)
             break;
         bool isSelf = name == self.name;
         if (isSelf ? self.isDraining : !peers.isUsable(name))
--- a/src/gateway/partners.h
+++ b/src/gateway/partners.h
@@ -20,7 +20,7 @@
 };
 
 // The hosts of this host's data centre that look at the platform's store often and, where there are many hosts, relay. One that does not answer,
-// stops or, while there are others, has lost the store is passed over.
+// stops or, while one of the next few has it, has lost the store is passed over.
 std::vector<std::string> getRelays(ClusterView& view, const Peers& peers, const HostPlace& self);
 
 // The hosts that this one needs all the time, and how often it exchanges with each: its relays; the hosts that it would stand in for; for a relay the
--- a/tests/gateway/relays_test.cpp
+++ b/tests/gateway/relays_test.cpp
@@ -179,4 +179,27 @@
     BOOST_TEST(waitFresh(rig, others));
 }
 
+// While the store turns every call away, hosts that have relays leave it to them to look for its return; each host of its own made two calls a second.
+BOOST_AUTO_TEST_CASE(a_store_that_is_gone_for_all_is_looked_for_by_relays)
+{
+    GatewayRig rig(makeShape());
+    rig.beginHosts();
+    BOOST_REQUIRE(waitUntil(milliseconds(5000), [&] { return findRelays(rig, 0).size() == 2; }));
+    std::this_thread::sleep_for(milliseconds(3000));
+    auto before = rig.call([&] {
+        rig.getStore().faults.status = 503;
+        return rig.getStore().getCalls();
+    });
+    std::this_thread::sleep_for(milliseconds(8000));
+    auto calls = rig.call([&] {
+        rig.getStore().faults.status = 0;
+        return rig.getStore().getCalls();
+    }) - before;
+    BOOST_TEST_MESSAGE("calls in 8 s: " << calls);
+    BOOST_TEST(calls <= 190u);
+    rig.configure(2);
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(waitUntil(milliseconds(6000), [&] { return rig.getMetrics(i).find("alderward_configuration_version 2") != std::string::npos; }), "host " << i);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
