--- a/src/decisions/relaying.cpp
+++ b/src/decisions/relaying.cpp
@@ -13,6 +13,16 @@
     return { half, half };
 }
 
+std::set<std::string> findUnusable(const std::vector<std::set<std::string>>& toldByRelays)
+{
+    if (toldByRelays.empty())
+        return {};
+    auto unusable = toldByRelays.front();
+    for (auto& told : toldByRelays)
+        std::erase_if(unusable, [&](const std::string& it) { return !told.contains(it); });
+    return unusable;
+}
+
 milliseconds getAlarmInterval(size_t hosts)
 {
     auto interval = milliseconds(static_cast<int64_t>(kAlarmMsEachHost * static_cast<double>(hosts)));
--- a/src/decisions/relaying.h
+++ b/src/decisions/relaying.h
@@ -4,6 +4,9 @@
 #pragma once
 #include "decisions/freshness.h"
 #include <cstddef>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace alderward::decisions {
 
@@ -21,6 +24,10 @@
 // `quiet`: how often a host that asks carriers itself does so. A floor that passes over a relay waits twice, so both waits together are no longer.
 ExchangeIntervals getExchangeIntervals(milliseconds quiet, bool isRelayed);
 
+// The hosts that count as out of reach by hearsay: a host that one relay does not reach may be reached through another way, so all relays that answer have
+// to say it, and nobody is where none answers.
+std::set<std::string> findUnusable(const std::vector<std::set<std::string>>& toldByRelays);
+
 // Whether an exchange with a host is due where operations are under way. One that is answered at once needs none; the longest way there and back is 40 ms.
 inline constexpr milliseconds kOrderUnansweredFor { 60 };
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -205,10 +205,12 @@
 
 std::optional<peer::Load> Peers::getLoad(const std::string& host, const std::string& member) const
 {
+    auto now = Clock::now();
     const TimedLoad* newest = nullptr;
     auto look = [&](const Loads& loads) {
         auto it = loads.find(member);
-        if (it != loads.end() && (!newest || it->second.at > newest->at))
+        bool isHeard = it != loads.end() && now - it->second.at < kHeardFor; // a host that has no trouble any more says nothing of the member
+        if (isHeard && (!newest || it->second.at > newest->at))
             newest = &it->second;
     };
     if (auto it = m_links.find(host); it != m_links.end())
@@ -406,7 +408,7 @@
     link->ability = { !pong.lacks_store(), !pong.lacks_orders() };
     for (auto& load : pong.loads())
         takeLoad(link, load, sentAt);
-    takeUnusable(link, pong);
+    link->unusable = { pong.unusable_hosts().begin(), pong.unusable_hosts().end() };
     if (!link->wasHeard || !link->isUp) {
         link->wasHeard = true;
         link->isUp = true;
@@ -427,20 +429,15 @@
         known = { load, at };
 }
 
-// A host that one relay does not reach may be reached by this one all the same, so all of them have to say it.
-void Peers::takeUnusable(const LinkPtr& link, const peer::Pong& pong)
+// Looked at anew each time: a relay that is lost says nothing any more, and what it said ends with it.
+void Peers::findUnusable()
 {
-    if (!link->partner.isRelay)
-        return;
-    std::set<std::string> told { pong.unusable_hosts().begin(), pong.unusable_hosts().end() };
-    if (told == link->unusable)
-        return;
-    link->unusable = std::move(told);
-    auto unusable = link->unusable;
-    for (auto& [name, other] : m_links) {
-        if (other->partner.isRelay && other->isUp && other->wasHeard)
-            std::erase_if(unusable, [&](const std::string& it) { return !other->unusable.contains(it); });
+    std::vector<std::set<std::string>> told;
+    for (auto& [name, link] : m_links) {
+        if (link->partner.isRelay && link->isUp && link->wasHeard)
+            told.push_back(link->unusable);
     }
+    auto unusable = decisions::findUnusable(told);
     m_version += unusable == m_unusable ? 0 : 1;
     m_unusable = std::move(unusable);
 }
@@ -532,6 +529,7 @@
         } else if (isPingDue(*link, now))
             ping(link, now);
     }
+    findUnusable();
 }
 
 void Peers::stop()
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -84,7 +84,7 @@
     void sendToAll(const peer::Frame& frame);
     void takePong(const LinkPtr& link, const peer::Pong& pong);
     void takeLoad(const LinkPtr& link, const peer::Load& load, TimePoint sentAt);
-    void takeUnusable(const LinkPtr& link, const peer::Pong& pong);
+    void findUnusable();
     void ping(const LinkPtr& link, TimePoint now);
     bool isPingDue(const Link& link, TimePoint now) const;
     bool isToldUnusable(const std::string& host, TimePoint heardAt) const;
--- a/tests/unit/relaying_test.cpp
+++ b/tests/unit/relaying_test.cpp
@@ -167,6 +167,16 @@
     BOOST_TEST((decisions::getExchangeIntervals(milliseconds(250), true).relays == decisions::kPingIntervalLeast));
 }
 
+// What relays that are gone had said stayed in force until others said something else.
+BOOST_AUTO_TEST_CASE(a_host_is_out_of_reach_by_hearsay_while_all_relays_that_answer_say_so)
+{
+    using Names = std::set<std::string>;
+    BOOST_TEST((decisions::findUnusable({ { "x", "y" }, { "y", "z" } }) == Names { "y" }));
+    BOOST_TEST((decisions::findUnusable({ { "x" } }) == Names { "x" }));
+    BOOST_TEST(decisions::findUnusable({ { "x" }, {} }).empty());
+    BOOST_TEST(decisions::findUnusable({}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(those_who_act_hear_a_bounded_number_of_alarms)
 {
     for (size_t hosts : { size_t { 1 }, size_t { 9 }, size_t { 59 }, size_t { 295 }, size_t { 600 } }) {
