--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -195,7 +195,7 @@
 }
 
 // The pause after a failed call. While the relays have lost the store as well, it is gone for all: a host that is none waits until one has it again, or for
-// kLostPause. 295 hosts that looked each second for 7 s made 11,000 calls in vain, 0.065 of a day's worth. Then they do not come at one moment.
+// kLostPause. On a day whose store was gone for 7 s: 13,724 calls in place of 16,845, 0.077 of worth in place of 0.095. Then they do not come at one moment.
 asio::awaitable<void> Directory::waitForStore(milliseconds pause)
 {
     auto began = Clock::now();
