A proof of a lead that a host refuses is logged

`proof-refused` has the member, its term, and what is believed; a line for each member and term, not for each proof.

--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -28,6 +28,7 @@
     decisions::FloorHistory floors {};
     TimePoint pendingUntil {}; // a change of primary was ordered; until then the new one may not know yet that it leads
     TimePoint provenAt {}; // when the primary last showed this host itself that it leads
+    decisions::Lead refusedProof {}; // the last one that was not believed, as logged
     std::vector<std::string> members {}; // ids
     bool isComparing { false }; // its replicas are being asked what they hold
     bool wasCompared { false };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -226,6 +226,7 @@
     };
     observer.leads = [this](const TargetAddress& target) { return m_view.groups[target.group].lead.member == target.member; };
     observer.onLeads = [this](const TargetAddress& target, const Mark& position, TimePoint sentAt) {
+        noteRefusedProof(target.group, target.member, position.term);
         takeLead(target.group, decisions::takeProof(m_view.groups[target.group].lead, target.member, position.term), "proof");
         if (m_view.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
@@ -300,6 +301,17 @@
     base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
 }
 
+// A member shows that it leads in an older term than the one that this host believes the group to be in. A line for each such member and term, not for each proof.
+void Gateway::noteRefusedProof(const std::string& group, const std::string& member, uint64_t term)
+{
+    auto& belief = m_view.groups[group];
+    decisions::Lead refused { member, term, true };
+    if (term >= belief.lead.term || refused == belief.refusedProof)
+        return;
+    belief.refusedProof = refused;
+    base::logEvent(LogClass::State, "proof-refused", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "term", static_cast<int64_t>(term) }, { "known", std::string_view(belief.lead.member) }, { "known_term", static_cast<int64_t>(belief.lead.term) } });
+}
+
 void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
 {
     auto& floors = m_view.groups[group].floors;
@@ -484,8 +496,10 @@
         return;
     auto known = getKnownMark(m_view.groups[member.group]);
     inquire(belief.getTarget(), [this, id = member.id, group = member.group, known](const StatusReport& report) {
-        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
+        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received)) {
+            noteRefusedProof(group, id, report.status.term);
             takeLead(group, decisions::takeProof(m_view.groups[group].lead, id, report.status.term), "proof");
+        }
     });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,7 @@
     void inquire(const TargetAddress& target, std::function<void(const StatusReport&)> done);
     void holdWrites(const std::string& member, milliseconds time);
     void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
+    void noteRefusedProof(const std::string& group, const std::string& member, uint64_t term);
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
     bool isTroubled(const TargetAddress& target) const;
