--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -1,4 +1,6 @@
 #include "harness/gateway_rig.h"
+#include "generated/gateway.pb.h"
+#include "links/channel.h"
 #include "links/http.h"
 #include <arpa/inet.h>
 #include <atomic>
@@ -136,6 +138,15 @@
     });
 }
 
+void GatewayRig::tellLead(unsigned host, const std::string& group, const std::string& member, uint64_t term)
+{
+    alderward::gateway::peer::Frame frame;
+    frame.mutable_lead()->set_group(group);
+    frame.mutable_lead()->set_member(member);
+    frame.mutable_lead()->set_term(term);
+    LineCaller(getHostAddress(host, 1), "").sendRaw(alderward::links::makeFrame(frame.SerializeAsString()));
+}
+
 // The name stands in the log of every host.
 unsigned GatewayRig::findHolder() const
 {
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -56,6 +56,8 @@
     const std::vector<std::unique_ptr<standins::FaultProxy>>& getProxies() const { return m_proxies; }
     // Cuts a host off from the store, or ends that. Needs proxies.
     void setStoreCut(unsigned host, bool isCut);
+    // Tells a host of a lead as another host does that ordered it.
+    void tellLead(unsigned host, const std::string& group, const std::string& member, uint64_t term);
     // The host that the record in the store names first for group g0.
     unsigned findHolder() const;
     // Writes a configuration; databases db0-primary, db0-bounded, db0-own and so on for each group.
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -60,7 +60,8 @@
 }
 
 KvStore::KvStore(asio::io_context& context, unsigned short port, std::vector<LineGroup*> groups)
-    : m_address(fmt::format("127.0.0.1:{}", port))
+    : m_context(context)
+    , m_address(fmt::format("127.0.0.1:{}", port))
     , m_groups(std::move(groups))
 {
     auto server = links::beginHttpServer(context, m_address, [this](links::HttpRequest request) { return serve(std::move(request)); });
@@ -215,6 +216,18 @@
     return getHeader(request, "Duty-Holder");
 }
 
+bool KvStore::carryOut(LineGroup& group, const std::string& member)
+{
+    if (faults.promotionsTake.count() == 0)
+        return group.promote(member);
+    auto timer = std::make_shared<asio::steady_timer>(m_context, faults.promotionsTake);
+    timer->async_wait([this, timer, &group, member](boost::system::error_code ec) {
+        if (!ec && group.promote(member))
+            listMembers();
+    });
+    return true;
+}
+
 HttpAnswer KvStore::promote(const links::HttpRequest& request)
 {
     PromotionSeen seen;
@@ -227,7 +240,7 @@
     seen.status = seen.token < highest ? 409 : 200;
     highest = std::max(highest, seen.token);
     for (auto* group : m_groups) {
-        if (seen.status == 200 && group->getName() == seen.group && !group->promote(seen.member))
+        if (seen.status == 200 && group->getName() == seen.group && !carryOut(*group, seen.member))
             seen.status = 409;
     }
     m_promotions.push_back(seen);
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -17,6 +17,7 @@
     bool silentWatches { false }; // watches that wait are never answered
     std::set<std::string> refusedKeys {}; // reads of these keys get 503
     bool losesPromotions { false }; // orders are carried out late and not answered
+    milliseconds promotionsTake { 0 }; // an order is answered at once and carried out this much later
     bool refusesPromotions { false }; // orders are answered as not taken
     std::set<std::string> unheardHolders {}; // orders of these hosts are neither carried out nor answered
 };
@@ -65,9 +66,11 @@
     boost::asio::awaitable<links::HttpAnswer> watch(std::string prefix, uint64_t after, int waitMs);
     links::HttpAnswer change(const std::string& body);
     links::HttpAnswer promote(const links::HttpRequest& request);
+    bool carryOut(LineGroup& group, const std::string& member);
     links::HttpAnswer list(const std::string& prefix) const;
     void expire();
 
+    boost::asio::io_context& m_context;
     std::string m_address;
     std::vector<LineGroup*> m_groups;
     std::unique_ptr<links::HttpServer> m_server;
