A handover whose reason is gone orders nothing, and never the primary itself

Cause: a handover waits up to 0.8 s for a replica. A primary that took its leaving back meanwhile held most and might lead, so it was chosen for its own successor. The platform answers that with "done" and changes nothing; all hosts believed its lead one term later than it was. Why it holds: the reason is looked at again after the wait, and the leader is among the members that are reached, but no candidate.

--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -338,8 +338,7 @@
     if (isPlanned)
         co_await waitForReplica(group, lead.member);
     auto replicas = std::make_shared<Replicas>(m_context.context.get_executor());
-    // A leaving primary counts among those that are reached, though it may not lead.
-    askReplicas(group, isPlanned ? "" : lead.member, replicas);
+    askReplicas(group, lead.member, isPlanned, replicas);
     if (member != m_context.view.members.end() && !isPlanned)
         isDue = co_await isDead(group, member->second.getTarget());
     // Only now: a cut shows in the links to other hosts no sooner than in the silence of those that were asked.
@@ -350,10 +349,15 @@
     }
     if (isDue)
         co_await replicas->latch.wait();
-    auto& known = m_context.view.groups[group].lead;
-    if (isDue && decisions::isOvertaken(lead, known)) {
+    auto& belief = m_context.view.groups[group];
+    if (isDue && decisions::isOvertaken(lead, belief.lead)) {
         isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("another primary became known meanwhile") }, { "member", std::string_view(known.member) }, { "term", static_cast<int64_t>(known.term) } });
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("another primary became known meanwhile") }, { "member", std::string_view(belief.lead.member) }, { "term", static_cast<int64_t>(belief.lead.term) } });
+    }
+    // The handover waits up to 0.8 s for a replica. A member that takes its word back meanwhile stays the primary: to replace it would cost callers a change for nothing.
+    if (isDue && isPlanned && !mustHandOver(belief)) {
+        isDue = false;
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("the primary does not leave any more") }, { "member", std::string_view(lead.member) } });
     }
     if (isDue) {
         auto& findings = replicas->findings;
--- a/src/gateway/promoter_evidence.cpp
+++ b/src/gateway/promoter_evidence.cpp
@@ -129,9 +129,9 @@
     return static_cast<size_t>(std::ranges::count_if(ids, [&](const std::string& id) { return !m_context.view.members.at(id).unlistedAt; }));
 }
 
-asio::awaitable<void> Promoter::askReplica(MemberBelief member, std::shared_ptr<Replicas> replicas)
+asio::awaitable<void> Promoter::askReplica(MemberBelief member, bool isCandidate, std::shared_ptr<Replicas> replicas)
 {
-    bool mayLead = !member.listed.isLeaving && !member.unlistedAt;
+    bool mayLead = isCandidate && !member.listed.isLeaving && !member.unlistedAt;
     auto target = member.getTarget();
     auto known = getKnownMark(m_context.view.groups[target.group]);
     auto finding = co_await ask(m_context.self.host, target);
@@ -146,13 +146,14 @@
     replicas->latch.countDown();
 }
 
-void Promoter::askReplicas(const std::string& group, const std::string& leader, const std::shared_ptr<Replicas>& replicas)
+void Promoter::askReplicas(const std::string& group, const std::string& leader, bool withLeader, const std::shared_ptr<Replicas>& replicas)
 {
     for (auto& id : m_context.view.groups[group].members) {
-        if (id == leader)
+        bool isLeader = id == leader;
+        if (isLeader && !withLeader)
             continue;
         replicas->latch.add();
-        asio::co_spawn(m_context.context, askReplica(m_context.view.members.at(id), replicas), asio::detached);
+        asio::co_spawn(m_context.context, askReplica(m_context.view.members.at(id), !isLeader, replicas), asio::detached);
     }
     replicas->latch.countDown();
 }
@@ -173,7 +174,7 @@
         if (!now.wasReached)
             co_return;
         auto replicas = std::make_shared<Replicas>(m_context.context.get_executor());
-        askReplicas(group, leader, replicas);
+        askReplicas(group, leader, false, replicas);
         co_await replicas->latch.wait();
         for (auto& it : replicas->findings) {
             if (it.wasReached && it.mayLead && it.received >= now.status.received)
