A term that no member has shown gives way to the one that the primary shows

A host that had denied a lead of a term that was too high refused every proof of the true term as an old one. Cause: a term that was worked out from "done" stood above what members show, and takeProof() had no way back. "Done" does not name a term: also where an order is repeated before the first took effect (platform slower than 1.5 s), and where a host of the version before tells what it assumes. Change: a group's belief holds the newest term that was shown. One above it is assumed, and gives way to a primary that shows an older one, asked after the order had its time (kPromotionTakes), no older than what was shown. Hosts tell each other only leads that a floor of the term proves; the receiver treats them like a proof, with their age. What it touches: an old primary's late answer. It was asked before the time of the order was over, so it does not count (lead_terms/an_assumed_term_stands_*); a term that was shown gives way to nothing (lead_terms/a_term_that_was_shown_*).

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -32,6 +32,31 @@
     group.pendingUntil = now + kPromotionTakes;
 }
 
+// A term that follows from an order can be too high: "done" is also the answer to an order for the member that leads already. It gives way to a primary that
+// shows an older one once the order has had its time. Without that, a host that had denied such a lead believed no proof of it any more (no primary for 30 s and
+// more). An old primary's answer that comes late does not count: it was asked before.
+uint64_t getLeastTerm(const GroupBelief& group, TimePoint askedAt)
+{
+    bool isAssumed = group.lead.term > group.shownTerm;
+    return isAssumed && askedAt >= group.pendingUntil ? group.shownTerm : group.lead.term;
+}
+
+void takeShownLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo)
+{
+    auto known = group.lead;
+    bool givesWay = term < known.term && term >= getLeastTerm(group, askedAt);
+    if (givesWay)
+        known = { "", term, false };
+    group.lead = shownTo == ShownTo::ThisHost ? decisions::takeProof(known, member, term) : decisions::takeReport(known, member, term);
+    group.shownTerm = std::max(group.shownTerm, term);
+}
+
+void takeShownTerm(GroupBelief& group, uint64_t term)
+{
+    group.lead = { "", term, false };
+    group.shownTerm = std::max(group.shownTerm, term);
+}
+
 // The order of decisions::rankCarriers().
 static void insertHost(const ClusterView& view, const std::string& key, Ranking& ranking, const std::string& host)
 {
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -25,6 +25,7 @@
 
 struct GroupBelief {
     decisions::Lead lead {};
+    uint64_t shownTerm { 0 }; // the newest that a member showed. A lead of a newer term is assumed: it follows from an order
     decisions::FloorHistory floors {};
     TimePoint pendingUntil {}; // a change of primary was ordered; until then the new one may not know yet that it leads
     TimePoint provenAt {}; // when the primary last showed this host itself that it leads
@@ -64,8 +65,18 @@
 
 // A member said that it does not lead. One that was just made the primary is given time to become it.
 void denyLead(GroupBelief& group, const std::string& member, TimePoint now);
-// A change of primary was ordered.
+// A change of primary was ordered. The term is assumed until a member shows it.
 void takeOrderedLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint now);
+// A member showed that it leads, to this host or to another one, in answer to a question that was sent at `askedAt`.
+enum class ShownTo {
+    ThisHost,
+    AnotherHost,
+};
+void takeShownLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo);
+// Members know the term, and nobody is known to lead in it.
+void takeShownTerm(GroupBelief& group, uint64_t term);
+// The newest term that a lead shown in answer to a question of `askedAt` must not be older than.
+uint64_t getLeastTerm(const GroupBelief& group, TimePoint askedAt);
 
 inline constexpr milliseconds kPromotionTakes { 1500 }; // the platform names some hundred ms; the slowest site that was seen takes 1,000
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
     , m_peers(context, m_settings.name, makePeerService())
     , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); }, getDrainTime() })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
-    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, m_isDraining })
+    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, [this](const std::string& group, const decisions::Lead& before, std::string_view source) { noteLead(group, before, source); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
 {
@@ -226,8 +226,7 @@
     };
     observer.leads = [this](const TargetAddress& target) { return m_view.groups[target.group].lead.member == target.member; };
     observer.onLeads = [this](const TargetAddress& target, const Mark& position, TimePoint sentAt) {
-        noteRefusedProof(target.group, target.member, position.term);
-        takeLead(target.group, decisions::takeProof(m_view.groups[target.group].lead, target.member, position.term), "proof");
+        takeShown(target.group, target.member, position.term, sentAt, ShownTo::ThisHost);
         if (m_view.groups[target.group].lead.member == target.member) {
             takeFloor(target.group, { position, sentAt });
             m_view.groups[target.group].provenAt = Clock::now();
@@ -235,9 +234,10 @@
         }
     };
     observer.onFollows = [this](const TargetAddress& target) {
-        auto group = m_view.groups[target.group];
+        auto& group = m_view.groups[target.group];
+        auto before = group.lead;
         denyLead(group, target.member, Clock::now());
-        takeLead(target.group, group.lead, "denied");
+        noteLead(target.group, before, "denied");
     };
     observer.onPosition = [this](const TargetAddress& target, const Mark& position) {
         auto it = m_view.members.find(target.member);
@@ -292,9 +292,33 @@
 void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
 {
     auto& current = m_view.groups[group].lead;
-    bool isNews = lead.member != current.member || lead.term != current.term;
+    auto before = current;
     current = lead;
-    if (!isNews)
+    noteLead(group, before, source);
+}
+
+void Gateway::takeShown(const std::string& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo)
+{
+    auto& belief = m_view.groups[group];
+    auto before = belief.lead;
+    takeShownLead(belief, member, term, askedAt, shownTo);
+    noteLead(group, before, shownTo == ShownTo::ThisHost ? "proof" : "told");
+    if (shownTo == ShownTo::ThisHost)
+        noteRefusedProof(group, member, term);
+}
+
+void Gateway::takeOrdered(const std::string& group, const std::string& member, uint64_t term, std::string_view source)
+{
+    auto& belief = m_view.groups[group];
+    auto before = belief.lead;
+    takeOrderedLead(belief, member, term, Clock::now());
+    noteLead(group, before, source);
+}
+
+void Gateway::noteLead(const std::string& group, const decisions::Lead& before, std::string_view source)
+{
+    auto& lead = m_view.groups[group].lead;
+    if (lead.member == before.member && lead.term == before.term)
         return;
     m_view.isPlacementDue = true;
     m_promoter.noteNewLead(group);
@@ -340,10 +364,16 @@
         m_directory.takeChanges(readChanges(message, sentAt));
     m_directory.refreshConfiguration(message.configuration());
     m_directory.hearChange(message.change());
-    for (auto& it : message.leads()) {
-        auto& lead = m_view.groups[it.group()].lead;
-        if (m_view.members.contains(it.member()))
-            takeLead(it.group(), decisions::takeReport(lead, it.member(), it.term()), "told");
+    auto leadTimes = findLeadTimes(message, sentAt);
+    for (int i = 0; i < message.leads_size(); ++i) {
+        auto& it = message.leads(i);
+        auto& askedAt = leadTimes[static_cast<size_t>(i)];
+        if (!m_view.members.contains(it.member()))
+            continue;
+        if (askedAt)
+            takeShown(it.group(), it.member(), it.term(), *askedAt, ShownTo::AnotherHost);
+        else // a host of an older version tells what it assumes, too
+            takeOrdered(it.group(), it.member(), it.term(), "told");
     }
     takePositions(m_view, message, sentAt);
     for (auto& it : message.floors()) {
@@ -371,10 +401,7 @@
         m_promoter.noteOrder(group, host);
         if (!m_view.members.contains(member))
             return;
-        auto belief = m_view.groups[group];
-        takeOrderedLead(belief, member, term, Clock::now());
-        m_view.groups[group].pendingUntil = belief.pendingUntil;
-        takeLead(group, belief.lead, "ordered");
+        takeOrdered(group, member, term, "ordered");
     };
     service.fillPing = [this](peer::Ping& ping) {
         ping.set_configuration(m_view.configuration.version);
@@ -495,11 +522,9 @@
     if (!member.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), belief))
         return;
     auto known = getKnownMark(m_view.groups[member.group]);
-    inquire(belief.getTarget(), [this, id = member.id, group = member.group, known](const StatusReport& report) {
-        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received)) {
-            noteRefusedProof(group, id, report.status.term);
-            takeLead(group, decisions::takeProof(m_view.groups[group].lead, id, report.status.term), "proof");
-        }
+    inquire(belief.getTarget(), [this, id = member.id, group = member.group, known, askedAt = Clock::now()](const StatusReport& report) {
+        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
+            takeShown(group, id, report.status.term, askedAt, ShownTo::ThisHost);
     });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,10 @@
     void inquire(const TargetAddress& target, std::function<void(const StatusReport&)> done);
     void holdWrites(const std::string& member, milliseconds time);
     void takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source);
+    void takeShown(const std::string& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo);
+    void takeOrdered(const std::string& group, const std::string& member, uint64_t term, std::string_view source);
+    // Logs a change and tells the parts that go by it.
+    void noteLead(const std::string& group, const decisions::Lead& before, std::string_view source);
     void noteRefusedProof(const std::string& group, const std::string& member, uint64_t term);
     void takeFloor(const std::string& group, const decisions::Floor& floor);
     void raiseAlarm(const std::string& group, const std::string& reason);
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -362,19 +362,24 @@
     if (isDue) {
         auto& findings = replicas->findings;
         logEvidence(group, findings);
-        auto leading = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= lead.term && it.member != lead.member; });
+        auto newestSeen = std::max(belief.shownTerm, decisions::findNewerTerm(findings, 0).value_or(0));
+        auto leading = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= newestSeen && it.member != lead.member; });
         auto limits = m_context.view.configuration.groups[group];
         auto successor = decisions::chooseSuccessor(findings, limits.synchronousReplicas, countListed(group));
-        auto& current = m_context.view.groups[group].lead;
+        auto before = belief.lead;
         m_context.view.isPlacementDue = true;
         auto newerTerm = decisions::findNewerTerm(findings, lead.term);
-        if (leading != findings.end())
-            current = decisions::takeProof(current, leading->member, leading->term);
-        else if (newerTerm) {
-            current = { "", *newerTerm, false };
+        if (leading != findings.end() && leading->term < getLeastTerm(belief, began))
+            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("a member leads, and an order is not over yet") }, { "member", std::string_view(leading->member) }, { "term", static_cast<int64_t>(leading->term) } });
+        else if (leading != findings.end()) {
+            takeShownLead(belief, leading->member, leading->term, began, ShownTo::ThisHost);
+            m_context.noteLead(group, before, "proof");
+        } else if (newerTerm) {
+            takeShownTerm(belief, *newerTerm);
+            m_context.noteLead(group, before, "members");
             base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("members know a newer term") }, { "term", static_cast<int64_t>(*newerTerm) }, { "known", static_cast<int64_t>(lead.term) } });
         } else if (successor) {
-            uint64_t term = lead.term;
+            uint64_t term = lead.term; // also an assumed one: hosts that believe it have to take the next
             for (auto& it : findings)
                 term = std::max(term, std::max(it.term, it.received.term));
             wasOrdered = co_await order(group, *successor, term);
@@ -412,16 +417,20 @@
         // One without an answer may yet be carried out, unless a deputy's higher token comes in between: that is no reason to leave it to others.
         m_ordersLostAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
         bool isDone = result == PromotionResult::Done;
+        auto newTerm = oldTerm + 1;
         auto chosen = m_context.view.members.find(member);
         if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
             auto target = chosen->second.getTarget();
             auto finding = co_await ask(m_context.self.host, target);
             isDone = finding.wasReached && finding.status.isPrimary && finding.status.term > oldTerm;
+            newTerm = std::max(newTerm, finding.status.term);
         }
         if (isDone) {
-            takeOrderedLead(m_context.view.groups[group], member, oldTerm + 1, Clock::now());
-            m_context.view.isPlacementDue = true;
-            m_context.peers.sendLead(group, member, oldTerm + 1);
+            auto& belief = m_context.view.groups[group];
+            auto before = belief.lead;
+            takeOrderedLead(belief, member, newTerm, Clock::now());
+            m_context.noteLead(group, before, "ordered");
+            m_context.peers.sendLead(group, member, newTerm);
             co_return true;
         }
         if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -17,6 +17,7 @@
     std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> inquire; // from this host
     std::function<void(const std::string& group, const std::string& member, milliseconds)> holdWrites; // at this host
     std::function<bool()> hasStore; // this host hears of changes there
+    std::function<void(const std::string& group, const decisions::Lead& before, std::string_view source)> noteLead; // the belief was changed here
     const bool& isDraining;
 };
 
--- a/src/gateway/status_exchange.cpp
+++ b/src/gateway/status_exchange.cpp
@@ -1,4 +1,5 @@
 #include "gateway/status_exchange.h"
+#include <algorithm>
 
 namespace alderward::gateway {
 
@@ -27,7 +28,8 @@
         floor.set_group(name);
         writeMark(*floor.mutable_mark(), newest.mark);
         floor.set_age_us(getAgeUs(newest.since, now));
-        if (!isProven && group.lead.term != newest.mark.term)
+        // An assumed term would be taken for a shown one, and others would tell it on.
+        if (group.lead.term != newest.mark.term)
             continue;
         auto& lead = *wire.add_leads();
         lead.set_group(name);
@@ -36,6 +38,19 @@
     }
 }
 
+// Floors and leads stand in the same order, a floor for each lead.
+std::vector<std::optional<TimePoint>> findLeadTimes(const peer::Pong& wire, TimePoint sentAt)
+{
+    std::vector<std::optional<TimePoint>> times;
+    auto floor = wire.floors().begin();
+    for (auto& lead : wire.leads()) {
+        floor = std::find_if(floor, wire.floors().end(), [&](const peer::Floor& it) { return it.group() == lead.group(); });
+        bool isShown = floor != wire.floors().end() && floor->mark().term() == lead.term();
+        times.push_back(isShown ? std::optional(sentAt - microseconds(floor->age_us())) : std::nullopt);
+    }
+    return times;
+}
+
 void writePosition(peer::Load& wire, const ClusterView& view, TimePoint now)
 {
     auto it = view.members.find(wire.member());
