A carrier that knows no primary asks the member that says it leads, until it knows one

Cause: a host that carries to the primary proves its lead for all; with no lead believed it proves nothing, and nobody else can tell it. It asked once, when the member started again: one answer that was missing, or came while an order was pending, left its callers without a primary until somebody else's statement passed through it. Each 500 ms, by the member's carrier only, and only while nobody is known to lead.

--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -18,6 +18,7 @@
     bool hasStartedAgain { false }; // under its id: it holds nothing until it has shown a position
     TimePoint troubleAt {}; // the last time a connection to it failed here
     TimePoint answeredAt {};
+    TimePoint leadAskedAt {}; // when this host last asked whether it leads, nobody being known to
     decisions::Progress progress {}; // of its log
 
     TargetAddress getTarget() const { return { listed.id, listed.group, listed.address }; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,6 +36,7 @@
 static constexpr milliseconds kSessionsInterval { 100 }; // how late a transaction that rested too long is ended; operators allow it seconds
 static constexpr milliseconds kRelayAskedFor { 2000 }; // a host that others ask what it hears goes on relaying this long
 static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
+static constexpr milliseconds kLeadAskInterval { 500 }; // between two questions to a listed primary while nobody is known to lead; a change of primary takes longer
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
 Gateway::Gateway(asio::io_context& context, base::TimerService& timers, base::GatewaySettings settings, std::unique_ptr<links::PlatformAdapter> platform)
@@ -518,13 +519,19 @@
         m_pools.erase(it);
         pool->shutDown("the member started again");
     }
-    auto& belief = m_view.members.at(member.id);
-    if (!member.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), belief))
+    askWhetherItLeads(m_view.members.at(member.id));
+}
+
+// A host that carries to a member which says that it leads finds out whether it does. Others prove the lead through this host only, so nobody would tell it.
+void Gateway::askWhetherItLeads(MemberBelief& member)
+{
+    if (!member.listed.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), member))
         return;
-    auto known = getKnownMark(m_view.groups[member.group]);
-    inquire(belief.getTarget(), [this, id = member.id, group = member.group, known, askedAt = Clock::now()](const StatusReport& report) {
+    member.leadAskedAt = Clock::now();
+    auto known = getKnownMark(m_view.groups[member.listed.group]);
+    inquire(member.getTarget(), [this, id = member.listed.id, name = member.listed.group, known, askedAt = member.leadAskedAt](const StatusReport& report) {
         if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
-            takeShown(group, id, report.status.term, askedAt, ShownTo::ThisHost);
+            takeShown(name, id, report.status.term, askedAt, ShownTo::ThisHost);
     });
 }
 
@@ -732,6 +739,9 @@
     m_placedAt = now;
     auto place = getPlace();
     for (auto& [id, member] : m_view.members) {
+        // Asked again while nobody is known to lead: one answer that is missing or came too early would leave this host's callers without a primary for good.
+        if (m_view.groups[member.listed.group].lead.member.empty() && now - member.leadAskedAt >= kLeadAskInterval)
+            askWhetherItLeads(member);
         bool leads = m_view.groups[member.listed.group].lead.member == id;
         if ((leads || mustShow(member)) && isCarrier(m_view, m_peers, place, member))
             getPool(member.getTarget());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,7 @@
     void takeStatus(const peer::Pong& message, TimePoint sentAt);
     void takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source);
     void endLife(const links::ListedMember& member);
+    void askWhetherItLeads(MemberBelief& member);
     void takeUnlisted(const std::string& id, uint64_t revision, std::string_view source);
     void askForMembers(TimePoint now);
     void takeMembers(const peer::MembersAnswer& answer, TimePoint sentAt);
