A replica that does not answer agrees with nothing

A primary whose process is no younger than those of its replicas has not started again since they hold anything: it is believed, also where none answers, as in a new group whose replicas are late. Meanwhile callers of what needs the primary are refused at once (no-primary, "not run"), they may reach a host that knows a floor. Also: a primary that starts again after the comparison and before the first floor is compared anew; members are unlisted while they are asked. What it costs: a promoted primary that is younger than its replicas is not served from a host that knows no floor while too few of them answer.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -127,6 +127,14 @@
     return now.sequence < before.sequence;
 }
 
+// Clocks of members differ, and counts of members that started together by one: whatever speaks for it counts.
+bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other)
+{
+    bool isUnknown = (life.born == 0 || other.born == 0) && (life.sequence == 0 || other.sequence == 0);
+    bool isBornBefore = life.born != 0 && life.born < other.born;
+    return isUnknown || isBornBefore || life.sequence > other.sequence + 1;
+}
+
 Mark getKnownMark(const GroupBelief& group)
 {
     return group.floors.isEmpty() ? group.heldByReplicas : std::max(group.heldByReplicas, group.floors.floors.back().mark);
@@ -137,6 +145,7 @@
 {
     auto& group = view.groups[member.listed.group];
     group.lead = decisions::takeDenial(group.lead, member.listed.id);
+    group.wasCompared = false; // with the process of before
     member.leavingSince.reset();
     member.troubleAt = {};
     member.answeredAt = {};
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -33,8 +33,10 @@
     decisions::Lead refusedProof {}; // the last one that was not believed, as logged
     std::vector<std::string> members {}; // ids
     bool isComparing { false }; // its replicas are being asked what they hold
-    bool wasCompared { false };
-    Mark heldByReplicas {}; // as they answered then
+    bool wasCompared { false }; // enough of them have answered
+    bool lacksAnswers { false }; // too few did, the last time: the primary is not believed
+    TimePoint comparedAt {}; // when they were last asked
+    Mark heldByReplicas {}; // the most that any of them said to hold
 };
 
 // Hosts in the order in which they are asked, kept between uses. See getCarriers() and getRankedHosts().
@@ -102,6 +104,8 @@
     Taken,
     StartedAgain, // another run of its process: what was known of the one before is forgotten
 };
+// Whether the first of two processes may have started before the second, by what either of them says.
+bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other);
 MemberChange takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince, TimePoint now);
 // Whether two entries under one id come from different runs of a process. A time of start that differs says so, whichever is later: clocks are set.
 // Where one of them does not say it, a count that went back does.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/families.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "decisions/comparison.h"
 #include "decisions/relaying.h"
 #include "gateway/member_exchange.h"
 #include <algorithm>
@@ -36,6 +37,7 @@
 static constexpr milliseconds kSessionsInterval { 100 }; // how late a transaction that rested too long is ended; operators allow it seconds
 static constexpr milliseconds kRelayAskedFor { 2000 }; // a host that others ask what it hears goes on relaying this long
 static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
+static constexpr milliseconds kCompareInterval { 400 }; // between two times that replicas are asked what they hold, which takes up to kInquiryLimit
 static constexpr milliseconds kLeadAskInterval { 500 }; // between two questions to a listed primary while nobody is known to lead; a change of primary takes longer
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
@@ -168,45 +170,86 @@
         pool->setLimits(getLimits(target));
         auto member = m_view.members.find(target.member);
         pool->setTakesNew(member != m_view.members.end() && takesNewOperations(member->second, getDrainTime(), Clock::now()));
-        pool->setAwaitsComparison(mustCompare(target));
+        pool->setComparison(getComparison(target));
     }
     return pool;
 }
 
-bool Gateway::mustCompare(const TargetAddress& target)
+Comparison Gateway::getComparison(const TargetAddress& target)
 {
     auto& group = m_view.groups[target.group];
-    if (group.lead.member != target.member || canTellLostLog(group))
-        return false;
+    bool isKnown = m_view.members.contains(target.member);
+    if (!isKnown || group.lead.member != target.member || canTellLostLog(group))
+        return Comparison::NotNeeded;
     compareWithReplicas(target.group);
-    return !group.wasCompared;
+    if (canTellLostLog(group))
+        return Comparison::NotNeeded;
+    return group.lacksAnswers ? Comparison::LacksAnswers : Comparison::UnderWay;
 }
 
+// The replicas of one group, as they are asked what they hold.
+struct Gateway::ComparisonRound {
+    std::string group;
+    std::string primary;
+    links::MemberLife life; // of the primary's process
+    std::vector<decisions::ReplicaWitness> replicas {};
+    size_t left { 0 }; // that have not answered yet, nor been given up
+};
+
 // A host that has just started knows no floor, and would take the word of a primary that started again with nothing. Replicas of its term hold nothing
-// that it lacks, unless it lost its log. Two connections a group at a carrier's start; those that do not answer are waited for kInquiryLimit.
+// that it lacks, unless it lost its log. Two connections a group at a carrier's start; those that do not answer are waited for kInquiryLimit, and where they are needed
+// asked again.
 void Gateway::compareWithReplicas(const std::string& name)
 {
+    auto now = Clock::now();
     auto& group = m_view.groups[name];
-    if (group.isComparing)
+    if (group.isComparing || now - group.comparedAt < kCompareInterval)
         return;
     group.isComparing = true;
-    auto replicas = group.members;
-    std::erase(replicas, group.lead.member);
-    group.wasCompared = replicas.empty();
-    auto left = std::make_shared<size_t>(replicas.size());
-    for (auto& id : replicas) {
-        inquire(m_view.members.at(id).getTarget(), [this, name, left](const StatusReport& report) {
-            auto& group = m_view.groups[name];
+    group.comparedAt = now;
+    auto& primary = m_view.members.at(group.lead.member).listed;
+    auto round = std::make_shared<ComparisonRound>(ComparisonRound { name, primary.id, primary.life });
+    std::vector<TargetAddress> targets;
+    for (auto& id : group.members) {
+        auto& member = m_view.members.at(id);
+        if (id == primary.id || member.unlistedAt)
+            continue;
+        targets.push_back(member.getTarget());
+        round->replicas.push_back({ false, mayBeOlder(member.listed.life, primary.life) });
+    }
+    round->left = targets.size();
+    if (targets.empty())
+        endComparison(*round);
+    for (size_t i = 0; i < targets.size(); ++i) {
+        inquire(targets[i], [this, round, i](const StatusReport& report) {
+            auto& group = m_view.groups[round->group];
+            round->replicas[i].hasAnswered = report.status.term != 0;
             if (report.status.term != 0)
                 group.heldByReplicas = std::max(group.heldByReplicas, report.status.received);
-            group.wasCompared = --*left == 0;
-            m_view.isPlacementDue = m_view.isPlacementDue || group.wasCompared;
-            if (group.wasCompared)
-                base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(name) }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
+            if (--round->left == 0)
+                endComparison(*round);
         });
     }
 }
 
+void Gateway::endComparison(const ComparisonRound& round)
+{
+    auto& group = m_view.groups[round.group];
+    group.isComparing = false;
+    m_view.isPlacementDue = true;
+    auto primary = m_view.members.find(round.primary);
+    bool isSame = primary != m_view.members.end() && group.lead.member == round.primary && !isOtherLife(round.life, primary->second.listed.life);
+    if (!isSame) { // it is compared anew, if need be
+        group.comparedAt = {};
+        return;
+    }
+    group.wasCompared = decisions::mayBelievePrimary(round.replicas);
+    group.lacksAnswers = !group.wasCompared;
+    auto answered = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::hasAnswered);
+    auto older = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::mayBeOlder);
+    base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(round.group) }, { "member", std::string_view(round.primary) }, { "replicas", static_cast<int64_t>(round.replicas.size()) }, { "older", static_cast<int64_t>(older) }, { "answered", static_cast<int64_t>(answered) }, { "enough", group.wasCompared }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
+}
+
 // Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
 PoolLimits Gateway::getLimits(const TargetAddress& target) const
 {
@@ -751,7 +794,7 @@
         bool isKnown = member != m_view.members.end();
         bool leads = isKnown && m_view.groups[member->second.listed.group].lead.member == id;
         pool->setLimits(getLimits(pool->getTarget())); // configuration and list may have come after the pool
-        pool->setAwaitsComparison(mustCompare(pool->getTarget()));
+        pool->setComparison(getComparison(pool->getTarget()));
         bool carries = isKnown && isCarrier(m_view, m_peers, place, member->second);
         pool->setCarrier(carries);
         pool->setProofInterval(leads && carries ? kProofInterval : milliseconds(0));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,7 +34,9 @@
     void sweepStop(TimePoint now);
     std::shared_ptr<TargetPool> getPool(const TargetAddress& target);
     void compareWithReplicas(const std::string& group);
-    bool mustCompare(const TargetAddress& target);
+    struct ComparisonRound;
+    void endComparison(const ComparisonRound& round);
+    Comparison getComparison(const TargetAddress& target);
     PoolLimits getLimits(const TargetAddress& target) const;
     PoolObserver makeObserver();
     PeerService makePeerService();
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -116,7 +116,7 @@
 bool TargetPool::isRunnable(const Job& job, TimePoint now) const
 {
     auto& order = job.order;
-    if (now < job.notBefore || isHeld(job, now) || (m_awaitsComparison && needsLeader(order)))
+    if (now < job.notBefore || isHeld(job, now) || (m_comparison != Comparison::NotNeeded && needsLeader(order)))
         return false;
     if (order.kind == OrderKind::Continue) {
         auto it = m_transactions.find(order.transaction);
@@ -143,28 +143,33 @@
     return job;
 }
 
-// The time of a target that leaves can end while operations wait for their turn: looked at where they are sent, not only where they are routed.
-void TargetPool::giveBackNew()
+// Ends jobs that wait here, all of them unsent. A repetition leaves the answer to the job that it repeats.
+void TargetPool::giveBack(const std::function<bool(const Job&)>& mustGo, const decisions::Error& error)
 {
     std::vector<JobPtr> given;
     std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) {
-        if (!it.turn.isContinuation) {
-            given.push_back(m_waiting.at(it.number));
-            m_waiting.erase(it.number);
-        }
-        return !it.turn.isContinuation;
+        auto job = m_waiting.at(it.number);
+        if (!mustGo(*job))
+            return false;
+        given.push_back(job);
+        m_waiting.erase(it.number);
+        return true;
     });
     for (auto& job : given) {
         if (!job->isRepetition)
-            finish(job, decisions::makeFailure(ErrorKind::TargetUnreachable, "the member leaves and takes no new operations"));
+            finish(job, decisions::makeFailure(error.kind, error.message));
     }
 }
 
 void TargetPool::dispatch()
 {
     auto now = Clock::now();
+    // The time of a target that leaves can end while operations wait for their turn: looked at where they are sent, not only where they are routed.
     if (!m_takesNew)
-        giveBackNew();
+        giveBack([](const Job& it) { return it.order.kind != OrderKind::Continue; }, { ErrorKind::TargetUnreachable, "the member leaves and takes no new operations" });
+    // Nobody knows when the replicas will answer: callers are told at once, they may reach a host that knows more.
+    if (m_comparison == Comparison::LacksAnswers)
+        giveBack([](const Job& it) { return needsLeader(it.order); }, { ErrorKind::NoPrimary, "the member may have lost its log, and its replicas do not answer" });
     std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) {
         bool isDone = m_waiting.at(it.number)->isDone(); // repeated, and the first one was answered after all
         if (isDone)
@@ -198,7 +203,7 @@
 // As many connections as statements wait for, within the limits.
 void TargetPool::openSessions(TimePoint now)
 {
-    if (m_awaitsComparison) // the first position that a connection tells is compared with what is known then
+    if (m_comparison != Comparison::NotNeeded) // the first position that a connection tells is compared with what is known then
         return;
     auto needed = countWaitingForConnection();
     auto wanted = std::min<size_t>(needed, m_limits.running) + m_transactions.size() + m_running.size();
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -54,6 +54,14 @@
     std::function<void(const TargetAddress&, size_t open, const std::string& reason)> onRefused;
 };
 
+// Whether it is known that a target which is to lead still holds its log. What only a leader may run waits while that is found out, and is refused where nobody who could
+// tell answers.
+enum class Comparison {
+    NotNeeded,
+    UnderWay,
+    LacksAnswers,
+};
+
 struct PoolLimits {
     unsigned connections { 4 }; // open at a time
     unsigned running { 3 }; // statements at the target at a time
@@ -89,8 +97,7 @@
     bool isCarrier() const { return m_isCarrier; }
     // Whether operations may begin at the target; else those that wait here are given back unsent, and transactions go on.
     void setTakesNew(bool takesNew) { m_takesNew = takesNew; }
-    // Whether what only a leader may run waits: it is being found out whether the target still holds its log.
-    void setAwaitsComparison(bool awaits) { m_awaitsComparison = awaits; }
+    void setComparison(Comparison comparison) { m_comparison = comparison; }
     // The target is gone: closes everything; orders in flight end as unknown, waiting ones as unreachable.
     void shutDown(const std::string& reason);
     // Statements that write wait until then: a planned change of primary is under way.
@@ -127,7 +134,7 @@
     void refuse(const std::vector<decisions::QueueEntry>& entries, const std::string& reason);
     size_t countWaitingForConnection() const;
     bool isHeld(const Job& job, TimePoint now) const;
-    void giveBackNew();
+    void giveBack(const std::function<bool(const Job&)>& mustGo, const decisions::Error& error);
     void dispatch();
     void openSessions(TimePoint now);
     JobPtr popNext(TimePoint now);
@@ -188,7 +195,7 @@
     bool m_isDispatching { false };
     bool m_isCarrier { true };
     bool m_takesNew { true };
-    bool m_awaitsComparison { false };
+    Comparison m_comparison { Comparison::NotNeeded };
 };
 
 }
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -118,7 +118,7 @@
 
 void TargetPool::proveLead(TimePoint now)
 {
-    if (m_awaitsComparison || m_proofInterval.count() == 0 || now - m_provedAt < m_proofInterval)
+    if (m_comparison != Comparison::NotNeeded || m_proofInterval.count() == 0 || now - m_provedAt < m_proofInterval)
         return;
     auto session = findQuiet();
     if (!session) {
