A member that is listed for another group belongs to that one only

Found while looking for ids that name nobody (the comparison looks members up by the ids of their group). A member whose entry names another group stayed in the list of the old one; forgotten, it was erased from the new one only, and the next look-up by the old group's id threw: the process would end. An entry may come from another writer, so this needs no fault of a member. It now counts as another life: what was known is forgotten, the old group's lead of it is denied. member_life/a_member_that_is_listed_for_another_group_*: fails without the change by reading (the id stays in `g`); not run without it.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -159,11 +159,14 @@
     auto known = view.members.find(listed.id);
     if (known != view.members.end() && revision < known->second.revision)
         return MemberChange::Outdated;
-    bool startedAgain = known != view.members.end() && isOtherLife(known->second.listed.life, listed.life);
+    bool hasMoved = known != view.members.end() && known->second.listed.group != listed.group;
+    bool startedAgain = hasMoved || (known != view.members.end() && isOtherLife(known->second.listed.life, listed.life));
     view.membersRevision = std::max(view.membersRevision, revision);
     auto& member = view.members[listed.id];
     if (startedAgain)
         forgetLife(view, member, now);
+    if (hasMoved) // a group that kept the id would name a member that is forgotten later
+        std::erase(view.groups[member.listed.group].members, listed.id);
     member.revision = revision;
     if (!listed.isLeaving)
         member.leavingSince.reset();
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -102,7 +102,7 @@
 enum class MemberChange {
     Outdated, // something newer is known
     Taken,
-    StartedAgain, // another run of its process: what was known of the one before is forgotten
+    StartedAgain, // another run of its process, or one of another group: what was known of the one before is forgotten
 };
 // Whether the first of two processes may have started before the second, by what either of them says.
 bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other);
--- a/tests/unit/member_life_test.cpp
+++ b/tests/unit/member_life_test.cpp
@@ -60,6 +60,23 @@
     BOOST_TEST((takeMember(view, makeMember(1000, 9), 1, {}, now) == MemberChange::Outdated)); // the old entry, late
 }
 
+// A host looks up the members of a group by the ids that the group names. An id that stood in two groups and was forgotten in one of them ended the process.
+BOOST_AUTO_TEST_CASE(a_member_that_is_listed_for_another_group_belongs_to_that_one_only)
+{
+    ClusterView view;
+    takeMember(view, makeMember(1000, 1, true), 1, {}, kStart);
+    auto moved = makeMember(1000, 2);
+    moved.group = "other";
+    BOOST_TEST((takeMember(view, moved, 2, {}, kStart) == MemberChange::StartedAgain));
+    BOOST_TEST(view.groups["g"].members.empty());
+    BOOST_TEST(view.groups["g"].lead.member.empty());
+    BOOST_TEST(view.groups["other"].members == std::vector<std::string> { "m" });
+    takeMemberGone(view, "m", 3, kStart);
+    forgetMembers(view, milliseconds(100), kStart + milliseconds(200));
+    for (auto& [name, group] : view.groups)
+        BOOST_TEST(group.members.empty(), name);
+}
+
 BOOST_AUTO_TEST_CASE(a_primary_that_holds_less_than_it_acknowledged_has_lost_its_log)
 {
     GroupBelief group;
