A primary that has lost its log is no candidate for its own succession

Callers saw: nobody served while each order was answered with "done" and changed nothing, where replicas held no more than a primary that had started again with nothing.

--- a/src/gateway/promoter_evidence.cpp
+++ b/src/gateway/promoter_evidence.cpp
@@ -142,6 +142,9 @@
             finding = second;
     }
     bool hasLost = decisions::hasLostLog(known, finding.status.received);
+    // The platform answers an order for its present primary with "done" and changes nothing: no new term begins, and of the old one it is not believed. Where all replicas held
+    // less than it, such a primary was ordered again and again, and callers had none.
+    mayLead = mayLead && !(finding.status.isPrimary && hasLost);
     replicas->findings.push_back({ member.listed.id, finding.wasReached, finding.status.isPrimary && !hasLost, finding.status.term, finding.status.received, mayLead });
     replicas->latch.countDown();
 }
--- a/tests/gateway/terms_test.cpp
+++ b/tests/gateway/terms_test.cpp
@@ -122,6 +122,30 @@
     BOOST_TEST(countPromotions(rig) == 0u);
 }
 
+// Replicas hold nothing here, so the primary that started again holds as much as they do. What it had acknowledged is lost whoever leads: replication is asynchronous.
+BOOST_AUTO_TEST_CASE(a_primary_that_has_lost_its_log_is_not_ordered_as_its_own_successor)
+{
+    GatewayRig rig;
+    rig.call([&] {
+        rig.getGroup().getFaults("g0-b").isDeaf = true;
+        rig.getGroup().getFaults("g0-c").isDeaf = true;
+    });
+    rig.beginHosts();
+    LineCaller writer(rig.getCallerAddress(0), "db0-primary");
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(writer.ask(fmt::format("WRITE item{} 1", i)).isOk());
+    std::this_thread::sleep_for(milliseconds(1000)); // all hosts have heard of it
+    rig.call([&] {
+        rig.getGroup().beginEmpty("g0-a");
+        rig.getStore().listMembers();
+    });
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(waitUntil(milliseconds(6000), [&] { return canWrite(rig, i); }));
+    for (auto& it : rig.call([&] { return rig.getStore().getPromotions(); }))
+        BOOST_TEST(it.member != "g0-a");
+    checkTerms(rig);
+}
+
 // The second half of the story at the top: the carrier alone has denied the lead. It hears of the start later than the others, which take its word meanwhile.
 BOOST_AUTO_TEST_CASE(the_only_carrier_believes_its_primary_again_after_it_denied_a_lead_of_a_term_that_was_too_high)
 {
