A change of primary whose reason is gone is not ordered, nor ordered again

An order without an answer is repeated for up to 7.6 s, and an examination takes up to 2 s: a primary that took its leaving back, or showed that it leads, was replaced all the same, and what it acknowledged since and replicas lack was taken back. findObjection() is asked after the evidence and before each repetition. The part with the proof has no test of its own.

--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -350,14 +350,11 @@
     if (isDue)
         co_await replicas->latch.wait();
     auto& belief = m_context.view.groups[group];
-    if (isDue && decisions::isOvertaken(lead, belief.lead)) {
+    Occasion occasion { lead, isPlanned, began };
+    auto objection = isDue ? findObjection(group, occasion) : std::string_view();
+    if (!objection.empty()) {
         isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("another primary became known meanwhile") }, { "member", std::string_view(belief.lead.member) }, { "term", static_cast<int64_t>(belief.lead.term) } });
-    }
-    // The handover waits up to 0.8 s for a replica. A member that takes its word back meanwhile stays the primary: to replace it would cost callers a change for nothing.
-    if (isDue && isPlanned && !mustHandOver(belief)) {
-        isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("the primary does not leave any more") }, { "member", std::string_view(lead.member) } });
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", objection }, { "member", std::string_view(belief.lead.member) }, { "term", static_cast<int64_t>(belief.lead.term) } });
     }
     if (isDue) {
         auto& findings = replicas->findings;
@@ -382,7 +379,7 @@
             uint64_t term = lead.term; // also an assumed one: hosts that believe it have to take the next
             for (auto& it : findings)
                 term = std::max(term, std::max(it.term, it.received.term));
-            wasOrdered = co_await order(group, *successor, term);
+            wasOrdered = co_await order(group, *successor, term, occasion);
         } else
             base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be chosen") }, { "members_asked", static_cast<int64_t>(findings.size()) } });
     }
@@ -394,8 +391,22 @@
     state.notBefore = Clock::now() + (wasOrdered ? kPromotionTakes : kPauseAfter);
 }
 
+// A handover waits up to 0.8 s for a replica, an examination up to 2 s for answers, an order without an answer is repeated for up to 7.6 s. A primary that takes its word back
+// meanwhile, or shows that it leads, stays: to replace it would take back what it acknowledged since and replicas lack.
+std::string_view Promoter::findObjection(const std::string& group, const Occasion& occasion) const
+{
+    auto& belief = m_context.view.groups[group];
+    if (decisions::isOvertaken(occasion.lead, belief.lead))
+        return "another primary became known meanwhile";
+    if (occasion.isPlanned)
+        return mustHandOver(belief) ? "" : "the primary does not leave any more";
+    auto& floors = belief.floors.floors;
+    bool hasShown = !floors.empty() && floors.back().since > occasion.since && floors.back().mark.term == belief.lead.term;
+    return hasShown && !belief.lead.member.empty() ? "the primary showed meanwhile that it leads" : "";
+}
+
 // One decision: one token, one member. An order without an answer is repeated as it was; it may still be carried out.
-asio::awaitable<bool> Promoter::order(std::string group, std::string member, uint64_t oldTerm)
+asio::awaitable<bool> Promoter::order(std::string group, std::string member, uint64_t oldTerm, Occasion occasion)
 {
     auto& state = m_states[group];
     auto rank = decisions::findRank(state.succession, m_context.self);
@@ -442,6 +453,10 @@
         // Somebody else may have taken over meanwhile, the more so if this process was frozen.
         if (Clock::now() - askedAt > kOrderLimit + kRetryPause + kPauseAfter || *rank < state.spentBelow || m_context.isDraining)
             co_return false;
+        if (auto objection = findObjection(group, occasion); !objection.empty()) {
+            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", objection }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) } });
+            co_return false;
+        }
     }
     co_return false;
 }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -67,6 +67,12 @@
     };
 
     struct Due;
+    // What a change of primary rests on.
+    struct Occasion {
+        decisions::Lead lead {}; // as it was believed when the change became due
+        bool isPlanned { false };
+        TimePoint since {}; // what was found out is not older
+    };
 
     bool isLive(const std::string& host) const;
     bool canDo(const std::string& host, decisions::Task task) const;
@@ -91,7 +97,9 @@
     struct Examination;
     boost::asio::awaitable<void> examine(std::string witness, TargetAddress leader, std::shared_ptr<Examination> examination);
     boost::asio::awaitable<void> waitForReplica(std::string group, std::string leader);
-    boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm);
+    // Why a change of primary that was due is not any more; empty: it still is.
+    std::string_view findObjection(const std::string& group, const Occasion& occasion) const;
+    boost::asio::awaitable<bool> order(std::string group, std::string member, uint64_t oldTerm, Occasion occasion);
     boost::asio::awaitable<StatusReport> ask(std::string host, TargetAddress target);
     std::vector<std::string> chooseWitnesses() const;
     size_t countListed(const std::string& group) const;
--- a/tests/gateway/terms_test.cpp
+++ b/tests/gateway/terms_test.cpp
@@ -75,6 +75,27 @@
         BOOST_TEST(canWrite(rig, i));
 }
 
+// An order that nobody answers is repeated for up to 7.6 s.
+BOOST_AUTO_TEST_CASE(a_leaving_that_is_taken_back_while_the_order_is_unanswered_replaces_nobody)
+{
+    GatewayRig rig;
+    rig.beginHosts();
+    BOOST_TEST(canWrite(rig, 0));
+    rig.call([&] {
+        rig.getStore().faults.unheardHolders = { "h0", "h1", "h2" };
+        rig.getStore().setLeaving("g0-a", true);
+    });
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return rig.countEvents("promotion-ordered") > 0; }));
+    rig.call([&] { rig.getStore().setLeaving("g0-a", false); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    rig.call([&] { rig.getStore().faults.unheardHolders.clear(); });
+    std::this_thread::sleep_for(kHeard);
+    BOOST_TEST(countPromotions(rig) == 0u);
+    checkTerms(rig);
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(canWrite(rig, i));
+}
+
 BOOST_AUTO_TEST_CASE(an_order_that_is_repeated_after_its_first_answer_was_lost_raises_the_term_once)
 {
     GatewayRig rig;
