--- a/tests/gateway/soak_test.cpp
+++ b/tests/gateway/soak_test.cpp
@@ -587,6 +587,12 @@
         runSoak(seed, std::chrono::seconds(12));
 }
 
+// As above, on its own: a test that KNOWN-RED.txt names hides all of its seeds.
+BOOST_AUTO_TEST_CASE(seed_3010_passes)
+{
+    runSoak(3010, std::chrono::seconds(12));
+}
+
 // A host that had just started read from a primary that had started again with nothing; failover/a_host_that_starts_does_not_believe_* brings it about.
 BOOST_AUTO_TEST_CASE(seed_4043_passes)
 {
