How the code reads: leads and members stand apart from the gateway; a comparison belongs to one primary

Moved as they were, but for noteLead(): a host without a floor compares the next primary with its replicas, too. It took over what was found out about the one before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,7 +3,6 @@
 #include "base/families.h"
 #include "base/metrics.h"
 #include "base/random.h"
-#include "decisions/comparison.h"
 #include "decisions/relaying.h"
 #include "gateway/member_exchange.h"
 #include <algorithm>
@@ -29,15 +28,12 @@
 static constexpr milliseconds kNoticeTime { 2200 }; // the balancer asks once a second and needs two refusals
 static constexpr milliseconds kEndReserve { 700 }; // of the grace time, for the last answers
 static constexpr milliseconds kLastAnswers { 50 }; // for bytes that wait in sockets before the process ends
-static constexpr milliseconds kProofMissed { 1500 }; // without a floor of this age the leader has not shown itself: proofs come each 250 ms, pings each second at most
 static constexpr milliseconds kListedAgain { 2500 }; // entries that lapsed with the store are back within this
 static constexpr milliseconds kPartnersInterval { 500 }; // between two choices of partners while no host came or went
 static constexpr milliseconds kPlacementInterval { 500 }; // at most, between two looks at what this host carries while nothing that decides it changed
 static constexpr milliseconds kForgetInterval { 500 }; // between two looks for members that have been unlisted for kUnlistedFor
 static constexpr milliseconds kSessionsInterval { 100 }; // how late a transaction that rested too long is ended; operators allow it seconds
 static constexpr milliseconds kRelayAskedFor { 2000 }; // a host that others ask what it hears goes on relaying this long
-static constexpr milliseconds kMembersInterval { 500 }; // between two questions for members to hosts that have the store
-static constexpr milliseconds kCompareInterval { 400 }; // between two times that replicas are asked what they hold, which takes up to kInquiryLimit
 static constexpr milliseconds kLeadAskInterval { 500 }; // between two questions to a listed primary while nobody is known to lead; a change of primary takes longer
 static constexpr unsigned kSpareConnections = 2; // of a member's limit, for inquiries and newcomers
 
@@ -175,81 +171,6 @@
     return pool;
 }
 
-Comparison Gateway::getComparison(const TargetAddress& target)
-{
-    auto& group = m_view.groups[target.group];
-    bool isKnown = m_view.members.contains(target.member);
-    if (!isKnown || group.lead.member != target.member || canTellLostLog(group))
-        return Comparison::NotNeeded;
-    compareWithReplicas(target.group);
-    if (canTellLostLog(group))
-        return Comparison::NotNeeded;
-    return group.lacksAnswers ? Comparison::LacksAnswers : Comparison::UnderWay;
-}
-
-// The replicas of one group, as they are asked what they hold.
-struct Gateway::ComparisonRound {
-    std::string group;
-    std::string primary;
-    links::MemberLife life; // of the primary's process
-    std::vector<decisions::ReplicaWitness> replicas {};
-    size_t left { 0 }; // that have not answered yet, nor been given up
-};
-
-// A host that has just started knows no floor, and would take the word of a primary that started again with nothing. Replicas of its term hold nothing
-// that it lacks, unless it lost its log. Two connections a group at a carrier's start; those that do not answer are waited for kInquiryLimit, and where they are needed
-// asked again.
-void Gateway::compareWithReplicas(const std::string& name)
-{
-    auto now = Clock::now();
-    auto& group = m_view.groups[name];
-    if (group.isComparing || now - group.comparedAt < kCompareInterval)
-        return;
-    group.isComparing = true;
-    group.comparedAt = now;
-    auto& primary = m_view.members.at(group.lead.member).listed;
-    auto round = std::make_shared<ComparisonRound>(ComparisonRound { name, primary.id, primary.life });
-    std::vector<TargetAddress> targets;
-    for (auto& id : group.members) {
-        auto& member = m_view.members.at(id);
-        if (id == primary.id || member.unlistedAt)
-            continue;
-        targets.push_back(member.getTarget());
-        round->replicas.push_back({ false, mayBeOlder(member.listed.life, primary.life) });
-    }
-    round->left = targets.size();
-    if (targets.empty())
-        endComparison(*round);
-    for (size_t i = 0; i < targets.size(); ++i) {
-        inquire(targets[i], [this, round, i](const StatusReport& report) {
-            auto& group = m_view.groups[round->group];
-            round->replicas[i].hasAnswered = report.status.term != 0;
-            if (report.status.term != 0)
-                group.heldByReplicas = std::max(group.heldByReplicas, report.status.received);
-            if (--round->left == 0)
-                endComparison(*round);
-        });
-    }
-}
-
-void Gateway::endComparison(const ComparisonRound& round)
-{
-    auto& group = m_view.groups[round.group];
-    group.isComparing = false;
-    m_view.isPlacementDue = true;
-    auto primary = m_view.members.find(round.primary);
-    bool isSame = primary != m_view.members.end() && group.lead.member == round.primary && !isOtherLife(round.life, primary->second.listed.life);
-    if (!isSame) { // it is compared anew, if need be
-        group.comparedAt = {};
-        return;
-    }
-    group.wasCompared = decisions::mayBelievePrimary(round.replicas);
-    group.lacksAnswers = !group.wasCompared;
-    auto answered = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::hasAnswered);
-    auto older = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::mayBeOlder);
-    base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(round.group) }, { "member", std::string_view(round.primary) }, { "replicas", static_cast<int64_t>(round.replicas.size()) }, { "older", static_cast<int64_t>(older) }, { "answered", static_cast<int64_t>(answered) }, { "enough", group.wasCompared }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
-}
-
 // Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
 PoolLimits Gateway::getLimits(const TargetAddress& target) const
 {
@@ -333,59 +254,6 @@
         it->second->holdWrites(Clock::now() + time);
 }
 
-void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
-{
-    auto& current = m_view.groups[group].lead;
-    auto before = current;
-    current = lead;
-    noteLead(group, before, source);
-}
-
-void Gateway::takeShown(const std::string& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo)
-{
-    auto& belief = m_view.groups[group];
-    auto before = belief.lead;
-    takeShownLead(belief, member, term, askedAt, shownTo);
-    noteLead(group, before, shownTo == ShownTo::ThisHost ? "proof" : "told");
-    if (shownTo == ShownTo::ThisHost)
-        noteRefusedProof(group, member, term);
-}
-
-void Gateway::takeOrdered(const std::string& group, const std::string& member, uint64_t term, std::string_view source)
-{
-    auto& belief = m_view.groups[group];
-    auto before = belief.lead;
-    takeOrderedLead(belief, member, term, Clock::now());
-    noteLead(group, before, source);
-}
-
-void Gateway::noteLead(const std::string& group, const decisions::Lead& before, std::string_view source)
-{
-    auto& lead = m_view.groups[group].lead;
-    if (lead.member == before.member && lead.term == before.term)
-        return;
-    m_view.isPlacementDue = true;
-    m_promoter.noteNewLead(group);
-    base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
-}
-
-// A member shows that it leads in an older term than the one that this host believes the group to be in. A line for each such member and term, not for each proof.
-void Gateway::noteRefusedProof(const std::string& group, const std::string& member, uint64_t term)
-{
-    auto& belief = m_view.groups[group];
-    decisions::Lead refused { member, term, true };
-    if (term >= belief.lead.term || refused == belief.refusedProof)
-        return;
-    belief.refusedProof = refused;
-    base::logEvent(LogClass::State, "proof-refused", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "term", static_cast<int64_t>(term) }, { "known", std::string_view(belief.lead.member) }, { "known_term", static_cast<int64_t>(belief.lead.term) } });
-}
-
-void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
-{
-    auto& floors = m_view.groups[group].floors;
-    floors = decisions::takeFloor(std::move(floors), floor);
-}
-
 bool Gateway::isTroubled(const TargetAddress& target) const
 {
     auto it = m_view.members.find(target.member);
@@ -531,104 +399,6 @@
     return events;
 }
 
-// `source`: the store itself, or a host that has it.
-void Gateway::takeListed(const links::ListedMember& member, uint64_t revision, TimePoint leavingSince, std::string_view source)
-{
-    auto known = m_view.members.find(member.id);
-    bool wasKnown = known != m_view.members.end();
-    auto before = wasKnown ? known->second.listed : links::ListedMember {};
-    bool wasUnlisted = wasKnown && known->second.unlistedAt;
-    auto change = takeMember(m_view, member, revision, leavingSince, Clock::now());
-    if (change == MemberChange::Outdated)
-        return;
-    if (change == MemberChange::StartedAgain)
-        endLife(member);
-    takeRoleChange(before, member);
-    m_partnersDue = m_partnersDue || !wasKnown;
-    m_view.isPlacementDue = true;
-    before.life = member.life; // its count moves with every word of it
-    if (before == member && !wasUnlisted)
-        return;
-    base::logEvent(LogClass::State, "member", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "address", std::string_view(member.address) }, { "leaving", member.isLeaving }, { "says_primary", member.saysPrimary }, { "revision", static_cast<int64_t>(revision) }, { "source", source } });
-}
-
-// Connections that still stand lead to the process of before; whatever runs on them is in doubt, as after any other break.
-void Gateway::endLife(const links::ListedMember& member)
-{
-    base::logEvent(LogClass::State, "member-restarted", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "born", static_cast<int64_t>(member.life.born) }, { "sequence", static_cast<int64_t>(member.life.sequence) } });
-    m_promoter.noteNewLead(member.group);
-    if (auto it = m_pools.find(member.id); it != m_pools.end()) {
-        auto pool = it->second;
-        m_pools.erase(it);
-        pool->shutDown("the member started again");
-    }
-    askWhetherItLeads(m_view.members.at(member.id));
-}
-
-// A host that carries to a member which says that it leads finds out whether it does. Others prove the lead through this host only, so nobody would tell it.
-void Gateway::askWhetherItLeads(MemberBelief& member)
-{
-    if (!member.listed.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), member))
-        return;
-    member.leadAskedAt = Clock::now();
-    auto known = getKnownMark(m_view.groups[member.listed.group]);
-    inquire(member.getTarget(), [this, id = member.listed.id, name = member.listed.group, known, askedAt = member.leadAskedAt](const StatusReport& report) {
-        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
-            takeShown(name, id, report.status.term, askedAt, ShownTo::ThisHost);
-    });
-}
-
-void Gateway::takeUnlisted(const std::string& id, uint64_t revision, std::string_view source)
-{
-    if (takeMemberGone(m_view, id, revision, Clock::now()))
-        base::logEvent(LogClass::State, "member-unlisted", { { "member", std::string_view(id) }, { "revision", static_cast<int64_t>(revision) }, { "source", source } });
-}
-
-// A host that has lost the store asks one that has it, another each time.
-void Gateway::askForMembers(TimePoint now)
-{
-    if (!m_view.hasMembers || !m_directory.mayMissChanges() || now - m_membersAskedAt < kMembersInterval)
-        return;
-    std::vector<std::string> able;
-    for (auto& name : m_peers.getUpHosts()) {
-        if (m_peers.getAbility(name).hasStore)
-            able.push_back(name);
-    }
-    if (able.empty())
-        return;
-    m_membersAskedAt = now;
-    auto index = static_cast<size_t>(base::getRandom() * static_cast<double>(able.size()));
-    m_peers.askMembers(able[std::min(index, able.size() - 1)], m_view.membersRevision);
-}
-
-void Gateway::takeMembers(const peer::MembersAnswer& answer, TimePoint sentAt)
-{
-    if (answer.lacks_store() || !m_directory.mayMissChanges())
-        return;
-    for (auto& it : answer.members()) {
-        if (it.is_unlisted())
-            takeUnlisted(it.id(), it.revision(), "told");
-        else
-            takeListed(readMember(it), it.revision(), sentAt - milliseconds(it.leaving_ms()), "told");
-    }
-    for (auto& id : findMissing(answer, m_view))
-        takeUnlisted(id, answer.revision(), "told");
-}
-
-// A member says of itself that its role changed. That counts against a leader that has not shown itself lately, no more: a member that
-// was cut off may not know that it was replaced.
-void Gateway::takeRoleChange(const links::ListedMember& before, const links::ListedMember& now)
-{
-    auto& group = m_view.groups[now.group];
-    bool isFresh = !group.floors.isEmpty() && Clock::now() - group.floors.floors.back().since < kProofMissed;
-    if (before.saysPrimary == now.saysPrimary || isFresh)
-        return;
-    if (now.saysPrimary && group.lead.member != now.id)
-        takeLead(now.group, { now.id, group.lead.term, false }, "listed");
-    else if (!now.saysPrimary)
-        takeLead(now.group, decisions::takeDenial(group.lead, now.id), "listed");
-}
-
 void Gateway::tellPeers()
 {
     std::vector<links::ListedHost> hosts;
--- /dev/null
+++ b/src/gateway/gateway_leads.cpp
@@ -0,0 +1,160 @@
+// Who leads a group, as a host learns it: what members show, what other hosts tell or order, and what a host finds out that has just started.
+#include "base/event_log.h"
+#include "decisions/comparison.h"
+#include "gateway/gateway.h"
+#include <algorithm>
+
+namespace alderward::gateway {
+
+using base::Clock;
+using base::LogClass;
+
+static constexpr milliseconds kCompareInterval { 400 }; // between two times that replicas are asked what they hold, which takes up to kInquiryLimit
+
+// The replicas of one group, as they are asked what they hold.
+struct Gateway::ComparisonRound {
+    std::string group;
+    std::string primary;
+    links::MemberLife life; // of the primary's process
+    std::vector<decisions::ReplicaWitness> replicas {};
+    size_t left { 0 }; // that have not answered yet, nor been given up
+};
+
+Comparison Gateway::getComparison(const TargetAddress& target)
+{
+    auto& group = m_view.groups[target.group];
+    bool isKnown = m_view.members.contains(target.member);
+    if (!isKnown || group.lead.member != target.member || canTellLostLog(group))
+        return Comparison::NotNeeded;
+    compareWithReplicas(target.group);
+    if (canTellLostLog(group))
+        return Comparison::NotNeeded;
+    return group.lacksAnswers ? Comparison::LacksAnswers : Comparison::UnderWay;
+}
+
+// A host that has just started knows no floor, and would take the word of a primary that started again with nothing. Replicas of its term hold nothing
+// that it lacks, unless it lost its log. Two connections a group at a carrier's start; those that do not answer are waited for kInquiryLimit, and where they are needed
+// asked again.
+void Gateway::compareWithReplicas(const std::string& name)
+{
+    auto now = Clock::now();
+    auto& group = m_view.groups[name];
+    if (group.isComparing || now - group.comparedAt < kCompareInterval)
+        return;
+    group.isComparing = true;
+    group.comparedAt = now;
+    auto& primary = m_view.members.at(group.lead.member).listed;
+    auto round = std::make_shared<ComparisonRound>(ComparisonRound { name, primary.id, primary.life });
+    std::vector<TargetAddress> targets;
+    for (auto& id : group.members) {
+        auto& member = m_view.members.at(id);
+        if (id == primary.id || member.unlistedAt)
+            continue;
+        targets.push_back(member.getTarget());
+        round->replicas.push_back({ false, mayBeOlder(member.listed.life, primary.life) });
+    }
+    round->left = targets.size();
+    if (targets.empty())
+        endComparison(*round);
+    for (size_t i = 0; i < targets.size(); ++i) {
+        inquire(targets[i], [this, round, i](const StatusReport& report) {
+            auto& group = m_view.groups[round->group];
+            round->replicas[i].hasAnswered = report.status.term != 0;
+            if (report.status.term != 0)
+                group.heldByReplicas = std::max(group.heldByReplicas, report.status.received);
+            if (--round->left == 0)
+                endComparison(*round);
+        });
+    }
+}
+
+void Gateway::endComparison(const ComparisonRound& round)
+{
+    auto& group = m_view.groups[round.group];
+    group.isComparing = false;
+    m_view.isPlacementDue = true;
+    auto primary = m_view.members.find(round.primary);
+    bool isSame = primary != m_view.members.end() && group.lead.member == round.primary && !isOtherLife(round.life, primary->second.listed.life);
+    if (!isSame) { // it is compared anew, if need be
+        group.comparedAt = {};
+        return;
+    }
+    group.wasCompared = decisions::mayBelievePrimary(round.replicas);
+    group.lacksAnswers = !group.wasCompared;
+    auto answered = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::hasAnswered);
+    auto older = std::ranges::count_if(round.replicas, &decisions::ReplicaWitness::mayBeOlder);
+    base::logEvent(LogClass::State, "replicas-compared", { { "group", std::string_view(round.group) }, { "member", std::string_view(round.primary) }, { "replicas", static_cast<int64_t>(round.replicas.size()) }, { "older", static_cast<int64_t>(older) }, { "answered", static_cast<int64_t>(answered) }, { "enough", group.wasCompared }, { "term", static_cast<int64_t>(group.heldByReplicas.term) }, { "position", static_cast<int64_t>(group.heldByReplicas.position) } });
+}
+
+// A host that carries to a member which says that it leads finds out whether it does. Others prove the lead through this host only, so nobody would tell it.
+void Gateway::askWhetherItLeads(MemberBelief& member)
+{
+    if (!member.listed.saysPrimary || !isCarrier(m_view, m_peers, getPlace(), member))
+        return;
+    member.leadAskedAt = Clock::now();
+    auto known = getKnownMark(m_view.groups[member.listed.group]);
+    inquire(member.getTarget(), [this, id = member.listed.id, name = member.listed.group, known, askedAt = member.leadAskedAt](const StatusReport& report) {
+        if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
+            takeShown(name, id, report.status.term, askedAt, ShownTo::ThisHost);
+    });
+}
+
+void Gateway::takeLead(const std::string& group, const decisions::Lead& lead, std::string_view source)
+{
+    auto& current = m_view.groups[group].lead;
+    auto before = current;
+    current = lead;
+    noteLead(group, before, source);
+}
+
+void Gateway::takeShown(const std::string& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo)
+{
+    auto& belief = m_view.groups[group];
+    auto before = belief.lead;
+    takeShownLead(belief, member, term, askedAt, shownTo);
+    noteLead(group, before, shownTo == ShownTo::ThisHost ? "proof" : "told");
+    if (shownTo == ShownTo::ThisHost)
+        noteRefusedProof(group, member, term);
+}
+
+void Gateway::takeOrdered(const std::string& group, const std::string& member, uint64_t term, std::string_view source)
+{
+    auto& belief = m_view.groups[group];
+    auto before = belief.lead;
+    takeOrderedLead(belief, member, term, Clock::now());
+    noteLead(group, before, source);
+}
+
+void Gateway::noteLead(const std::string& group, const decisions::Lead& before, std::string_view source)
+{
+    auto& belief = m_view.groups[group];
+    auto& lead = belief.lead;
+    if (lead.member == before.member && lead.term == before.term)
+        return;
+    if (lead.member != before.member) { // another one was compared with its replicas
+        belief.wasCompared = false;
+        belief.lacksAnswers = false;
+    }
+    m_view.isPlacementDue = true;
+    m_promoter.noteNewLead(group);
+    base::logEvent(LogClass::State, "lead", { { "group", std::string_view(group) }, { "member", std::string_view(lead.member) }, { "term", static_cast<int64_t>(lead.term) }, { "source", source } });
+}
+
+// A member shows that it leads in an older term than the one that this host believes the group to be in. A line for each such member and term, not for each proof.
+void Gateway::noteRefusedProof(const std::string& group, const std::string& member, uint64_t term)
+{
+    auto& belief = m_view.groups[group];
+    decisions::Lead refused { member, term, true };
+    if (term >= belief.lead.term || refused == belief.refusedProof)
+        return;
+    belief.refusedProof = refused;
+    base::logEvent(LogClass::State, "proof-refused", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "term", static_cast<int64_t>(term) }, { "known", std::string_view(belief.lead.member) }, { "known_term", static_cast<int64_t>(belief.lead.term) } });
+}
+
+void Gateway::takeFloor(const std::string& group, const decisions::Floor& floor)
+{
+    auto& floors = m_view.groups[group].floors;
+    floors = decisions::takeFloor(std::move(floors), floor);
+}
+
+}
