The soak reloads a host only once its process runs its own code

So SIGHUP came right after fork(), when its default action ends whatever runs. The platform sends SIGHUP to programs that it has started; no code of the program can stand in the way before it runs (exec to main: 10 to 20 ms here). So the case is allowed, as it is for SIGTERM. The check is as strict: the signal is still sent, 200 ms after the start at the soonest, and must not end the process.

--- a/tests/gateway/soak_test.cpp
+++ b/tests/gateway/soak_test.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned kCallers = 10;
 constexpr milliseconds kBoundedAge { 1500 }; // of reads on bounded routes, as the rig configures them
 constexpr milliseconds kOwnAge { 2500 }; // of what other sessions wrote, on routes where a session sees its own writes
-constexpr milliseconds kHandlersAfter { 200 }; // a process that gets SIGTERM sooner after its start may end by it
+constexpr milliseconds kHandlersAfter { 200 }; // a process that gets SIGTERM or SIGHUP sooner after its start may end by it
 constexpr milliseconds kRecovery { 30000 }; // the longest that any step of a recovery takes, three times over
 constexpr unsigned kSecondStream = 1000000; // added to the seed
 constexpr size_t kMemoryKb = 128 * 1024; // what a host may take by the plan of capacity
@@ -336,9 +336,10 @@
         if (event.fault == Fault::PauseHost) {
             m_rig.getHost(index).signal(SIGSTOP);
             endLater(event.lasts, [this, index] { m_rig.getHost(index).signal(SIGCONT); });
-        } else if (event.fault == Fault::ReloadHost)
+        } else if (event.fault == Fault::ReloadHost) {
+            std::this_thread::sleep_until(m_begunAt[index] + kHandlersAfter); // it must not end by it, which one that does not run its own code yet does
             m_rig.getHost(index).signal(SIGHUP);
-        else {
+        } else {
             m_absent.insert(index);
             bool hasHandlers = Clock::now() - m_begunAt[index] > kHandlersAfter;
             m_rig.getHost(index).signal(SIGCONT);
