How the code reads: declarations of cluster_view.h beside what they belong to

mayBeOlder() stood between the two halves of takeMember()'s comment, and the comment of takeShownLead() above an enumeration. No code changes.

--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -70,11 +70,11 @@
 void denyLead(GroupBelief& group, const std::string& member, TimePoint now);
 // A change of primary was ordered. The term is assumed until a member shows it.
 void takeOrderedLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint now);
-// A member showed that it leads, to this host or to another one, in answer to a question that was sent at `askedAt`.
 enum class ShownTo {
     ThisHost,
-    AnotherHost,
+    AnotherHost, // which told this one
 };
+// A member showed that it leads, in answer to a question that was sent at `askedAt`.
 void takeShownLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint askedAt, ShownTo shownTo);
 // Members know the term, and nobody is known to lead in it.
 void takeShownTerm(GroupBelief& group, uint64_t term);
@@ -104,12 +104,12 @@
     Taken,
     StartedAgain, // another run of its process, or one of another group: what was known of the one before is forgotten
 };
-// Whether the first of two processes may have started before the second, by what either of them says.
-bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other);
 MemberChange takeMember(ClusterView& view, const links::ListedMember& listed, uint64_t revision, TimePoint leavingSince, TimePoint now);
 // Whether two entries under one id come from different runs of a process. A time of start that differs says so, whichever is later: clocks are set.
 // Where one of them does not say it, a count that went back does.
 bool isOtherLife(const links::MemberLife& before, const links::MemberLife& now);
+// Whether the first of two members' processes may have started before the second, by what either of them says.
+bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other);
 // The newest floor, or what a replica holds. A primary that is asked from now on holds it, or has lost its log.
 Mark getKnownMark(const GroupBelief& group);
 // Whether that can be told: a host that has just started knows no floor, and a primary that started again with nothing would be believed.
