A member that has ended and is still listed does not stop a group where all hosts start

Cause, from the logs: `replicas-compared ... replicas=3 older=1 answered=2 enough=false` each half second. A handover had come 14 s before; the old primary had ended and was still listed, and counted as older than the new one by a few counts, which also grow with words on state and role. Answers of replicas of the same age did not count at all.

--- a/src/decisions/comparison.h
+++ b/src/decisions/comparison.h
@@ -12,6 +12,7 @@
 struct ReplicaWitness {
     bool hasAnswered { false };
     bool mayBeOlder { true }; // its process may run for longer than the primary's, so that it can hold what the primary has lost
+    bool isYounger { false }; // it started after the primary, and may have lost the same
     friend bool operator==(const ReplicaWitness&, const ReplicaWitness&) = default;
 };
 
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -127,12 +127,14 @@
     return now.sequence < before.sequence;
 }
 
-// Clocks of members differ, and counts of members that started together by one: whatever speaks for it counts.
+// Clocks of members differ: whatever speaks for it counts. Counts of members that started together differ by one, and by one for each word on a change of state or role.
+static constexpr uint64_t kCountsAlike = 3;
+
 bool mayBeOlder(const links::MemberLife& life, const links::MemberLife& other)
 {
     bool isUnknown = (life.born == 0 || other.born == 0) && (life.sequence == 0 || other.sequence == 0);
     bool isBornBefore = life.born != 0 && life.born < other.born;
-    return isUnknown || isBornBefore || life.sequence > other.sequence + 1;
+    return isUnknown || isBornBefore || life.sequence > other.sequence + kCountsAlike;
 }
 
 Mark getKnownMark(const GroupBelief& group)
--- a/src/gateway/gateway_leads.cpp
+++ b/src/gateway/gateway_leads.cpp
@@ -51,7 +51,8 @@
         if (id == primary.id || member.unlistedAt)
             continue;
         targets.push_back(member.getTarget());
-        round->replicas.push_back({ false, mayBeOlder(member.listed.life, primary.life) });
+        bool isOlder = mayBeOlder(member.listed.life, primary.life);
+        round->replicas.push_back({ false, isOlder, !isOlder && mayBeOlder(primary.life, member.listed.life) });
     }
     round->left = targets.size();
     if (targets.empty())
