A handover goes on where nobody is known to lead any more

findObjection() took a leader that was denied meanwhile for one that does not leave: an order that had been carried out without an answer was given up, and found again 0.6 s later. Found by reading the change once more; no run shows it, no test of its own.

--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -398,8 +398,10 @@
     auto& belief = m_context.view.groups[group];
     if (decisions::isOvertaken(occasion.lead, belief.lead))
         return "another primary became known meanwhile";
-    if (occasion.isPlanned)
-        return mustHandOver(belief) ? "" : "the primary does not leave any more";
+    if (occasion.isPlanned) {
+        bool isSame = belief.lead.member == occasion.lead.member; // or nobody is known to lead since, and the change is due all the more
+        return !isSame || mustHandOver(belief) ? "" : "the primary does not leave any more";
+    }
     auto& floors = belief.floors.floors;
     bool hasShown = !floors.empty() && floors.back().since > occasion.since && floors.back().mark.term == belief.lead.term;
     return hasShown && !belief.lead.member.empty() ? "the primary showed meanwhile that it leads" : "";
