An order is told on while it is pending, and an assumed term that gave way is not taken from hearsay again

So that two hosts which give an assumed term up at different moments do not tell it to each other for good, one that gave way is taken from the orderer itself only.

--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -32,6 +32,13 @@
     group.pendingUntil = now + kPromotionTakes;
 }
 
+// Hosts stop to assume a term at different moments: without this check they would tell it to each other in turns, for good.
+void takeAssumedLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint now)
+{
+    if (term > group.disprovedTerm)
+        takeOrderedLead(group, member, term, now);
+}
+
 // A term that follows from an order can be too high: "done" is also the answer to an order for the member that leads already. It gives way to a primary that
 // shows an older one once the order has had its time. Without that, a host that had denied such a lead believed no proof of it any more (no primary for 30 s and
 // more). An old primary's answer that comes late does not count: it was asked before.
@@ -45,8 +52,10 @@
 {
     auto known = group.lead;
     bool givesWay = term < known.term && term >= getLeastTerm(group, askedAt);
-    if (givesWay)
+    if (givesWay) {
+        group.disprovedTerm = known.term;
         known = { "", term, false };
+    }
     group.lead = shownTo == ShownTo::ThisHost ? decisions::takeProof(known, member, term) : decisions::takeReport(known, member, term);
     group.shownTerm = std::max(group.shownTerm, term);
 }
--- a/src/gateway/cluster_view.h
+++ b/src/gateway/cluster_view.h
@@ -29,6 +29,7 @@
     uint64_t shownTerm { 0 }; // the newest that a member showed. A lead of a newer term is assumed: it follows from an order
     decisions::FloorHistory floors {};
     TimePoint pendingUntil {}; // a change of primary was ordered; until then the new one may not know yet that it leads
+    uint64_t disprovedTerm { 0 }; // an assumed one that gave way: those that still assume it are not believed
     TimePoint provenAt {}; // when the primary last showed this host itself that it leads
     decisions::Lead refusedProof {}; // the last one that was not believed, as logged
     std::vector<std::string> members {}; // ids
@@ -70,6 +71,8 @@
 void denyLead(GroupBelief& group, const std::string& member, TimePoint now);
 // A change of primary was ordered. The term is assumed until a member shows it.
 void takeOrderedLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint now);
+// Another host believes in that order, and shows nothing of it.
+void takeAssumedLead(GroupBelief& group, const std::string& member, uint64_t term, TimePoint now);
 enum class ShownTo {
     ThisHost,
     AnotherHost, // which told this one
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -284,8 +284,8 @@
             continue;
         if (askedAt)
             takeShown(it.group(), it.member(), it.term(), *askedAt, ShownTo::AnotherHost);
-        else // a host of an older version tells what it assumes, too
-            takeOrdered(it.group(), it.member(), it.term(), "told");
+        else
+            takeAssumed(it.group(), it.member(), it.term());
     }
     takePositions(m_view, message, sentAt);
     for (auto& it : message.floors()) {
@@ -313,7 +313,7 @@
         m_promoter.noteOrder(group, host);
         if (!m_view.members.contains(member))
             return;
-        takeOrdered(group, member, term, "ordered");
+        takeOrdered(group, member, term);
     };
     service.fillPing = [this](peer::Ping& ping) {
         ping.set_configuration(m_view.configuration.version);
--- a/src/gateway/gateway_leads.cpp
+++ b/src/gateway/gateway_leads.cpp
@@ -118,12 +118,20 @@
         noteRefusedProof(group, member, term);
 }
 
-void Gateway::takeOrdered(const std::string& group, const std::string& member, uint64_t term, std::string_view source)
+void Gateway::takeOrdered(const std::string& group, const std::string& member, uint64_t term)
 {
     auto& belief = m_view.groups[group];
     auto before = belief.lead;
     takeOrderedLead(belief, member, term, Clock::now());
-    noteLead(group, before, source);
+    noteLead(group, before, "ordered");
+}
+
+void Gateway::takeAssumed(const std::string& group, const std::string& member, uint64_t term)
+{
+    auto& belief = m_view.groups[group];
+    auto before = belief.lead;
+    takeAssumedLead(belief, member, term, Clock::now());
+    noteLead(group, before, "told");
 }
 
 void Gateway::noteLead(const std::string& group, const decisions::Lead& before, std::string_view source)
--- a/src/gateway/status_exchange.cpp
+++ b/src/gateway/status_exchange.cpp
@@ -28,8 +28,9 @@
         floor.set_group(name);
         writeMark(*floor.mutable_mark(), newest.mark);
         floor.set_age_us(getAgeUs(newest.since, now));
-        // An assumed term would be taken for a shown one, and others would tell it on.
-        if (group.lead.term != newest.mark.term)
+        // Hosts that the orderer has no connection to hear of an order from those that have one; after the order's time an assumed term is told no more.
+        bool isOrdered = isProven && now < group.pendingUntil;
+        if (group.lead.term != newest.mark.term && !isOrdered)
             continue;
         auto& lead = *wire.add_leads();
         lead.set_group(name);
--- a/tests/unit/lead_terms_test.cpp
+++ b/tests/unit/lead_terms_test.cpp
@@ -71,6 +71,38 @@
     BOOST_TEST((group.lead == Lead { "c", 3, false }));
 }
 
+// Two hosts that give an assumed term up at different moments told it to each other again.
+BOOST_AUTO_TEST_CASE(an_assumed_term_that_gave_way_is_taken_from_the_orderer_only)
+{
+    auto group = makeShown("a", 2);
+    takeAssumedLead(group, "a", 3, kStart);
+    BOOST_TEST((group.lead == Lead { "a", 3, false }));
+    auto now = group.pendingUntil + milliseconds(1);
+    takeShownLead(group, "a", 2, now, ShownTo::ThisHost);
+    takeAssumedLead(group, "a", 3, now);
+    BOOST_TEST((group.lead == Lead { "a", 2, true }));
+    takeOrderedLead(group, "b", 3, now); // the next change of primary
+    BOOST_TEST((group.lead == Lead { "b", 3, false }));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_is_told_on_while_it_is_pending)
+{
+    ClusterView view;
+    auto& group = view.groups["g"];
+    takeShownLead(group, "m", 2, kStart, ShownTo::ThisHost);
+    group.floors = decisions::takeFloor({}, { { 2, 50 }, kStart });
+    group.provenAt = kStart;
+    takeOrderedLead(group, "n", 3, kStart);
+    peer::Pong wire;
+    writeGroups(wire, view, false, kStart + milliseconds(500));
+    BOOST_TEST(wire.leads_size() == 1);
+    BOOST_TEST((findLeadTimes(wire, kStart).at(0) == std::nullopt)); // told, and not shown
+    group.provenAt = group.pendingUntil;
+    peer::Pong later;
+    writeGroups(later, view, false, group.pendingUntil);
+    BOOST_TEST(later.leads_size() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_told_lead_is_shown_by_a_floor_of_its_term)
 {
     ClusterView view;
