--- a/tests/gateway/relays_test.cpp
+++ b/tests/gateway/relays_test.cpp
@@ -224,7 +224,7 @@
         BOOST_TEST(waitUntil(milliseconds(6000), [&] { return rig.getMetrics(i).find("alderward_configuration_version 2") != std::string::npos; }), "host " << i);
 }
 
-// On a day of 74 hosts (bbd-notes-grown, scale-2: 3 of 3 plays) a host lost the store for a moment while the relays of its data centre were cut off from it for longer. It took the store for gone for
+// Among 74 hosts, one lost the store for a moment while the relays of its data centre were cut off from it for longer. It took the store for gone for
 // all and waited 6.7 s, while callers were refused a database that a newer configuration names. It knew of that version all the while: `configuration-behind`
 // stands in its log 5 s before `configuration`. Somebody had read the store.
 BOOST_AUTO_TEST_CASE(a_host_that_knows_of_a_newer_configuration_does_not_take_the_store_for_gone)
--- a/tests/gateway/terms_test.cpp
+++ b/tests/gateway/terms_test.cpp
@@ -1,7 +1,7 @@
 // The term that hosts believe a group to be in, against the one that it is in.
 //
-// Hosts took a lead for one term later than it was, and one of them then believed no proof of it any more. What happened, in the soak (seed 3004 beside load, 4 of
-// 20 plays: one host had no primary for 30 s and more after the faults, while all others wrote through it):
+// Hosts took a lead for one term later than it was, and one of them then believed no proof of it any more. What happened, in the soak (seed 3004, ten plays at once, 10 of
+// 20: one host had no primary for 30 s and more after the faults, while all others wrote through it):
 //   - A primary said that it leaves and took it back 400 ms later. The handover that had begun went on: of all members the primary itself held most and was not
 //     leaving any more, so it was ordered as its own successor. The platform answers that with "done" and changes nothing. The log shows `promotion-evidence` with
 //     primary=true for the member that `promotion-ordered` names, and `lead` with a term that no `promotion-evidence` ever shows.
