Client accounts: keys, accounts named to members, connections by account

Change: the configuration's accounts are read and checked; a session belongs to the account whose key it brought, looked up by a digest, and ends when the key is gone; orders carry the account's name, never the key; hosts tell each other the configuration with digests in place of keys. A connection to a member belongs to one account; decisions/connections.h decides what is opened and given up: least recently used, one on its way at a time of two slots, none given up before it has served, an account waits for its own connection while that comes free by itself. A platform without accounts goes the way it went.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -20,6 +20,8 @@
     FamilyRow { Family::TargetSeconds, "alderward_target_seconds", FamilyType::Histogram, "member", "from sending a statement to a target until its answer" },
     FamilyRow { Family::ConnectionsOpened, "alderward_connections_opened_total", FamilyType::Counter, "member,result", "connections to targets that were tried" },
     FamilyRow { Family::ConnectionsClosed, "alderward_connections_closed_total", FamilyType::Counter, "member", "connections to targets that ended" },
+    FamilyRow { Family::ConnectionsGivenUp, "alderward_connections_given_up_total", FamilyType::Counter, "member", "connections of one client account closed to make room for one of another" },
+    FamilyRow { Family::QuotaRefused, "alderward_quota_refused_total", FamilyType::Counter, "reason", "operations of client accounts refused because of their quotas" },
     FamilyRow { Family::StoreCalls, "alderward_store_calls_total", FamilyType::Counter, "call,result", "calls to the platform's store" },
     FamilyRow { Family::StoreSeconds, "alderward_store_seconds", FamilyType::Histogram, "call", "calls to the platform's store, watches apart" },
     FamilyRow { Family::EntriesRefused, "alderward_entries_refused_total", FamilyType::Counter, "result", "entries in the store that could not be used: members, hosts, successions" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -21,6 +21,8 @@
     TargetSeconds,
     ConnectionsOpened,
     ConnectionsClosed,
+    ConnectionsGivenUp,
+    QuotaRefused,
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
--- a/src/decisions/errors.cpp
+++ b/src/decisions/errors.cpp
@@ -35,6 +35,8 @@
     ErrorRow { ErrorKind::UnknownStatement, "unknown-statement", 404, Ran::No, false },
     ErrorRow { ErrorKind::StatementFailed, "statement-failed", 500, Ran::Yes, false },
     ErrorRow { ErrorKind::StatementTimedOut, "statement-timed-out", 504, Ran::Unknown, false },
+    ErrorRow { ErrorKind::UnknownKey, "unknown-key", 401, Ran::No, false },
+    ErrorRow { ErrorKind::QuotaExceeded, "quota-exceeded", 429, Ran::No, true },
     ErrorRow { ErrorKind::Internal, "internal", 500, Ran::Unknown, false },
 };
 
--- a/src/decisions/errors.h
+++ b/src/decisions/errors.h
@@ -46,6 +46,8 @@
     UnknownStatement, // no statement was prepared under this name
     StatementFailed, // the target ran the statement and reports a failure
     StatementTimedOut, // sent, but no answer came within the route's limit
+    UnknownKey, // the caller's key belongs to no client account, or no longer
+    QuotaExceeded, // the client account began as many operations as it may; comes with a time to come back
     Internal,
 };
 
--- a/src/decisions/statement.h
+++ b/src/decisions/statement.h
@@ -128,6 +128,7 @@
     milliseconds statementLimit { 1000 }; // from a statement's arrival to its answer
     milliseconds objective { 500 }; // a caller is content with an answer within this
     int priority { 0 }; // 0 goes first
+    bool isPublic { false }; // callers need no key
     friend bool operator==(const DatabaseRoute&, const DatabaseRoute&) = default;
 };
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -61,11 +61,17 @@
     m_database = message.database;
     auto& configuration = m_context.view.configuration;
     auto it = configuration.routes.find(m_database);
+    m_key = message.key;
+    if (it != configuration.routes.end())
+        m_route = it->second;
+    auto account = findOwnAccount();
     std::optional<decisions::Error> refusal;
     if (m_context.isDraining)
         refusal = { ErrorKind::Draining, "this host is stopping" };
     else if (configuration.version == 0) // the balancer sends callers to hosts that are not ready if it has no others
         refusal = { ErrorKind::NotConfigured, "this host has no configuration yet" };
+    else if (!account) // before the database is looked at: strangers learn nothing of what there is
+        refusal = { ErrorKind::UnknownKey, "the key is not known" };
     else if (it == configuration.routes.end())
         refusal = { ErrorKind::UnknownGroup, "no such database" };
     if (refusal) {
@@ -74,12 +80,63 @@
         close("refused");
         return;
     }
-    m_route = it->second;
+    m_account = *account;
+    m_keyCheckedIn = configuration.version;
     m_isOpen = true;
     m_channel->send(m_context.codec.formatReady(SessionState::Idle));
     m_channel->setPaused(false);
 }
 
+std::optional<std::string> CallerSession::findOwnAccount() const
+{
+    auto& accounts = m_context.view.configuration.accounts;
+    if (!accounts)
+        return std::string();
+    if (auto* account = decisions::findAccount(*accounts, m_key))
+        return account->name;
+    return m_route.isPublic ? std::optional<std::string>("") : std::nullopt;
+}
+
+// A key can be taken away, or given to another account, while its session is open. Between transactions a key that moved counts for its new account.
+bool CallerSession::hasLostKey()
+{
+    auto version = m_context.view.configuration.version;
+    if (!m_isOpen || version == m_keyCheckedIn)
+        return false;
+    auto account = findOwnAccount();
+    bool isInTransaction = m_state != SessionState::Idle;
+    if (!account || (isInTransaction && *account != m_account))
+        return true;
+    m_account = *account;
+    m_keyCheckedIn = version;
+    return false;
+}
+
+void CallerSession::logLostKey() const
+{
+    base::logEvent(LogClass::Failure, "key-lost", { { "session", std::string_view(m_name) }, { "database", std::string_view(m_database) }, { "account", std::string_view(m_account) }, { "configuration", static_cast<int64_t>(m_context.view.configuration.version) } });
+}
+
+// The caller hears it in answer to what it asked, and nothing of an open transaction is kept.
+void CallerSession::refuseKey()
+{
+    logLostKey();
+    if (m_transaction)
+        m_context.router.end(*m_transaction);
+    m_transaction.reset();
+    m_state = SessionState::Idle;
+    send(decisions::makeFailure(ErrorKind::UnknownKey, "the key is not known any more"));
+    close("the key is not known any more");
+}
+
+// Nothing was asked: an error says why the session ends.
+void CallerSession::endWithoutKey()
+{
+    logLostKey();
+    m_channel->send(m_context.codec.formatError({ ErrorKind::UnknownKey, "the key is not known any more" }));
+    close("the key is not known any more");
+}
+
 // Between transactions, the route is the one in force now.
 void CallerSession::refreshRoute()
 {
@@ -96,6 +153,10 @@
     m_channel->setPaused(true); // one at a time: the next one's answer depends on this one's
     if (m_state == SessionState::Idle)
         refreshRoute();
+    if (hasLostKey()) {
+        refuseKey();
+        return;
+    }
     if (m_route.database.empty()) {
         answerError(ErrorKind::UnknownGroup, "no such database any more");
         return;
@@ -210,6 +271,7 @@
     routed.order.statement = statement;
     routed.order.values = m_values;
     routed.order.priority = m_route.priority;
+    routed.order.account = m_account;
     routed.order.database = static_cast<uint32_t>(decisions::getHash(m_route.database));
     bool isInTransaction = m_state == SessionState::InTransaction;
     routed.order.objective = decisions::getObjectiveEnd(now, m_route.objective, isInTransaction ? m_spent : TimePoint::duration());
@@ -350,6 +412,10 @@
         open(message);
         return;
     }
+    if (!m_isRunning && hasLostKey()) {
+        endWithoutKey();
+        return;
+    }
     auto limit = m_context.view.configuration.transactionIdle;
     bool isResting = m_state == SessionState::InTransaction && !m_isRunning && m_transaction;
     if (limit.count() == 0 || !isResting || now - m_restingSince < limit)
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -49,12 +49,21 @@
     void send(const Outcome& outcome);
     void close(const std::string& reason);
     void refreshRoute();
+    // Who the caller is by the configuration in force now; nullopt if its key opens nothing.
+    std::optional<std::string> findOwnAccount() const;
+    bool hasLostKey();
+    void refuseKey();
+    void endWithoutKey();
+    void logLostKey() const;
 
     SessionContext m_context;
     std::string m_name; // for the log
     std::shared_ptr<links::Channel> m_channel;
     std::string m_database;
     decisions::DatabaseRoute m_route;
+    decisions::KeyDigest m_key {};
+    std::string m_account; // empty: none, on a platform without accounts or a public route
+    uint64_t m_keyCheckedIn { 0 }; // version of the configuration in which the key was last looked up
     decisions::SessionValues m_values;
     std::map<std::string, decisions::PreparedShape> m_prepared;
     decisions::SessionState m_state { decisions::SessionState::Idle };
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -32,7 +32,7 @@
 static constexpr milliseconds kToldCheck { 100 }; // between two looks whether that is so
 static constexpr size_t kLogMost = 2000; // changes kept for others: more than all hosts of a site bring that restart within a second
 static constexpr size_t kLogBytesMost = 1 << 20;
-static constexpr size_t kToldValueMost = 16 << 10; // bytes; a larger value, as of a whole configuration, would fill a relay's link: each host reads it itself
+static constexpr size_t kToldValueMost = 32 << 10; // bytes; 300 client accounts. A larger value would fill a relay's link: each host reads it itself
 static constexpr double kStartRetryMs = 60; // pause, spread by half
 
 static milliseconds getStartRetryPause()
@@ -320,7 +320,10 @@
 void Directory::logChange(const ToldChange& change)
 {
     m_log.push_back(change);
-    m_logBytes += change.item.value.size();
+    auto& item = m_log.back().item;
+    if (item.key == m_platform.getConfigurationKey())
+        item.value = m_platform.hideKeys(item.value); // what stands here is told to other hosts: keys of client accounts leave no host
+    m_logBytes += item.value.size();
     while (m_log.size() > kLogMost || m_logBytes > kLogBytesMost) {
         m_logSince = std::max(m_logSince, m_log.front().item.revision);
         m_logBytes -= m_log.front().item.value.size();
--- a/src/gateway/peer_codec.cpp
+++ b/src/gateway/peer_codec.cpp
@@ -54,6 +54,7 @@
     wire.set_deadline_us(getLeftUs(order.deadline, now));
     wire.set_transaction(order.transaction);
     wire.set_database(order.database);
+    wire.set_account(order.account);
 }
 
 Order readOrder(const peer::Order& wire, TimePoint now)
@@ -72,6 +73,7 @@
     order.atLeast = readMark(wire.at_least());
     order.priority = wire.priority();
     order.database = wire.database();
+    order.account = wire.account();
     order.objective = now + microseconds(wire.objective_us());
     order.deadline = now + microseconds(wire.deadline_us());
     return order;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -60,10 +60,11 @@
 void TargetPool::submit(Order order, OrderDone done)
 {
     auto now = Clock::now();
+    m_lastAccount = order.account;
     auto job = std::make_shared<Job>(Job { std::move(order), std::make_shared<OrderDone>(std::move(done)), now });
     if (m_isSuspect && m_sessions.empty()) { // the next attempt takes as long as the last: nobody waits for it
         if (m_opening == 0 && now >= m_noNewBefore)
-            openSession();
+            openSession(job->order.account);
         finish(job, decisions::makeFailure(ErrorKind::TargetUnreachable, "no connection to the target could be opened"));
         return;
     }
@@ -113,21 +114,31 @@
     return isWrite || order.kind == OrderKind::ProvenSingle || (order.kind == OrderKind::Begin && !order.isReadOnly);
 }
 
-bool TargetPool::isRunnable(const Job& job, TimePoint now) const
+// Whether it could run if it had a connection.
+bool TargetPool::mayRun(const Job& job, TimePoint now) const
 {
     auto& order = job.order;
     if (now < job.notBefore || isHeld(job, now) || (m_comparison != Comparison::NotNeeded && needsLeader(order)))
         return false;
-    if (order.kind == OrderKind::Continue) {
-        auto it = m_transactions.find(order.transaction);
-        return it == m_transactions.end() || !it->second.session->isBusy;
-    }
-    if (countFree() == 0)
-        return false;
     auto held = m_transactions.size();
     return order.kind != OrderKind::Begin || held + std::min(kReservedConnections, m_limits.connections - 1) < m_limits.connections;
 }
 
+bool TargetPool::isRunnable(const Job& job, TimePoint now) const
+{
+    if (!mayRun(job, now))
+        return false;
+    if (job.order.kind != OrderKind::Continue)
+        return hasFree(job.order.account);
+    auto it = m_transactions.find(job.order.transaction);
+    return it == m_transactions.end() || !it->second.session->isBusy;
+}
+
+bool TargetPool::hasFree(const std::string& account) const
+{
+    return std::ranges::any_of(m_sessions, [&](const SessionPtr& it) { return !it->isBusy && it->transaction == 0 && it->account == account; });
+}
+
 unsigned TargetPool::countFree() const
 {
     return static_cast<unsigned>(std::ranges::count_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0; }));
@@ -205,11 +216,68 @@
 {
     if (m_comparison != Comparison::NotNeeded) // the first position that a connection tells is compared with what is known then
         return;
+    if (!m_lastAccount.empty()) {
+        openByAccount(now);
+        return;
+    }
     auto needed = countWaitingForConnection();
     auto wanted = std::min<size_t>(needed, m_limits.running) + m_transactions.size() + m_running.size();
     auto most = std::min<size_t>(wanted, m_limits.connections);
     while (countFree() + m_opening < needed && m_sessions.size() + m_opening < most && m_opening < kOpeningMost && now >= m_noNewBefore)
-        openSession();
+        openSession({});
+}
+
+void TargetPool::openByAccount(TimePoint now)
+{
+    // A connection on its way holds a slot of the target: half of them are left to statements.
+    auto openingMost = std::max(1U, (m_limits.running - 1) / 2);
+    while (m_opening < openingMost && now >= m_noNewBefore) {
+        auto step = decisions::planOpening(getHeld(), getDemands(now), { m_limits.connections, m_opening, openingMost }, now);
+        if (!step)
+            return;
+        if (step->givenUp)
+            giveUp(m_sessions[*step->givenUp]);
+        openSession(step->account);
+    }
+}
+
+// Nothing runs on it.
+void TargetPool::giveUp(const SessionPtr& session)
+{
+    base::addTo(base::Family::ConnectionsClosed, { { "member", m_target.member } });
+    base::addTo(base::Family::ConnectionsGivenUp, { { "member", m_target.member } });
+    session->close();
+    std::erase(m_sessions, SessionPtr(session));
+}
+
+std::vector<decisions::HeldConnection> TargetPool::getHeld() const
+{
+    std::vector<decisions::HeldConnection> held;
+    for (auto& it : m_sessions) {
+        bool isIdle = !it->isBusy && it->transaction == 0;
+        held.push_back({ it->account, isIdle, it->isBusy && it->transaction == 0, it->served > 0, it->usedAt });
+    }
+    return held;
+}
+
+// What waits for a connection, the most urgent first.
+std::vector<decisions::AccountDemand> TargetPool::getDemands(TimePoint now) const
+{
+    auto entries = m_queue.entries;
+    std::erase_if(entries, [&](const decisions::QueueEntry& it) { return it.turn.isContinuation || !mayRun(*m_waiting.at(it.number), now); });
+    std::ranges::sort(entries, [&](const decisions::QueueEntry& a, const decisions::QueueEntry& b) { return decisions::goesBefore(m_queue, a, b, now); });
+    std::vector<decisions::AccountDemand> demands;
+    for (auto& it : entries) {
+        std::string_view account = m_waiting.at(it.number)->order.account;
+        auto known = std::ranges::find(demands, account, &decisions::AccountDemand::account);
+        if (known != demands.end()) {
+            ++known->waiting;
+            continue;
+        }
+        auto opening = m_openingFor.find(std::string(account));
+        demands.push_back({ account, 1, opening == m_openingFor.end() ? 0 : opening->second });
+    }
+    return demands;
 }
 
 // The free connection that needs the least before it can serve the session.
@@ -222,7 +290,7 @@
     SessionPtr best;
     size_t bestCost = 0;
     for (auto& it : m_sessions) {
-        if (it->isBusy || it->transaction != 0)
+        if (it->isBusy || it->transaction != 0 || it->account != job.order.account)
             continue;
         auto cost = decisions::planConnection(it->state, job.order.values, job.order.shape).getCost();
         if (!best || cost < bestCost) {
@@ -233,43 +301,52 @@
     return best;
 }
 
-void TargetPool::openSession()
+void TargetPool::openSession(const std::string& account)
 {
     ++m_opening;
+    ++m_openingFor[account];
     auto session = std::make_shared<TargetSession>(m_executor, m_codec);
+    session->account = account;
     auto self = shared_from_this();
     std::weak_ptr<TargetSession> weak = session;
-    session->open(
-        m_target, m_from, kConnectLimit, [self, session, known = m_observer.getKnown(m_target)](const Outcome& outcome) {
-            --self->m_opening;
-            base::addTo(base::Family::ConnectionsOpened, { { "member", self->m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
-            self->m_isSuspect = outcome.error.has_value();
-            if (outcome.error) {
-                bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
-                self->m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
-                if (isRefused)
-                    self->m_observer.onRefused(self->m_target, self->m_sessions.size(), outcome.error->message);
-                else
-                    self->m_observer.onTrouble(self->m_target, outcome.error->message);
-                // Without any connection nobody can be served: say so at once, they may try elsewhere.
-                if (self->m_sessions.empty()) {
-                    self->failWaiting(*outcome.error);
-                }
-                return;
-            }
-            self->m_observer.onAnswer(self->m_target);
-            // A single write would run on an empty log without a word: the first position that is heard is looked at before anything is sent.
-            if (self->m_observer.leads(self->m_target) && decisions::hasLostLog(known, outcome.position)) {
-                self->m_observer.onLostLog(self->m_target, outcome.position);
-                session->close();
-                self->failWaiting({ ErrorKind::NotPrimary, "the member has lost what it held" });
-                return;
-            }
-            session->usedAt = Clock::now();
-            self->m_sessions.push_back(session);
-            self->dispatch(); }, [self, weak](const std::string& reason) {
-            if (auto session = weak.lock())
-                self->dropSession(session, reason); });
+    auto onOpen = [self, session, known = m_observer.getKnown(m_target)](const Outcome& outcome) { self->takeOpened(session, outcome, known); };
+    auto onClosed = [self, weak](const std::string& reason) {
+        if (auto session = weak.lock())
+            self->dropSession(session, reason);
+    };
+    session->open(m_target, account.empty() ? m_from : account, kConnectLimit, onOpen, onClosed);
+}
+
+void TargetPool::takeOpened(const SessionPtr& session, const Outcome& outcome, const Mark& known)
+{
+    --m_opening;
+    if (--m_openingFor[session->account] == 0)
+        m_openingFor.erase(session->account);
+    base::addTo(base::Family::ConnectionsOpened, { { "member", m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
+    m_isSuspect = outcome.error.has_value();
+    if (outcome.error) {
+        bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
+        m_noNewBefore = Clock::now() + (isRefused ? kRefusedPause : kBrokenPause);
+        if (isRefused)
+            m_observer.onRefused(m_target, m_sessions.size(), outcome.error->message);
+        else
+            m_observer.onTrouble(m_target, outcome.error->message);
+        // Without any connection nobody can be served: say so at once, they may try elsewhere.
+        if (m_sessions.empty())
+            failWaiting(*outcome.error);
+        return;
+    }
+    m_observer.onAnswer(m_target);
+    // A single write would run on an empty log without a word: the first position that is heard is looked at before anything is sent.
+    if (m_observer.leads(m_target) && decisions::hasLostLog(known, outcome.position)) {
+        m_observer.onLostLog(m_target, outcome.position);
+        session->close();
+        failWaiting({ ErrorKind::NotPrimary, "the member has lost what it held" });
+        return;
+    }
+    session->usedAt = Clock::now();
+    m_sessions.push_back(session);
+    dispatch();
 }
 
 void TargetPool::start(const JobPtr& job, const SessionPtr& session)
@@ -423,6 +500,7 @@
         if (outcome.error && outcome.error->kind == ErrorKind::NotPrimary)
             m_observer.onFollows(m_target);
         session->usedAt = Clock::now();
+        ++session->served;
         bool awaitsRollback = session->getPending() > 0;
         if (!awaitsRollback)
             freeSession(session);
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -5,6 +5,7 @@
 // COMMON MISTAKES
 //   - Sending a statement right behind the BEGIN of its transaction. If the BEGIN is refused, the statement runs outside of it.
 #pragma once
+#include "decisions/connections.h"
 #include "decisions/member_queue.h"
 #include "gateway/target_session.h"
 #include <memory>
@@ -21,6 +22,7 @@
 
 struct Order {
     OrderKind kind { OrderKind::Single };
+    std::string account {}; // client account that it runs for; empty: none
     uint32_t database { 0 }; // hash of its name; what its operations cost is learned by it
     decisions::Statement statement {};
     std::optional<decisions::PreparedShape> shape {}; // of an Execute
@@ -138,10 +140,17 @@
     void dispatch();
     void openSessions(TimePoint now);
     JobPtr popNext(TimePoint now);
+    bool mayRun(const Job& job, TimePoint now) const;
     bool isRunnable(const Job& job, TimePoint now) const;
+    bool hasFree(const std::string& account) const;
     SessionPtr findSession(const Job& job) const;
     unsigned countFree() const;
-    void openSession();
+    void openByAccount(TimePoint now);
+    void giveUp(const SessionPtr& session);
+    std::vector<decisions::AccountDemand> getDemands(TimePoint now) const;
+    std::vector<decisions::HeldConnection> getHeld() const;
+    void openSession(const std::string& account);
+    void takeOpened(const SessionPtr& session, const Outcome& outcome, const Mark& known);
     void start(const JobPtr& job, const SessionPtr& session);
     void prepareSession(const Job& job, const SessionPtr& session);
     void begin(const JobPtr& job, const SessionPtr& session);
@@ -182,6 +191,8 @@
     std::vector<std::pair<JobPtr, SessionPtr>> m_running;
     std::vector<SessionPtr> m_sessions; // open
     unsigned m_opening { 0 };
+    std::map<std::string, unsigned> m_openingFor; // the same by account
+    std::string m_lastAccount {}; // that ordered something
     std::unordered_map<uint64_t, OpenTransaction> m_transactions;
     uint64_t m_lastTransaction { 0 };
     TimePoint m_noNewBefore {}; // no connection is opened before this
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -123,7 +123,7 @@
     auto session = findQuiet();
     if (!session) {
         if (m_sessions.empty() && m_opening == 0 && now >= m_noNewBefore)
-            openSession();
+            openSession(m_lastAccount);
         return;
     }
     m_provedAt = now; // the next question is due an interval after this one, whatever its answer
@@ -172,7 +172,7 @@
     auto session = findQuiet();
     if (!session) {
         if (m_sessions.empty() && m_opening == 0 && now >= m_noNewBefore)
-            openSession();
+            openSession(m_lastAccount);
         return;
     }
     m_positionAskedAt = now;
--- a/src/gateway/target_session.h
+++ b/src/gateway/target_session.h
@@ -39,10 +39,12 @@
     TimePoint getHeardAt() const { return m_heardAt; }
     TimePoint getAskedAt() const { return m_askedAt; } // when the oldest unanswered question was sent
 
+    std::string account {}; // whose it is; empty: this host's own
     decisions::ConnectionState state {}; // what earlier sessions left on it
     uint64_t transaction { 0 }; // that holds it; 0: none
     bool isBusy { false }; // a job runs on it
     TimePoint usedAt {}; // the last time a job ended on it
+    unsigned served { 0 }; // jobs
 
 private:
     struct Pending {
--- a/src/links/directory.h
+++ b/src/links/directory.h
@@ -2,6 +2,7 @@
 // hosts; and the calls that change something there. A carrier decodes its platform's formats into these; src/gateway decides what
 // to make of them.
 #pragma once
+#include "decisions/accounts.h"
 #include "decisions/statement.h"
 #include "links/http.h"
 #include "links/statement_codec.h"
@@ -25,6 +26,7 @@
     uint64_t version { 0 };
     std::map<std::string, decisions::DatabaseRoute> routes {}; // by database
     std::map<std::string, GroupLimits> groups {};
+    std::optional<decisions::Accounts> accounts {}; // empty: the platform knows none, and callers need no key
     base::milliseconds transactionIdle { 0 }; // a transaction that rests for longer may be ended; 0: never
     friend bool operator==(const GatewayConfiguration&, const GatewayConfiguration&) = default;
 };
@@ -143,6 +145,8 @@
     virtual std::string getConfigurationKey() const = 0;
     virtual std::string getMembersPrefix() const = 0;
     virtual tl::expected<GatewayConfiguration, std::string> parseConfiguration(const std::string& value) const = 0;
+    // The same configuration with a digest in place of each key, for other hosts; parseConfiguration() reads it as well.
+    virtual std::string hideKeys(const std::string& value) const = 0;
     virtual tl::expected<ListedMember, std::string> parseMember(const std::string& key, const std::string& value) const = 0;
     virtual boost::asio::awaitable<PromotionResult> promote(PromotionOrder order, base::TimePoint deadline) = 0;
     // The path that the platform's balancer asks for this host's readiness.
--- a/src/links/statement_codec.h
+++ b/src/links/statement_codec.h
@@ -1,6 +1,7 @@
 // How sessions are spoken on a wire: read what callers send, write what targets are sent, and the answers of both. A carrier
 // implements it; the gateway uses it and knows no wire.
 #pragma once
+#include "decisions/accounts.h"
 #include "decisions/statement.h"
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 
 struct OpenSession {
     std::string database {};
+    decisions::KeyDigest key {}; // of what the caller says to be its key
 };
 struct EndSession { };
 struct BadMessage {
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -96,7 +96,10 @@
     for (unsigned i = 0; i < m_shape.groups; ++i) {
         auto group = fmt::format("g{}", i);
         auto add = [&](const std::string& database, const std::string& kind, int staleness) {
-            routes.push_back({ { "Name", "r-" + database }, { "Host", database }, { "Prefix", "/" }, { "RouteType", kind }, { "TimeoutMs", timeoutMs }, { "SloMs", 500 }, { "Priority", 1 }, { "Service", group }, { "MaxStalenessMs", staleness } });
+            boost::json::object route { { "Name", "r-" + database }, { "Host", database }, { "Prefix", "/" }, { "RouteType", kind }, { "TimeoutMs", timeoutMs }, { "SloMs", 500 }, { "Priority", 1 }, { "Service", group }, { "MaxStalenessMs", staleness } };
+            if (database == m_shape.publicDatabase)
+                route["Public"] = true;
+            routes.push_back(std::move(route));
         };
         add(fmt::format("db{}-primary", i), "primary", 0);
         add(fmt::format("db{}-bounded", i), "bounded_staleness", 1500);
@@ -106,9 +109,26 @@
         services.push_back({ { "Name", group }, { "MaxConns", m_shape.connections }, { "SyncReplicas", 0 } });
     }
     boost::json::object config { { "Version", version }, { "Routes", routes }, { "Services", services }, { "Limits", { { "TxIdleMs", 3000 } } } };
+    if (!m_shape.accounts.empty()) {
+        boost::json::array accounts;
+        for (auto& it : m_shape.accounts)
+            accounts.push_back({ { "Name", it.name }, { "ApiKeys", boost::json::array(it.keys.begin(), it.keys.end()) }, { "Priority", 1 }, { "RatePerS", it.perSecond }, { "Burst", it.burst } });
+        config["Tenants"] = std::move(accounts);
+    }
     call([&] { m_store->put("op/config", boost::json::serialize(config)); });
 }
 
+void GatewayRig::configureAccounts(uint64_t version, std::vector<RigAccount> accounts)
+{
+    m_shape.accounts = std::move(accounts);
+    configure(version);
+}
+
+bool GatewayRig::waitConfigured(unsigned index, uint64_t version, milliseconds limit)
+{
+    return waitUntil(limit, [&] { return getMetrics(index).find(fmt::format("alderward_configuration_version {}", version)) != std::string::npos; });
+}
+
 std::string GatewayRig::getDaemon() const { return std::string(std::getenv("ALDERWARD_BINARIES")) + "/alderward"; }
 std::string GatewayRig::getLogPath(unsigned index) const { return fmt::format("{}/h{}.log", m_folder, index); }
 std::string GatewayRig::getSettingsPath(unsigned index) const { return fmt::format("{}/h{}.ini", m_folder, index); }
@@ -173,6 +193,11 @@
     return client.getText("/metrics");
 }
 
+std::string GatewayRig::getKey() const
+{
+    return m_shape.accounts.empty() ? "caller" : m_shape.accounts.front().keys.front();
+}
+
 bool GatewayRig::waitReady(unsigned index, milliseconds limit)
 {
     return waitUntil(limit, [&] { return isReady(index); });
@@ -186,7 +211,7 @@
         waitReady(i);
         // Each host has a floor of each group once a bounded read was served by it.
         for (unsigned group = 0; group < m_shape.groups; ++group)
-            LineCaller(getCallerAddress(i), fmt::format("db{}-bounded", group)).ask("READ warm");
+            LineCaller(getCallerAddress(i), fmt::format("db{}-bounded", group), getKey()).ask("READ warm");
     }
     waitUntil(milliseconds(3000), [&] { return call([&] { return m_store->has("alderward/succession/g0"); }); });
 }
@@ -211,7 +236,7 @@
     return n;
 }
 
-LineCaller::LineCaller(const std::string& address, const std::string& database)
+LineCaller::LineCaller(const std::string& address, const std::string& database, const std::string& key)
 {
     m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in to {};
@@ -222,7 +247,7 @@
         return;
     if (database.empty())
         return;
-    sendRaw("CONNECT " + database + " caller\r\n");
+    sendRaw("CONNECT " + database + " " + key + "\r\n");
     m_hello = receive(milliseconds(3000));
 }
 
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -11,6 +11,14 @@
 
 namespace harness {
 
+// A client account as operators write it.
+struct RigAccount {
+    std::string name;
+    std::vector<std::string> keys;
+    double perSecond { 1000 };
+    double burst { 1000 };
+};
+
 struct RigShape {
     unsigned hosts { 3 };
     unsigned groups { 1 }; // of three members each, one a data centre
@@ -19,6 +27,8 @@
     int graceMs { 4000 };
     std::string extraSettings {}; // lines of INI
     bool hasProxies { false }; // all connections pass through one that can harm them
+    std::vector<RigAccount> accounts {}; // empty: the platform knows none
+    std::string publicDatabase {}; // a database that needs no key
     bool hasOrdersApart { false }; // orders to the platform pass by the proxies before the store
 };
 
@@ -62,11 +72,16 @@
     unsigned findHolder() const;
     // Writes a configuration; databases db0-primary, db0-bounded, db0-own and so on for each group.
     void configure(uint64_t version, int timeoutMs = 1500, const std::string& extraDatabase = {});
+    // The same with other client accounts.
+    void configureAccounts(uint64_t version, std::vector<RigAccount> accounts);
+    // Waits until the host has it in force.
+    bool waitConfigured(unsigned index, uint64_t version, milliseconds limit = milliseconds(3000));
 
 private:
     std::string getHostAddress(unsigned index, unsigned service) const;
     std::string addProxy(unsigned short port, const std::string& address);
     void addProxies(size_t firstPort);
+    std::string getKey() const; // that opens sessions
 
     RigShape m_shape;
     std::string m_folder;
@@ -93,7 +108,7 @@
 // A caller's connection that blocks.
 class LineCaller {
 public:
-    LineCaller(const std::string& address, const std::string& database);
+    LineCaller(const std::string& address, const std::string& database, const std::string& key = "caller");
     ~LineCaller();
     LineAnswer ask(const std::string& text, milliseconds limit = milliseconds(5000));
     void send(const std::string& text); // without waiting
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -69,6 +69,7 @@
     Values written; // by the open transaction
     std::string transaction; // id of its first statement
     bool isOpen { false }; // hello was taken
+    std::string account {}; // named in the hello
     bool isInTransaction { false };
     bool isReadOnly { false };
     bool hasFailed { false };
@@ -188,6 +189,7 @@
             close();
         } else {
             isOpen = true;
+            account = from;
             ready();
         }
         return;
@@ -309,7 +311,7 @@
             }
             if (self->isInTransaction && self->transaction.empty())
                 self->transaction = id;
-            group.ran.push_back({ member.id, id, text, self->values, self->isInTransaction ? self->transaction : "" });
+            group.ran.push_back({ member.id, id, text, self->values, self->account, self->isInTransaction ? self->transaction : "" });
             std::string rows;
             std::istringstream stream(text);
             std::string word, item, data;
--- a/tests/standins/line_group.h
+++ b/tests/standins/line_group.h
@@ -20,6 +20,7 @@
     std::string id;
     std::string text; // with prepared names replaced by their shapes
     std::map<std::string, std::string> values; // of the connection
+    std::string account; // that the connection named
     std::string transaction; // id of the first statement of the transaction it ran in; empty: none
 };
 
--- /dev/null
+++ b/tests/unit/connections_test.cpp
@@ -0,0 +1,217 @@
+// Which connections to a member are opened and given up, and a member's load played in virtual time.
+#include "decisions/connections.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <fmt/format.h>
+#include <map>
+#include <random>
+
+using namespace alderward::decisions;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + milliseconds(100000);
+
+HeldConnection makeIdle(std::string_view account, int idleMs, bool hasServed = true)
+{
+    return { account, true, false, hasServed, kStart - milliseconds(idleMs) };
+}
+
+// A member with two slots, to which a carrier keeps `most` connections, and operations of many accounts. A connection on its way takes a slot for 12 ms.
+struct PlayedMember {
+    struct Operation {
+        std::string account;
+        TimePoint arrivedAt;
+    };
+    struct Connection {
+        std::string account;
+        TimePoint freeAt;
+        TimePoint usedAt;
+        bool hasServed { false };
+    };
+    struct Opening {
+        std::string account;
+        TimePoint readyAt;
+    };
+
+    size_t most { 15 };
+    milliseconds patience { 800 }; // then an operation is given up
+    std::deque<Operation> waiting {};
+    std::vector<Connection> connections {};
+    std::vector<Opening> openings {};
+    std::vector<TimePoint> slots { {}, {} }; // free from then on
+    size_t opened { 0 };
+    size_t served { 0 };
+    size_t givenUp { 0 };
+    std::vector<double> waitsMs {};
+
+    TimePoint& getSlot() { return *std::ranges::min_element(slots); }
+
+    void serve(TimePoint now)
+    {
+        for (auto it = waiting.begin(); it != waiting.end();) {
+            auto connection = std::ranges::find_if(connections, [&](const Connection& other) { return other.account == it->account && other.freeAt <= now; });
+            if (connection == connections.end() || getSlot() > now) {
+                ++it;
+                continue;
+            }
+            auto end = now + milliseconds(9);
+            getSlot() = end;
+            connection->freeAt = end;
+            connection->usedAt = end;
+            connection->hasServed = true;
+            waitsMs.push_back(std::chrono::duration<double, std::milli>(now - it->arrivedAt).count());
+            ++served;
+            it = waiting.erase(it);
+        }
+    }
+
+    void open(TimePoint now)
+    {
+        std::vector<HeldConnection> held;
+        for (auto& it : connections)
+            held.push_back({ it.account, it.freeAt <= now, it.freeAt > now, it.hasServed, it.usedAt });
+        std::vector<AccountDemand> demands;
+        for (auto& it : waiting) {
+            auto known = std::ranges::find(demands, it.account, &AccountDemand::account);
+            if (known != demands.end())
+                ++known->waiting;
+            else
+                demands.push_back({ it.account, 1, static_cast<size_t>(std::ranges::count(openings, it.account, &Opening::account)) });
+        }
+        auto step = planOpening(held, demands, { most, openings.size(), 1 }, now);
+        if (!step)
+            return;
+        if (step->givenUp)
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(*step->givenUp));
+        auto began = std::max(now, getSlot());
+        getSlot() = began + milliseconds(12);
+        openings.push_back({ step->account, began + milliseconds(12) });
+        ++opened;
+    }
+
+    void step(TimePoint now)
+    {
+        std::erase_if(openings, [&](const Opening& it) {
+            bool isReady = it.readyAt <= now;
+            if (isReady)
+                connections.push_back({ it.account, now, now });
+            return isReady;
+        });
+        givenUp += std::erase_if(waiting, [&](const Operation& it) { return now - it.arrivedAt > patience; });
+        serve(now);
+        open(now);
+    }
+};
+
+// Operations of 88 accounts whose demand falls with their rank, `perSecond` in all.
+struct PlayedDemand {
+    std::mt19937 random;
+    std::discrete_distribution<int> account {};
+    double perSecond;
+    TimePoint next { kStart };
+
+    PlayedDemand(unsigned seed, double rate)
+        : random(seed)
+        , perSecond(rate)
+    {
+        std::vector<double> weights;
+        for (int i = 1; i <= 88; ++i)
+            weights.push_back(1.0 / i);
+        account = { weights.begin(), weights.end() };
+    }
+
+    void arrive(PlayedMember& member, TimePoint now)
+    {
+        while (next <= now) {
+            member.waiting.push_back({ fmt::format("a{}", account(random)), next });
+            next += duration_cast<microseconds>(std::chrono::duration<double>(std::exponential_distribution<>(perSecond)(random)));
+        }
+    }
+};
+
+void play(PlayedMember& member, PlayedDemand& demand, TimePoint from, int ms)
+{
+    for (int i = 0; i < ms; ++i) {
+        auto now = from + milliseconds(i);
+        demand.arrive(member, now);
+        member.step(now);
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(connections)
+
+BOOST_AUTO_TEST_CASE(a_connection_is_opened_where_there_is_room_and_one_at_a_time)
+{
+    std::vector<AccountDemand> wanted { { "mill", 1, 0 } };
+    BOOST_TEST((planOpening({}, wanted, { 2, 0, 1 }, kStart) == ConnectionStep { "mill", std::nullopt }));
+    BOOST_TEST(!planOpening({}, wanted, { 2, 1, 1 }, kStart).has_value());
+    BOOST_TEST(!planOpening({}, { { "mill", 5, 1 } }, { 9, 1, 2 }, kStart).has_value()); // one is on its way for it
+    BOOST_TEST(!planOpening({ makeIdle("mill", 5) }, wanted, { 9, 0, 1 }, kStart).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_account_waits_for_its_own_connection_while_that_pays)
+{
+    HeldConnection busy { "mill", false, true, true, kStart };
+    HeldConnection inTransaction { "mill", false, false, true, kStart };
+    BOOST_TEST(!planOpening({ busy }, { { "mill", 2, 0 } }, { 9, 0, 1 }, kStart).has_value());
+    BOOST_TEST(planOpening({ busy }, { { "mill", 3, 0 } }, { 9, 0, 1 }, kStart).has_value());
+    BOOST_TEST(planOpening({ inTransaction }, { { "mill", 1, 0 } }, { 9, 0, 1 }, kStart).has_value()); // its caller may pause for seconds
+}
+
+BOOST_AUTO_TEST_CASE(the_connection_that_was_used_longest_ago_makes_room)
+{
+    std::vector<AccountDemand> wanted { { "mill", 1, 0 } };
+    BOOST_TEST((planOpening({ makeIdle("a", 5), makeIdle("b", 50), makeIdle("c", 20) }, wanted, { 3, 0, 1 }, kStart) == ConnectionStep { "mill", 1 }));
+    // Not one that is held, that somebody waits for, or that has served nobody yet.
+    HeldConnection inTransaction { "a", false, false, true, kStart - milliseconds(900) };
+    BOOST_TEST((planOpening({ inTransaction, makeIdle("b", 50, false), makeIdle("c", 20) }, wanted, { 3, 0, 1 }, kStart) == ConnectionStep { "mill", 2 }));
+    BOOST_TEST(!planOpening({ inTransaction, makeIdle("b", 50, false) }, wanted, { 2, 0, 1 }, kStart).has_value());
+    BOOST_TEST(!planOpening({ makeIdle("b", 50) }, { { "mill", 1, 0 }, { "b", 1, 0 } }, { 1, 0, 1 }, kStart).has_value());
+    BOOST_TEST((planOpening({ makeIdle("b", 900, false) }, wanted, { 1, 0, 1 }, kStart) == ConnectionStep { "mill", 0 })); // whoever it was opened for has gone
+}
+
+// 30 operations a second of 88 accounts before a member with room for 15 connections: each is served, few wait long, and not each pays for a connection.
+BOOST_AUTO_TEST_CASE(many_accounts_share_few_connections)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        PlayedMember member;
+        PlayedDemand demand(seed, 30);
+        play(member, demand, kStart, 30000);
+        std::ranges::sort(member.waitsMs);
+        BOOST_TEST(member.givenUp == 0u, "seed " << seed);
+        BOOST_TEST(member.waitsMs[member.waitsMs.size() * 99 / 100] < 100, "seed " << seed << ": " << member.waitsMs[member.waitsMs.size() * 99 / 100] << " ms");
+        BOOST_TEST(member.opened < member.served, "seed " << seed);
+    }
+}
+
+// All places are taken by connections that have served nobody, hundreds of operations wait, and as many come as the member can serve at most if half of them find
+// their connection. A pool that gives up what has not served goes on like this for good.
+BOOST_AUTO_TEST_CASE(a_member_that_only_opens_connections_recovers)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        PlayedMember member;
+        for (int i = 0; i < 15; ++i)
+            member.connections.push_back({ fmt::format("idle{}", i), kStart, kStart });
+        PlayedDemand demand(seed, 60);
+        for (int i = 0; i < 300; ++i)
+            member.waiting.push_back({ fmt::format("a{}", demand.account(demand.random)), kStart });
+        play(member, demand, kStart, 3000);
+        demand.perSecond = 30;
+        play(member, demand, kStart + milliseconds(3000), 1000);
+        member.givenUp = 0;
+        member.waitsMs.clear();
+        play(member, demand, kStart + milliseconds(4000), 10000);
+        std::ranges::sort(member.waitsMs);
+        BOOST_TEST(member.givenUp == 0u, "seed " << seed);
+        BOOST_TEST(member.waitsMs[member.waitsMs.size() / 2] < 50, "seed " << seed);
+        BOOST_TEST(member.waiting.size() < 10u, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
