--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -17,7 +17,7 @@
 struct SettingOf {
     const char* section;
     const char* key;
-    std::variant<std::string S::*, int S::*, bool S::*> field;
+    std::variant<std::string S::*, int S::*, bool S::*, double S::*> field;
     int least;
     int most;
     const char* unit;
@@ -80,6 +80,9 @@
         { "platform", "long_watch_wait_ms", &S::longWatchWaitMs, 100, 30000, "ms", "the same on hosts that hear of changes from others; those that do are told when theirs is silent" },
         { "platform", "lease_ms", &S::leaseMs, 1000, 600000, "ms", "after this long without a renewal the store drops this host's entry" },
         { "platform", "member_drain_ms", &S::memberDrainMs, 500, 600000, "ms", "a member gets no new operation this long after it said that it leaves" },
+        { "accounts", "quota_window_s", &S::quotaWindowSeconds, 1, 600, "s", "quotas of client accounts hold for any window of this length" },
+        { "accounts", "quota_over", &S::quotaOver, 0, 10, "share", "of an account's quota that may pass besides" },
+        { "accounts", "quota_slack", &S::quotaSlack, 0, 1000000, "count", "operations of an account that may pass besides, in a window" },
         { "stop", "grace_ms", &S::graceMs, 500, 600000, "ms", "from the signal to stop to the forced end" },
         { "log", "lines_per_second", &S::logLinesPerSecond, 1, 100000, "count", "request lines a second; changes of state have as many for themselves" },
         { "log", "buffer_kb", &S::logBufferKb, 16, 65536, "KiB", "lines that wait for the reader of standard output" },
@@ -121,12 +124,24 @@
     return std::nullopt;
 }
 
+template <typename S>
+std::optional<std::string> readFraction(const SettingOf<S>& row, const std::string& text, double& value)
+{
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    bool isWhole = ec == std::errc() && end == text.data() + text.size();
+    if (!isWhole || value < row.least || value > row.most)
+        return fmt::format("[{}] {} must be a number from {} to {} ({})", row.section, row.key, row.least, row.most, row.unit);
+    return std::nullopt;
+}
+
 // Sets one field; returns what is wrong, if anything.
 template <typename S>
 std::optional<std::string> setField(S& settings, const SettingOf<S>& row, const std::string& text)
 {
     if (auto* field = std::get_if<int S::*>(&row.field))
         return readNumber(row, text, settings.*(*field));
+    if (auto* field = std::get_if<double S::*>(&row.field))
+        return readFraction(row, text, settings.*(*field));
     if (auto* field = std::get_if<bool S::*>(&row.field)) {
         settings.*(*field) = text == "true";
         if (text != "true" && text != "false")
@@ -155,6 +170,8 @@
     static const S defaults;
     if (auto* field = std::get_if<int S::*>(&row.field))
         return std::to_string(defaults.*(*field));
+    if (auto* field = std::get_if<double S::*>(&row.field))
+        return fmt::format("{}", defaults.*(*field));
     if (auto* field = std::get_if<bool S::*>(&row.field))
         return defaults.*(*field) ? "true" : "false";
     return row.least > 0 ? "required" : "empty";
@@ -167,7 +184,7 @@
 {
     std::vector<SettingRow> rows;
     for (auto& it : table) {
-        bool isNumber = std::holds_alternative<int S::*>(it.field);
+        bool isNumber = std::holds_alternative<int S::*>(it.field) || std::holds_alternative<double S::*>(it.field);
         rows.push_back({ it.section, it.key, it.unit, formatDefault(it), isNumber ? fmt::format("{}..{}", it.least, it.most) : "", it.meaning });
     }
     return rows;
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -63,6 +63,10 @@
     int longWatchWaitMs { 25000 }; // ms; below what the platform allows (30 s)
     int leaseMs { 15000 }; // ms; renewed three times within it: a tenth of a call each, of every host; who is alive is seen by asking, not by the entry
     int memberDrainMs { 7000 }; // ms; a member gets no new operation this long after it said that it leaves
+    // [accounts]
+    double quotaWindowSeconds { 5 }; // s; quotas hold for any window of this length
+    double quotaOver { 0.1 }; // share of a quota that may pass besides
+    double quotaSlack { 20 }; // operations of an account that may pass besides
     // [stop]
     int graceMs { 6000 }; // ms
     // [log]
@@ -75,7 +79,7 @@
 struct SettingRow {
     std::string section;
     std::string key;
-    std::string unit; // "ms", "KiB", "count", "text", "true/false"
+    std::string unit; // "ms", "s", "KiB", "count", "share", "text", "true/false"
     std::string fallback; // "required" or the default
     std::string bounds; // "1..100", or "" for text
     std::string meaning;
--- /dev/null
+++ b/src/decisions/quota.h
@@ -0,0 +1,189 @@
+// Quotas of client accounts over all hosts: how many operations of an account may begin in any window of time, wherever they come in.
+//
+// The load that this answers: an account that sends several times its quota from one moment to the next, through all hosts, each of which sees little of it.
+// A few hosts, the keepers, count for all. Each host follows one keeper, tells it what it has begun, and holds a lease while it answers: under it,
+// operations of accounts that are far below their quota begin at once. An account that comes near to its quota is strict: each of its operations is
+// asked for before it begins. A keeper may give out the equal shares of the hosts that follow it. A host without a lease begins no more than its own share, or what it
+// had told when its lease was renewed last, and keepers leave it that.
+// docs/design/0011-accounts.md has the bound and its proof.
+//
+// COMMON MISTAKES
+//   - Telling what was begun since the last time. A report that is lost or comes twice would be lost or counted twice: a host tells all of its window.
+//
+// [SECTION] Limits   what a quota allows
+// [SECTION] Uses     operations that began
+// [SECTION] Keeper   counts for all hosts
+// [SECTION] Host     decides what begins here
+#pragma once
+#include "decisions/accounts.h"
+#include "decisions/freshness.h"
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace alderward::decisions {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Limits
+//-----------------------------------------------------------------------------
+
+// How strictly operators hold quotas, the same for all accounts.
+struct QuotaRule {
+    milliseconds window { 5000 };
+    double over { 0.1 }; // share of the quota that may pass besides
+    double slack { 20 }; // operations that may pass besides
+    friend bool operator==(const QuotaRule&, const QuotaRule&) = default;
+};
+
+struct QuotaLimits {
+    double bound { 0 }; // operations in any window; more breaks the promise
+    double target { 0 }; // that keepers let begin; what lies between is for hosts that they do not hear and for what is under way
+};
+
+QuotaLimits getQuotaLimits(const AccountQuota& quota, const QuotaRule& rule);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Uses
+//-----------------------------------------------------------------------------
+
+// Operations that began close to each other.
+struct UseSlot {
+    TimePoint at {}; // the last of them
+    unsigned count { 0 };
+    friend bool operator==(const UseSlot&, const UseSlot&) = default;
+};
+
+using Uses = std::deque<UseSlot>; // oldest first
+
+void addUse(Uses& uses, TimePoint now);
+// The newest one did not begin after all.
+void takeBackUse(Uses& uses);
+void forgetUses(Uses& uses, TimePoint before);
+// Those behind `after`, up to `until`.
+unsigned countUses(const Uses& uses, TimePoint after, TimePoint until);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Keeper
+//-----------------------------------------------------------------------------
+
+inline constexpr milliseconds kQuotaLease { 1250 }; // from the moment at which a report was sent that a keeper answered: two answers may be lost
+inline constexpr milliseconds kQuotaReportInterval { 250 }; // at most, between an operation's begin and the word of it
+inline constexpr milliseconds kQuotaLeaseInterval { 500 }; // between two reports where nothing began
+inline constexpr milliseconds kQuotaLostFor { 12000 }; // what a silent host may begin is counted this long; its entry in the platform's store lapses after about as much
+
+// What one host says of one account, as a keeper has it.
+struct ToldUses {
+    Uses uses {};
+    std::map<uint64_t, TimePoint> grants {}; // given, and not in `uses` yet: by number
+};
+
+struct KeptAccount {
+    std::map<std::string, ToldUses> hosts {};
+    bool isStrict { false };
+    TimePoint nearAt {}; // when it was last known to have come near to its quota; it can be strict for what is not known, too
+};
+
+struct ReportingHost {
+    TimePoint heardAt {};
+    TimePoint coveredSince {}; // what it has begun before this is not known
+};
+
+struct QuotaKeeper {
+    std::map<std::string, KeptAccount> accounts {};
+    std::map<std::string, ReportingHost> hosts {};
+    std::set<std::string> lastNear {}; // accounts that came near to their quotas lately, as the shard's keepers have written it down
+    uint64_t lastGrant { 0 };
+};
+
+// What a host has begun of one account within the window, on the keeper's clock.
+struct ReportedUses {
+    std::string account {};
+    Uses uses {};
+    uint64_t grantsTaken { 0 }; // grants up to this number are in `uses`, or were given back
+};
+
+struct QuotaReport {
+    std::string host {};
+    TimePoint coveredSince {}; // the host's process has begun nothing before this that it knows of
+    bool isWhole { false }; // it names all accounts of which the host has begun something in the window, not only what has changed
+    std::vector<ReportedUses> uses {};
+};
+
+// What a keeper goes by besides what it was told.
+struct QuotaView {
+    QuotaRule rule {};
+    const Accounts& accounts;
+    size_t hosts { 1 }; // that there are, this one included
+};
+
+struct ReportTaken {
+    bool isKnown { true }; // false: the keeper lacks what the host told before, and takes only a whole report
+    bool hasChanged { false }; // an account has become strict, or is strict no longer
+    bool isNear { false }; // an account that came near to its quota is not written down as one yet
+};
+
+ReportTaken takeReport(QuotaKeeper& keeper, const QuotaView& view, const QuotaReport& report, TimePoint now);
+// Looks at all accounts, and forgets what is too old to matter. Returns whether one has become strict, or is strict no longer. Call it every few hundred ms.
+bool sweepKeeper(QuotaKeeper& keeper, const QuotaView& view, TimePoint now);
+std::vector<std::string> getStrictAccounts(const QuotaKeeper& keeper);
+// What is to be written down where it outlasts all hosts, so that those that start anew know which accounts may have used their quotas up.
+std::set<std::string> getAccountsToWrite(const QuotaKeeper& keeper, TimePoint now);
+// Hosts that follow the keeper and reported lately.
+size_t countFollowers(const QuotaKeeper& keeper, TimePoint now);
+// Whether any host but `self` does.
+bool hasOtherFollower(const QuotaKeeper& keeper, const std::string& self, TimePoint now);
+
+// Of the hosts that follow the keeper.
+struct Allowance {
+    double used { 0 }; // operations of the window, and what may have begun unseen
+    double unknown { 0 }; // of these, the latter
+    double most { 0 };
+};
+
+Allowance getAllowance(const QuotaKeeper& keeper, const QuotaView& view, const std::string& account, const AccountQuota& quota, TimePoint now);
+
+struct QuotaGrant {
+    bool isGranted { false };
+    uint64_t number { 0 }; // of the grant, for the host's report
+    milliseconds closedFor { 0 }; // refused: no operation of the account can begin before
+};
+
+QuotaGrant askKeeper(QuotaKeeper& keeper, const QuotaView& view, const std::string& host, const std::string& account, TimePoint now);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Host
+//-----------------------------------------------------------------------------
+
+enum class Admission {
+    Begin, // at once
+    Ask, // a keeper decides
+    Refuse,
+};
+
+struct UsedAccount {
+    Uses uses {};
+    TimePoint closedUntil {}; // as a keeper said
+    bool isChanged { false }; // since it was last told
+};
+
+// What a host knows of quotas, for the accounts of one shard.
+struct QuotaHost {
+    TimePoint beganAt {}; // when its process began
+    std::map<std::string, UsedAccount> accounts {};
+    std::set<std::string> strict {};
+    TimePoint leaseSentAt {}; // when the newest report was sent that a keeper answered
+};
+
+bool hasLease(const QuotaHost& host, TimePoint now);
+// `hosts`: that there are.
+Admission admitOperation(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hosts, TimePoint now);
+// Whether an operation may begin though no keeper answers. None may until the lease has ended: keepers have left it nothing before.
+bool mayBeginAlone(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hosts, TimePoint now);
+void noteBegun(QuotaHost& host, const std::string& account, TimePoint now);
+void noteNotBegun(QuotaHost& host, const std::string& account);
+void noteClosed(QuotaHost& host, const std::string& account, milliseconds closedFor, TimePoint now);
+void forgetUses(QuotaHost& host, const QuotaRule& rule, TimePoint now);
+
+}
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace alderward::gateway {
@@ -405,6 +406,8 @@
         takeHost(item);
     else if (item.key.starts_with(kSuccessionPrefix))
         m_events.onSuccession(item.key.substr(kSuccessionPrefix.size()), item);
+    else if (item.key.starts_with(kQuotaPrefix) && !item.isDeleted)
+        takeNearAccounts(item);
 }
 
 // A version below the one in force is an old answer: it never goes back.
@@ -440,6 +443,38 @@
     m_events.onHostGone(name);
 }
 
+asio::awaitable<bool> Directory::writeNearAccounts(size_t shard, std::set<std::string> accounts)
+{
+    links::StoreItem item;
+    item.key = fmt::format("{}{}", kQuotaPrefix, shard);
+    item.value = json::serialize(json::array(accounts.begin(), accounts.end()));
+    links::StoreChange change;
+    change.puts.push_back(std::move(item));
+    auto written = co_await m_platform.getStore().change(std::move(change), getDeadline());
+    co_return written.has_value();
+}
+
+// As writeNearAccounts() writes it. Another writer may have put something else there.
+void Directory::takeNearAccounts(const links::StoreItem& item)
+{
+    boost::system::error_code ec;
+    auto value = json::parse(item.value, ec);
+    auto* list = ec ? nullptr : value.if_array();
+    size_t shard = 0;
+    auto number = std::string_view(item.key).substr(kQuotaPrefix.size());
+    bool isNumber = !number.empty() && std::from_chars(number.data(), number.data() + number.size(), shard).ptr == number.data() + number.size();
+    if (!list || !isNumber) {
+        noteUnreadable(item, "no list of accounts");
+        return;
+    }
+    std::set<std::string> accounts;
+    for (auto& it : *list) {
+        if (it.is_string())
+            accounts.emplace(it.as_string());
+    }
+    m_events.onNearAccounts(shard, accounts);
+}
+
 // A line a change, not a heartbeat: the store tells of an entry when more than its count has changed.
 void Directory::noteUnreadable(const links::StoreItem& item, const std::string& reason)
 {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view kOwnPrefix = "alderward/";
 inline constexpr std::string_view kHostsPrefix = "alderward/hosts/";
 inline constexpr std::string_view kSuccessionPrefix = "alderward/succession/";
+inline constexpr std::string_view kQuotaPrefix = "alderward/quota/";
 
 struct DirectoryEvents {
     std::function<void(const links::GatewayConfiguration&)> onConfiguration;
@@ -23,6 +24,7 @@
     std::function<void(const links::ListedHost&)> onHost;
     std::function<void(const std::string& name)> onHostGone;
     std::function<void(const std::string& group, const links::StoreItem&)> onSuccession;
+    std::function<void(size_t shard, const std::set<std::string>& accounts)> onNearAccounts; // whose quotas may be used up
 };
 
 // A change in the store, and when the host that reads there heard of it.
@@ -63,6 +65,8 @@
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has seen `change`: if ours does not bring it, our watch has fallen silent.
     void hearChange(uint64_t change);
+    // Writes down which accounts of a shard come near to their quotas. Returns whether that worked.
+    boost::asio::awaitable<bool> writeNearAccounts(size_t shard, std::set<std::string> accounts);
     // What changed in the store behind a revision, for a host that has this one for a relay. Only what this host's own watches brought: hearsay is not
     // passed on.
     ToldChanges getChanges(uint64_t since) const;
@@ -93,6 +97,7 @@
     bool isToldByRelay() const;
     void takeConfiguration(const links::StoreItem& item);
     void takeHost(const links::StoreItem& item);
+    void takeNearAccounts(const links::StoreItem& item);
     void noteUnreadable(const links::StoreItem& item, const std::string& reason);
     void setReachable(bool isReachable, const std::string& reason);
     base::TimePoint getDeadline() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,7 +43,8 @@
     , m_platform(std::move(platform))
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerService())
-    , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); }, getDrainTime() })
+    , m_quotas({ context, m_view, m_peers, m_settings.name, m_self.incarnation, getQuotaRule(), m_isDraining, [this](size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done) { writeNearAccounts(shard, accounts, std::move(done)); } })
+    , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isTroubled(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::mayJudge(m_peers.countInReach()); }, getDrainTime(), m_quotas })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.callLimitMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
     , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { inquire(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, [this](const std::string& group, const decisions::Lead& before, std::string_view source) { noteLead(group, before, source); }, m_isDraining })
     , m_acceptor(context)
@@ -171,6 +172,12 @@
     return pool;
 }
 
+decisions::QuotaRule Gateway::getQuotaRule() const
+{
+    auto window = std::chrono::duration<double>(m_settings.quotaWindowSeconds);
+    return { std::chrono::duration_cast<milliseconds>(window), m_settings.quotaOver, m_settings.quotaSlack };
+}
+
 // Half of the operators' limit, as two hosts may carry to one member while they disagree on who does.
 PoolLimits Gateway::getLimits(const TargetAddress& target) const
 {
@@ -353,6 +360,10 @@
             writeMembers(answer, m_view, question.since(), Clock::now());
     };
     service.onMembers = [this](const std::string&, const peer::MembersAnswer& answer, TimePoint sentAt) { takeMembers(answer, sentAt); };
+    service.takeQuotaReport = [this](const peer::QuotaReport& report) { return m_quotas.takeReport(report); };
+    service.answerQuotaAsk = [this](const peer::QuotaAsk& ask) { return m_quotas.answerAsk(ask); };
+    service.onQuotaState = [this](const std::string& host, const peer::QuotaState& state) { m_quotas.takeState(host, state); };
+    service.onQuotaAnswer = [this](const std::string& host, const peer::QuotaAnswer& answer) { m_quotas.takeAnswer(host, answer); };
     service.onLink = [](const std::string& host, bool isUp, const std::string& reason) { base::addTo(base::Family::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return service;
 }
@@ -396,9 +407,15 @@
             m_hostsGoneAt[name] = Clock::now();
     };
     events.onSuccession = [this](const std::string& group, const links::StoreItem& item) { m_promoter.takeSuccession(group, item); };
+    events.onNearAccounts = [this](size_t shard, const std::set<std::string>& accounts) { m_quotas.takeWritten(shard, accounts); };
     return events;
 }
 
+void Gateway::writeNearAccounts(size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done)
+{
+    asio::co_spawn(m_context, m_directory.writeNearAccounts(shard, accounts), [done = std::move(done)](const std::exception_ptr& error, bool isDone) { done(!error && isDone); });
+}
+
 void Gateway::tellPeers()
 {
     std::vector<links::ListedHost> hosts;
@@ -493,6 +510,7 @@
     askForMembers(now);
     sweepPools(now);
     m_peers.sweep(now);
+    m_quotas.sweep(now);
     m_router.sweep(now);
     m_promoter.sweep(now);
     sweepSessions(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,6 +37,8 @@
     struct ComparisonRound;
     void endComparison(const ComparisonRound& round);
     Comparison getComparison(const TargetAddress& target);
+    decisions::QuotaRule getQuotaRule() const;
+    void writeNearAccounts(size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done);
     PoolLimits getLimits(const TargetAddress& target) const;
     PoolObserver makeObserver();
     PeerService makePeerService();
@@ -77,6 +79,7 @@
     ClusterView m_view;
     links::ListedHost m_self;
     Peers m_peers;
+    QuotaExchange m_quotas;
     StatementRouter m_router;
     Directory m_directory;
     Promoter m_promoter;
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -66,6 +66,10 @@
         m_service.onLead(peer->host, frame.lead().group(), frame.lead().member(), frame.lead().term());
     else if (frame.has_members_question())
         tellMembers(peer, frame.members_question());
+    else if (frame.has_quota_report())
+        answerQuotaReport(peer, frame.quota_report());
+    else if (frame.has_quota_ask())
+        answerQuotaAsk(peer, frame.quota_ask());
     else if (frame.has_hold_writes())
         m_service.onHoldWrites(frame.hold_writes().group(), frame.hold_writes().member(), milliseconds(frame.hold_writes().for_ms()));
 }
@@ -80,6 +84,31 @@
     sendFrame(*peer->channel, reply);
 }
 
+void InboundPeers::answerQuotaReport(const PeerPtr& peer, const peer::QuotaReport& report)
+{
+    peer->isReporter = true;
+    peer::Frame reply;
+    *reply.mutable_quota_state() = m_service.takeQuotaReport(report);
+    sendFrame(*peer->channel, reply);
+}
+
+void InboundPeers::answerQuotaAsk(const PeerPtr& peer, const peer::QuotaAsk& ask)
+{
+    peer::Frame reply;
+    *reply.mutable_quota_answer() = m_service.answerQuotaAsk(ask);
+    sendFrame(*peer->channel, reply);
+}
+
+void InboundPeers::tellReporters(const peer::QuotaState& state)
+{
+    peer::Frame frame;
+    *frame.mutable_quota_state() = state;
+    for (auto& it : m_peers) {
+        if (it->isReporter)
+            sendFrame(*it->channel, frame);
+    }
+}
+
 void InboundPeers::tellMembers(const PeerPtr& peer, const peer::MembersQuestion& question)
 {
     peer::Frame reply;
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -26,6 +26,11 @@
     // What this host knows of members, for one that has lost the store; and what another one told.
     std::function<void(const peer::MembersQuestion&, peer::MembersAnswer&)> answerMembers;
     std::function<void(const std::string& host, const peer::MembersAnswer&, TimePoint sentAt)> onMembers;
+    // Quotas of client accounts: what others have begun or want to begin, and what this host is told in return.
+    std::function<peer::QuotaState(const peer::QuotaReport&)> takeQuotaReport;
+    std::function<peer::QuotaAnswer(const peer::QuotaAsk&)> answerQuotaAsk;
+    std::function<void(const std::string& host, const peer::QuotaState&)> onQuotaState;
+    std::function<void(const std::string& host, const peer::QuotaAnswer&)> onQuotaAnswer;
 };
 
 class InboundPeers {
@@ -36,12 +41,15 @@
     tl::expected<void, std::string> listen(const std::string& address);
     // Takes no further connection; those that stand go on.
     void stop();
+    // To all hosts that report what they begin of client accounts.
+    void tellReporters(const peer::QuotaState& state);
 
 private:
     // One connection.
     struct Peer {
         std::string host; // empty until its first ping
         std::shared_ptr<links::Channel> channel;
+        bool isReporter { false }; // it tells what it begins of client accounts
         struct HeldTransaction {
             std::shared_ptr<TargetPool> pool;
             uint64_t transaction;
@@ -59,6 +67,8 @@
     void serveOrder(const PeerPtr& peer, const peer::Order& wire);
     bool placeTransaction(const PeerPtr& peer, const std::shared_ptr<TargetPool>& pool, uint64_t theirNumber, Order& order);
     void answerOrder(const PeerPtr& peer, uint64_t call, const Outcome& outcome, const TargetPool* pool);
+    void answerQuotaReport(const PeerPtr& peer, const peer::QuotaReport& report);
+    void answerQuotaAsk(const PeerPtr& peer, const peer::QuotaAsk& ask);
     void answerUnknownMember(const PeerPtr& peer, uint64_t call);
     void lose(const PeerPtr& peer);
 
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -320,6 +320,15 @@
     sendFrame(*link->channel, frame);
 }
 
+bool Peers::send(const std::string& host, const peer::Frame& frame)
+{
+    auto link = findUp(host);
+    if (!link)
+        return false;
+    sendFrame(*link->channel, frame);
+    return true;
+}
+
 void Peers::sendAlarm(const std::string& host, const std::string& group, const std::string& member, const std::string& reason)
 {
     auto link = findUp(host);
@@ -388,6 +397,10 @@
         auto done = std::move(it->second);
         link->inquiries.erase(it);
         done(readStatus(wire));
+    } else if (frame.has_quota_state()) {
+        m_service.onQuotaState(link->host.name, frame.quota_state());
+    } else if (frame.has_quota_answer()) {
+        m_service.onQuotaAnswer(link->host.name, frame.quota_answer());
     } else if (frame.has_members_answer())
         m_service.onMembers(link->host.name, frame.members_answer(), link->membersAskedAt);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -60,6 +60,9 @@
     void inquire(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done);
     // Asks what members have changed since that revision; the answer comes to PeerService::onMembers, or never.
     void askMembers(const std::string& host, uint64_t since);
+    // False: there is no connection to the host, and none is on its way.
+    bool send(const std::string& host, const peer::Frame& frame);
+    void tellReporters(const peer::QuotaState& state) { m_inbound.tellReporters(state); }
     void sendAlarm(const std::string& host, const std::string& group, const std::string& member, const std::string& reason);
     void sendHoldWrites(const std::string& group, const std::string& member, milliseconds time);
     // Tells all partners that a member was made the primary.
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -20,7 +20,23 @@
 void StatementRouter::run(RoutedStatement routed, RoutedDone done)
 {
     auto shared = std::make_shared<RoutedStatement>(std::move(routed));
-    attempt(shared, std::move(done));
+    // An operation beyond its account's quota waits in no queue: others would pay for it.
+    m_context.quotas.begin(shared->order.account, [this, shared, done = std::move(done)](const std::optional<decisions::Error>& refusal) {
+        shared->isCounted = !refusal;
+        if (refusal)
+            refuse(shared, done, *refusal);
+        else
+            attempt(shared, done);
+    });
+}
+
+void StatementRouter::refuse(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, const decisions::Error& refusal)
+{
+    boost::asio::post(m_context.context, [this, routed, done = std::move(done), refusal] {
+        Outcome outcome;
+        outcome.error = refusal;
+        finish(*routed, outcome, std::nullopt, done, {});
+    });
 }
 
 // Whether the host is up and has not said lately that it cannot reach the member.
@@ -186,6 +202,7 @@
     }
     auto now = Clock::now();
     auto kind = outcome.error->kind;
+    routed->wasSent = routed->wasSent || outcome.wasSent;
     routed->lastReason = outcome.error->message;
     routed->wasTurnedAway = kind == ErrorKind::Overloaded && outcome.wasSent;
     bool isQueueFull = kind == ErrorKind::Overloaded && !outcome.wasSent;
@@ -253,11 +270,13 @@
         std::string_view result = outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served";
         base::logEvent(logClass, "request",
             { { "request", std::string_view(routed.order.statement.id) }, { "session", std::string_view(routed.session) }, { "database", std::string_view(routed.route.database) },
-                { "group", std::string_view(routed.route.group) }, { "kind", getName(routed.order.kind) }, { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs },
+                { "group", std::string_view(routed.route.group) }, { "account", std::string_view(routed.order.account) }, { "kind", getName(routed.order.kind) }, { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs },
                 { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", leader }, { "need", std::string_view(need) },
                 { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
+    if (routed.isCounted && outcome.error && !outcome.wasSent && !routed.wasSent)
+        m_context.quotas.giveBack(routed.order.account);
     done(outcome, transaction);
 }
 
--- a/src/gateway/statement_router.h
+++ b/src/gateway/statement_router.h
@@ -1,7 +1,7 @@
 // Runs callers' statements: chooses a member and the host that carries the statement there, tries another one where the target said that
 // it did not run it, and ends within the route's limit with exactly one outcome.
 #pragma once
-#include "gateway/peers.h"
+#include "gateway/quota_exchange.h"
 #include <unordered_map>
 
 namespace alderward::gateway {
@@ -23,6 +23,8 @@
     std::vector<std::string> tried {}; // members, since the last pause
     unsigned attempts { 0 };
     bool wasOverloaded { false }; // our queue before a member could not take it in time: once no other is left, its caller is told at once
+    bool isCounted { false }; // its operation counts against the quota of its client account
+    bool wasSent { false }; // some member may have had it
     bool wasTurnedAway { false }; // the last member that was asked lives and was busy, and said so at once
     std::string session {}; // for the log
     std::string lastReason {};
@@ -41,6 +43,7 @@
     std::function<void(const std::string& group)> onNoLeader;
     std::function<bool()> isCutOff; // this host has lost most others: they may reach what it does not
     milliseconds drainTime; // of members that leave
+    QuotaExchange& quotas;
 };
 
 class StatementRouter {
@@ -68,6 +71,7 @@
     TimePoint::duration getWayBack(const std::string& carrier) const;
     void attempt(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done);
     void waitOrGiveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done);
+    void refuse(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, const decisions::Error& refusal);
     void giveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, decisions::ErrorKind kind);
     std::optional<TargetAddress> chooseMember(const RoutedStatement& routed) const;
     decisions::Candidate makeCandidate(const RoutedStatement& routed, const MemberBelief& member, const std::string& leader) const;
--- /dev/null
+++ b/tests/unit/quota_test.cpp
@@ -0,0 +1,599 @@
+// Quotas over all hosts: the rules one by one, and hosts, keepers and what goes wrong between them in virtual time.
+#include "decisions/quota.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+
+using namespace alderward::decisions;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+const std::string kAccount = "mill";
+const AccountQuota kQuota { 10, 10 }; // 86 operations in any 5 s
+
+Accounts makeAccounts(double perSecond, double burst)
+{
+    Accounts accounts;
+    accounts.byName[kAccount] = { kAccount, AccountQuota { perSecond, burst } };
+    return accounts;
+}
+
+QuotaReport makeReport(const std::string& host, TimePoint now, std::vector<std::pair<int, unsigned>> slots, uint64_t grantsTaken = 0, milliseconds covered = milliseconds(5000))
+{
+    QuotaReport report { host, now - covered, true, { { kAccount, {}, grantsTaken } } };
+    for (auto& [ageMs, count] : slots)
+        report.uses[0].uses.push_back({ now - milliseconds(ageMs), count });
+    return report;
+}
+
+// Hosts that begin operations of one account, as gateway/quota_exchange.cpp goes by the rules: the first one that a host believes to be up keeps count for it.
+class Fleet {
+public:
+    struct Host {
+        std::string name;
+        QuotaHost own {};
+        QuotaKeeper keeper {};
+        TimePoint beganAt {};
+        TimePoint aliveFrom {};
+        TimePoint cutUntil {}; // from all other hosts
+        TimePoint reportedAt {};
+        unsigned life { 0 };
+        std::map<size_t, TimePoint> unansweredSince {}; // by keeper
+        std::map<size_t, TimePoint> sentAt {};
+        std::optional<size_t> followed {}; // keeper
+        std::map<size_t, uint64_t> grantsTaken {};
+        std::set<size_t> toldWhole {};
+    };
+
+    Fleet(unsigned seed, size_t hosts, double perSecond, double burst)
+        : random(seed)
+        , accounts(makeAccounts(perSecond, burst))
+        , m_hosts(hosts)
+    {
+        for (size_t i = 0; i < hosts; ++i) {
+            m_hosts[i].name = "h" + std::to_string(i);
+            startHost(i, kStart - milliseconds(8000));
+        }
+    }
+
+    std::mt19937 random;
+    Accounts accounts;
+    QuotaRule rule {};
+    std::vector<TimePoint> begun {};
+    size_t asked { 0 };
+    size_t refused { 0 };
+
+    size_t getSize() const { return m_hosts.size(); }
+    // `isNoticed`: connections to it break; else it is dark.
+    void kill(size_t i, milliseconds downFor, bool isNoticed)
+    {
+        startHost(i, m_now + downFor);
+        for (auto& it : m_hosts) {
+            if (!isNoticed)
+                break;
+            it.unansweredSince[i] = m_now - milliseconds(601);
+            it.sentAt[i] = m_now;
+        }
+    }
+    void cut(size_t i, milliseconds time) { m_hosts[i].cutUntil = m_now + time; }
+
+    // An operation of the account comes to the host.
+    void arrive(size_t i)
+    {
+        auto& host = m_hosts[i];
+        if (m_now < host.aliveFrom)
+            return;
+        ++asked;
+        switch (admitOperation(host.own, kAccount, accounts.byName.at(kAccount).quota.value(), rule, m_hosts.size(), m_now)) {
+        case Admission::Begin:
+            begin(host);
+            break;
+        case Admission::Refuse:
+            ++refused;
+            break;
+        case Admission::Ask:
+            ask(i);
+        }
+    }
+
+    void runUntil(TimePoint until)
+    {
+        while (m_now < until) {
+            m_now += milliseconds(5);
+            while (!m_events.empty() && m_events.top().at <= m_now) {
+                auto event = m_events.top();
+                m_events.pop();
+                event.run();
+            }
+            for (size_t i = 0; i < m_hosts.size(); ++i)
+                sweep(i);
+        }
+    }
+    TimePoint getNow() const { return m_now; }
+
+    // The most that began within any window.
+    size_t getMostInWindow() const
+    {
+        auto sorted = begun;
+        std::ranges::sort(sorted);
+        size_t most = 0;
+        size_t first = 0;
+        for (size_t i = 0; i < sorted.size(); ++i) {
+            while (sorted[i] - sorted[first] >= rule.window)
+                ++first;
+            most = std::max(most, i - first + 1);
+        }
+        return most;
+    }
+
+private:
+    struct Event {
+        TimePoint at;
+        uint64_t number;
+        std::function<void()> run;
+        bool operator<(const Event& other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+    };
+
+    QuotaView getView() const { return { rule, accounts, m_hosts.size() }; }
+
+    void startHost(size_t i, TimePoint at)
+    {
+        auto& host = m_hosts[i];
+        auto cutUntil = host.cutUntil;
+        auto life = host.life + 1;
+        host = Host { host.name };
+        host.life = life;
+        host.cutUntil = cutUntil;
+        host.beganAt = at;
+        host.aliveFrom = at;
+        host.own.beganAt = at;
+        host.keeper.lastNear = m_written;
+    }
+
+    bool isUp(size_t i) const { return m_now >= m_hosts[i].aliveFrom; }
+    bool isConnected(size_t a, size_t b) const { return a == b || (isUp(a) && isUp(b) && m_now >= m_hosts[a].cutUntil && m_now >= m_hosts[b].cutUntil); }
+
+    // Delivered unless the way is cut or either end has started again meanwhile.
+    void send(size_t from, size_t to, std::function<void()> take)
+    {
+        if (from == to) {
+            take();
+            return;
+        }
+        if (!isConnected(from, to))
+            return;
+        auto delay = milliseconds(std::uniform_int_distribution<int>(1, 20)(random));
+        m_events.push({ m_now + delay, ++m_lastEvent, [this, from, to, lives = std::pair(m_hosts[from].life, m_hosts[to].life), take = std::move(take)] {
+                           if (isConnected(from, to) && lives == std::pair(m_hosts[from].life, m_hosts[to].life))
+                               take();
+                       } });
+    }
+
+    std::optional<size_t> findKeeper(size_t i) const
+    {
+        auto& host = m_hosts[i];
+        for (size_t k = 0; k < m_hosts.size(); ++k) {
+            auto unanswered = host.unansweredSince.find(k);
+            bool isLate = unanswered != host.unansweredSince.end() && m_now - unanswered->second > milliseconds(600);
+            bool isPassedOver = isLate && m_now - host.sentAt.at(k) < milliseconds(2000);
+            bool isAlone = k == i && m_hosts.size() > 1 && !hasOtherFollower(host.keeper, host.name, m_now);
+            if (!isPassedOver && !isAlone)
+                return k;
+        }
+        return std::nullopt;
+    }
+
+    void begin(Host& host)
+    {
+        noteBegun(host.own, kAccount, m_now);
+        begun.push_back(m_now);
+    }
+
+    void decideAlone(Host& host)
+    {
+        if (mayBeginAlone(host.own, kAccount, accounts.byName.at(kAccount).quota.value(), rule, m_hosts.size(), m_now))
+            begin(host);
+        else
+            ++refused;
+    }
+
+    void ask(size_t i)
+    {
+        auto keeper = findKeeper(i);
+        if (!keeper) {
+            decideAlone(m_hosts[i]);
+            return;
+        }
+        auto k = *keeper;
+        if (k != m_hosts[i].followed)
+            report(i);
+        auto isDecided = std::make_shared<bool>(false);
+        auto life = m_hosts[i].life;
+        m_events.push({ m_now + milliseconds(150), ++m_lastEvent, [this, i, life, isDecided] {
+                           if (!*isDecided && m_hosts[i].life == life)
+                               decideAlone(m_hosts[i]);
+                           *isDecided = true;
+                       } });
+        send(i, k, [this, i, k, isDecided] {
+            auto grant = askKeeper(m_hosts[k].keeper, getView(), m_hosts[i].name, kAccount, m_now);
+            send(k, i, [this, i, k, grant, isDecided] {
+                if (*isDecided)
+                    return;
+                *isDecided = true;
+                auto& host = m_hosts[i];
+                if (!grant.isGranted) {
+                    noteClosed(host.own, kAccount, grant.closedFor, m_now);
+                    ++refused;
+                    return;
+                }
+                host.grantsTaken[k] = std::max(host.grantsTaken[k], grant.number);
+                begin(host);
+            });
+        });
+    }
+
+    void sweep(size_t i)
+    {
+        auto& host = m_hosts[i];
+        if (!isUp(i))
+            return;
+        auto used = host.own.accounts.find(kAccount);
+        bool isChanged = used != host.own.accounts.end() && used->second.isChanged;
+        if (findKeeper(i) != host.followed || m_now - host.reportedAt >= (isChanged ? kQuotaReportInterval : kQuotaLeaseInterval))
+            report(i);
+        if (m_now.time_since_epoch() % milliseconds(250) != milliseconds(0))
+            return;
+        forgetUses(host.own, rule, m_now);
+        if (sweepKeeper(host.keeper, getView(), m_now))
+            tellStrict(i);
+        writeNear(i);
+    }
+
+    void writeNear(size_t i)
+    {
+        auto near = getAccountsToWrite(m_hosts[i].keeper, m_now);
+        bool mayForget = m_hosts[i].followed == i && m_now - m_hosts[i].beganAt > rule.window + milliseconds(1000);
+        if (std::ranges::includes(m_written, near) && !mayForget)
+            return;
+        m_written = near;
+        for (auto& it : m_hosts)
+            it.keeper.lastNear = m_written;
+    }
+
+    void report(size_t i)
+    {
+        auto& host = m_hosts[i];
+        host.reportedAt = m_now;
+        auto used = host.own.accounts.find(kAccount);
+        auto keeper = findKeeper(i);
+        bool isNew = keeper != host.followed;
+        host.followed = keeper;
+        if (!keeper)
+            return;
+        auto k = *keeper;
+        bool isWhole = isNew || !host.toldWhole.contains(k) || host.unansweredSince.contains(k);
+        QuotaReport report { host.name, std::max(host.beganAt, m_now - rule.window), isWhole, {} };
+        if (used != host.own.accounts.end() && (used->second.isChanged || isWhole)) {
+            report.uses.push_back({ kAccount, {}, host.grantsTaken[k] });
+            for (auto& it : used->second.uses) {
+                if (m_now - it.at <= rule.window)
+                    report.uses[0].uses.push_back(it);
+            }
+        }
+        host.toldWhole.insert(k);
+        host.unansweredSince.try_emplace(k, m_now);
+        host.sentAt[k] = m_now;
+        send(i, k, [this, i, k, sentAt = m_now, report] {
+            auto taken = takeReport(m_hosts[k].keeper, getView(), report, m_now);
+            if (taken.hasChanged)
+                tellStrict(k);
+            if (taken.isNear)
+                writeNear(k);
+            auto strict = getStrictAccounts(m_hosts[k].keeper);
+            send(k, i, [this, i, k, sentAt, strict, isKnown = taken.isKnown] {
+                if (!isKnown)
+                    m_hosts[i].toldWhole.erase(k);
+                takeState(i, k, isKnown ? std::optional(sentAt) : std::nullopt, strict);
+            });
+        });
+        if (used != host.own.accounts.end())
+            used->second.isChanged = false;
+    }
+
+    void takeState(size_t i, size_t k, std::optional<TimePoint> sentAt, const std::vector<std::string>& strict)
+    {
+        auto& host = m_hosts[i];
+        if (sentAt && *sentAt == host.sentAt[k])
+            host.unansweredSince.erase(k);
+        if (host.followed != k)
+            return;
+        host.own.strict = { strict.begin(), strict.end() };
+        if (sentAt)
+            host.own.leaseSentAt = std::max(host.own.leaseSentAt, *sentAt);
+    }
+
+    void tellStrict(size_t k)
+    {
+        auto strict = getStrictAccounts(m_hosts[k].keeper);
+        for (size_t i = 0; i < m_hosts.size(); ++i) {
+            if (m_hosts[i].sentAt.contains(k))
+                send(k, i, [this, i, k, strict] { takeState(i, k, std::nullopt, strict); });
+        }
+    }
+
+    std::vector<Host> m_hosts;
+    std::set<std::string> m_written {}; // in the platform's store
+    std::priority_queue<Event> m_events;
+    uint64_t m_lastEvent { 0 };
+    TimePoint m_now { kStart - milliseconds(8000) };
+};
+
+// Operations come at `perSecond`, each to a host that `pick` names.
+void play(Fleet& fleet, milliseconds time, double perSecond, const std::function<size_t()>& pick)
+{
+    auto end = fleet.getNow() + time;
+    auto next = fleet.getNow();
+    while (fleet.getNow() < end) {
+        fleet.runUntil(fleet.getNow() + milliseconds(5));
+        while (next <= fleet.getNow()) {
+            fleet.arrive(pick());
+            next += duration_cast<microseconds>(std::chrono::duration<double>(std::exponential_distribution<>(perSecond)(fleet.random)));
+        }
+    }
+}
+
+double getBound(const Fleet& fleet)
+{
+    return getQuotaLimits(*findQuota(fleet.accounts, kAccount), fleet.rule).bound;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(quota)
+
+BOOST_AUTO_TEST_CASE(a_bound_follows_from_rate_burst_and_what_may_pass_besides)
+{
+    auto limits = getQuotaLimits({ 24, 24 }, {});
+    BOOST_TEST(limits.bound == 24 * 6 * 1.1 + 20);
+    BOOST_TEST(limits.target < limits.bound);
+    BOOST_TEST(limits.target >= 24 * 6);
+    BOOST_TEST(getQuotaLimits({ 0, 0 }, {}).bound == 20);
+}
+
+BOOST_AUTO_TEST_CASE(uses_are_told_in_slots_and_count_for_a_little_too_long_at_most)
+{
+    Uses uses;
+    for (int ms = 0; ms < 1000; ++ms)
+        addUse(uses, kStart + milliseconds(ms));
+    BOOST_TEST(uses.size() <= 20u);
+    BOOST_TEST(countUses(uses, kStart - milliseconds(1), kStart + milliseconds(1000)) == 1000u);
+    for (int ms = 0; ms < 1000; ms += 37) {
+        auto counted = countUses(uses, kStart + milliseconds(ms), kStart + milliseconds(1000));
+        BOOST_TEST(counted >= 1000u - static_cast<unsigned>(ms) - 1);
+        BOOST_TEST(counted <= 1000u - static_cast<unsigned>(ms) + 200);
+    }
+    takeBackUse(uses);
+    BOOST_TEST(countUses(uses, kStart - milliseconds(1), kStart + milliseconds(1000)) == 999u);
+}
+
+BOOST_AUTO_TEST_CASE(an_account_near_its_quota_is_strict_and_calm_again_later)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 2 };
+    QuotaKeeper keeper;
+    takeReport(keeper, view, makeReport("b", kStart, {}), kStart);
+    BOOST_TEST(!takeReport(keeper, view, makeReport("a", kStart, { { 1000, 30 } }), kStart).hasChanged);
+    BOOST_TEST(takeReport(keeper, view, makeReport("b", kStart, { { 500, 30 } }), kStart).hasChanged);
+    BOOST_TEST(getStrictAccounts(keeper) == std::vector<std::string>({ kAccount }), boost::test_tools::per_element());
+    takeReport(keeper, view, makeReport("b", kStart, { { 500, 30 } }), kStart); // told twice, counted once
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, kStart).used == 60);
+    for (int i = 1; i <= 50; ++i) { // both go on reporting
+        auto now = kStart + milliseconds(100 * i);
+        for (auto* host : { "a", "b" })
+            takeReport(keeper, view, QuotaReport { host, now - milliseconds(5000), false, {} }, now);
+    }
+    BOOST_TEST(sweepKeeper(keeper, view, kStart + milliseconds(5000)));
+    BOOST_TEST(getStrictAccounts(keeper).empty());
+}
+
+BOOST_AUTO_TEST_CASE(grants_end_where_the_target_is_reached_and_are_counted_once)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 1 };
+    QuotaKeeper keeper;
+    takeReport(keeper, view, makeReport("a", kStart, {}), kStart);
+    unsigned granted = 0;
+    QuotaGrant last;
+    while ((last = askKeeper(keeper, view, "a", kAccount, kStart)).isGranted)
+        ++granted;
+    auto limits = getQuotaLimits({ 10, 10 }, {});
+    BOOST_TEST(granted <= limits.target);
+    BOOST_TEST(granted + 1 > limits.target);
+    BOOST_TEST(last.closedFor.count() > 0);
+    takeReport(keeper, view, makeReport("a", kStart, { { 0, granted } }, granted), kStart);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, kStart).used == granted);
+}
+
+// Of two hosts one falls silent: what it had told is left to it, and half of the target at least, until its entry is gone.
+BOOST_AUTO_TEST_CASE(what_a_silent_host_may_begin_is_left_to_it)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 2 };
+    auto target = getQuotaLimits(kQuota, {}).target;
+    QuotaKeeper keeper;
+    takeReport(keeper, view, makeReport("a", kStart, { { 100, 60 } }), kStart);
+    takeReport(keeper, view, makeReport("b", kStart, {}), kStart);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, kStart).used == 60);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, kStart).most == target);
+    auto later = kStart + milliseconds(6000);
+    takeReport(keeper, view, makeReport("b", later, {}), later);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, later).used == 0);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, later).most == target - 60);
+    later = kStart + kQuotaLostFor;
+    takeReport(keeper, view, makeReport("b", later, {}), later);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, later).most == target / 2);
+    view.hosts = 1;
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, later).most == target);
+}
+
+BOOST_AUTO_TEST_CASE(a_keeper_takes_a_host_that_it_does_not_know_by_a_whole_report_only)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 1 };
+    QuotaKeeper keeper;
+    auto report = makeReport("a", kStart, { { 100, 5 } });
+    report.isWhole = false;
+    BOOST_TEST(!takeReport(keeper, view, report, kStart).isKnown);
+    BOOST_TEST(countFollowers(keeper, kStart) == 0u);
+    report.isWhole = true;
+    BOOST_TEST(takeReport(keeper, view, report, kStart).isKnown);
+    report.isWhole = false;
+    BOOST_TEST(takeReport(keeper, view, report, kStart).isKnown);
+    BOOST_TEST(countFollowers(keeper, kStart) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_started_again_has_forgotten_what_its_keeper_has_not)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 1 };
+    QuotaKeeper keeper;
+    takeReport(keeper, view, makeReport("a", kStart, { { 100, 20 } }), kStart);
+    auto later = kStart + milliseconds(1000);
+    takeReport(keeper, view, makeReport("a", later, { { 50, 3 } }, 0, milliseconds(400)), later);
+    BOOST_TEST(getAllowance(keeper, view, kAccount, kQuota, later).used == 23);
+}
+
+BOOST_AUTO_TEST_CASE(what_hosts_did_before_they_started_counts_for_a_window)
+{
+    auto accounts = makeAccounts(10, 10);
+    QuotaView view { {}, accounts, 10 };
+    QuotaKeeper keeper;
+    auto target = getQuotaLimits(kQuota, {}).target;
+    auto tell = [&](int ms) {
+        for (int i = 0; i < 10; ++i)
+            takeReport(keeper, view, makeReport("h" + std::to_string(i), kStart + milliseconds(ms), {}, 0, milliseconds(ms)), kStart + milliseconds(ms));
+        return getAllowance(keeper, view, kAccount, kQuota, kStart + milliseconds(ms)).used;
+    };
+    BOOST_TEST(tell(0) > 0.45 * target);
+    BOOST_TEST(tell(0) < 0.7 * target); // or nobody would be served
+    BOOST_TEST(tell(4900) == tell(0));
+    BOOST_TEST(tell(5000) == 0);
+    keeper.hosts.clear();
+    keeper.lastNear = { kAccount }; // all of it may have been used at the last moment
+    BOOST_TEST(tell(0) > 0.99 * target);
+    BOOST_TEST(tell(4900) > 0.99 * target);
+    BOOST_TEST(tell(5000) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_lease_begins_what_it_had_told_and_no_more)
+{
+    QuotaHost host;
+    AccountQuota quota { 10, 10 };
+    BOOST_TEST((admitOperation(host, kAccount, quota, {}, 91, kStart) == Admission::Ask));
+    host.leaseSentAt = kStart;
+    BOOST_TEST((admitOperation(host, kAccount, quota, {}, 91, kStart) == Admission::Begin));
+    host.strict = { kAccount };
+    BOOST_TEST((admitOperation(host, kAccount, quota, {}, 91, kStart) == Admission::Ask));
+    host.strict = {};
+    for (int i = 0; i < 4; ++i)
+        noteBegun(host, kAccount, kStart - milliseconds(100));
+    auto alone = kStart + milliseconds(5500);
+    BOOST_TEST((admitOperation(host, kAccount, quota, {}, 91, alone) == Admission::Ask));
+    unsigned begun = 0;
+    while (begun < 20 && mayBeginAlone(host, kAccount, quota, {}, 91, alone)) {
+        noteBegun(host, kAccount, alone);
+        ++begun;
+    }
+    BOOST_TEST(begun == 4u);
+    noteClosed(host, kAccount, milliseconds(100), alone);
+    BOOST_TEST((admitOperation(host, kAccount, quota, {}, 91, alone) == Admission::Refuse));
+}
+
+// An account at 0.9 of its quota: nothing of it is refused, be it that it comes in everywhere, at one host, or moves from host to host.
+BOOST_AUTO_TEST_CASE(an_account_below_its_quota_is_let_begin)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        Fleet everywhere(seed, 91, 24, 24);
+        everywhere.runUntil(kStart);
+        play(everywhere, milliseconds(20000), 21.6, [&] { return everywhere.random() % 91; });
+        BOOST_TEST(everywhere.refused <= everywhere.asked / 100, "seed " << seed << ": " << everywhere.refused << " of " << everywhere.asked);
+        Fleet oneHost(seed, 91, 24, 24);
+        oneHost.runUntil(kStart);
+        play(oneHost, milliseconds(20000), 21.6, [] { return 7; });
+        BOOST_TEST(oneHost.refused <= oneHost.asked / 100, "seed " << seed);
+        Fleet moving(seed, 91, 24, 24);
+        moving.runUntil(kStart);
+        play(moving, milliseconds(20000), 21.6, [&] { return static_cast<size_t>((moving.getNow() - kStart) / milliseconds(1000)) % 91; });
+        BOOST_TEST(moving.refused <= moving.asked / 100, "seed " << seed);
+    }
+}
+
+// An account that sends 7.5 times its usual from one moment to the next gets its quota, and no window has more than the bound.
+BOOST_AUTO_TEST_CASE(a_hot_account_gets_its_quota_and_no_more)
+{
+    for (size_t hosts : { 3, 91, 300 }) {
+        for (double rate : { 2.0, 24.0, 128.0 }) {
+            Fleet fleet(static_cast<unsigned>(hosts), hosts, rate, rate);
+            fleet.runUntil(kStart);
+            play(fleet, milliseconds(6000), rate / 1.6, [&] { return fleet.random() % hosts; });
+            auto before = fleet.begun.size();
+            play(fleet, milliseconds(10000), 7.5 * rate / 1.6, [&] { return fleet.random() % hosts; });
+            BOOST_TEST(static_cast<double>(fleet.getMostInWindow()) <= getBound(fleet), hosts << " hosts, " << rate << "/s: " << fleet.getMostInWindow() << " of " << getBound(fleet));
+            BOOST_TEST(static_cast<double>(fleet.begun.size() - before) >= 0.99 * 10 * rate, hosts << " hosts, " << rate << "/s: " << fleet.begun.size() - before);
+        }
+    }
+}
+
+// Hosts are killed, cut off and come back in any order, while demand jumps between nothing and 7.5 times the usual. One host in `rarity` fails in each way at each
+// step. Returns whether the bound held.
+static bool playFailures(unsigned seed, int rarity)
+{
+    size_t hosts = 3 + seed % 40;
+    double rate = 2 + seed % 7 * 12;
+    Fleet fleet(seed, hosts, rate, rate);
+    fleet.runUntil(kStart);
+    auto pickInt = [&](int least, int most) { return std::uniform_int_distribution<int>(least, most)(fleet.random); };
+    for (int step = 0; step < 20; ++step) {
+        for (size_t i = 0; i < hosts; ++i) {
+            auto time = milliseconds(pickInt(300, 3000));
+            bool isNoticed = pickInt(0, 1) == 0;
+            if (pickInt(0, rarity) == 0)
+                fleet.kill(i, time, isNoticed);
+            else if (pickInt(0, rarity) == 0)
+                fleet.cut(i, milliseconds(pickInt(500, 8000)));
+        }
+        if (pickInt(0, 25) == 0) {
+            for (size_t i = 0; i < hosts; ++i)
+                fleet.kill(i, milliseconds(pickInt(1300, 1600)), true);
+        }
+        std::vector<double> loads { 0.1, 1, 1, 1, 2, 4.5, 7.5 };
+        auto load = rate / 1.6 * loads[static_cast<size_t>(pickInt(0, 6))];
+        play(fleet, milliseconds(pickInt(200, 2500)), load, [&] { return fleet.random() % hosts; });
+    }
+    bool holds = static_cast<double>(fleet.getMostInWindow()) <= getBound(fleet);
+    BOOST_TEST(holds, "seed " << seed << ": " << hosts << " hosts, " << rate << "/s: " << fleet.getMostInWindow() << " of " << getBound(fleet));
+    return holds;
+}
+
+BOOST_AUTO_TEST_CASE(failures_now_and_then_let_no_window_pass_its_bound)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed)
+        playFailures(seed, 300);
+}
+
+// Several hosts at each moment, among them most of a small fleet at once.
+BOOST_AUTO_TEST_CASE(no_chain_of_failures_lets_a_window_pass_its_bound)
+{
+    unsigned passed = 0;
+    for (unsigned seed = 1; seed <= 200; ++seed)
+        passed += playFailures(seed, 30) ? 1 : 0;
+    BOOST_TEST(passed == 200u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
