Callers without an account share a member with those of accounts

What callers saw: a statement of an account, or of a public database, waited for its whole limit (1.5 s) and was refused, while connections stood idle. Cause: the pool took the account of the last order for the sign of whether connections belong to accounts. Behind an order without an account (a public database) it counted connections of all accounts as free and opened none, until the next order of an account came. Found by reading; the test fails without the change (16 of 72 checks, rounds of 1,503 to 1,509 ms) and passes with it. Change: whether connections belong to accounts follows from the configuration (PoolLimits::isByAccount). Ruled out: nothing else decides which of the two ways openSessions() goes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -185,7 +185,7 @@
     auto most = group == m_view.configuration.groups.end() ? 0U : group->second.connectionsPerMember;
     auto member = m_view.members.find(target.member);
     auto slots = member == m_view.members.end() ? 1U : std::max(1U, member->second.listed.slots);
-    return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1 };
+    return { std::max(2U, (most - std::min(most, kSpareConnections)) / 2), slots + 1, m_view.configuration.accounts.has_value() };
 }
 
 PoolObserver Gateway::makeObserver()
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -216,7 +216,7 @@
 {
     if (m_comparison != Comparison::NotNeeded) // the first position that a connection tells is compared with what is known then
         return;
-    if (!m_lastAccount.empty()) {
+    if (m_limits.isByAccount) {
         openByAccount(now);
         return;
     }
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -67,6 +67,7 @@
 struct PoolLimits {
     unsigned connections { 4 }; // open at a time
     unsigned running { 3 }; // statements at the target at a time
+    bool isByAccount { false }; // a connection serves one client account, and what has none is one of them; else any session
 };
 
 struct PoolLoad {
--- a/tests/gateway/accounts_test.cpp
+++ b/tests/gateway/accounts_test.cpp
@@ -163,6 +163,30 @@
     BOOST_TEST(rig.call([&] { return rig.getGroup().getConnectionsMost(primary); }) <= 12u);
 }
 
+// Callers without an account come in between: each still gets its connection at once, as those of accounts do.
+BOOST_AUTO_TEST_CASE(public_callers_and_accounts_share_a_member)
+{
+    std::vector<RigAccount> accounts;
+    for (int i = 0; i < 8; ++i)
+        accounts.push_back({ fmt::format("account{}", i), { fmt::format("key{}", i) } });
+    auto shape = makeShape(accounts);
+    shape.connections = 8; // three for the host that carries
+    shape.publicDatabase = "db0-primary";
+    GatewayRig rig(shape);
+    rig.beginHosts();
+    LineCaller stranger(rig.getCallerAddress(0), "db0-primary", "anybody");
+    for (int round = 0; round < 24; ++round) {
+        LineCaller caller(rig.getCallerAddress(0), "db0-primary", fmt::format("key{}", round % 8));
+        auto began = std::chrono::steady_clock::now();
+        caller.send("WRITE x 1");
+        stranger.send("READ x");
+        BOOST_TEST(caller.receive().isOk(), "round " << round);
+        BOOST_TEST(stranger.receive().isOk(), "round " << round);
+        auto took = std::chrono::steady_clock::now() - began;
+        BOOST_TEST((took < milliseconds(500)), "round " << round << ": " << std::chrono::duration_cast<milliseconds>(took).count() << " ms"); // what callers are content with
+    }
+}
+
 // An account sends ten times its quota through all hosts at once: it gets its quota, in no window more than its bound, and another account is not touched.
 BOOST_AUTO_TEST_CASE(a_quota_holds_over_all_hosts)
 {
