How the code reads: client accounts read once more

Behaviour stays as it is. QuotaExchange::setRule() and an io_context in its context were used by nobody; the host that counts for a shard was looked up twice for one report, and the name of its ranking made anew each 20 ms. StatementRouter::giveUp() is refuse() with another error. Whole numbers and fractions among the settings are read by one function. TargetSession::isFree() stands in place of the same condition written seven times.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -114,23 +114,14 @@
     return 0;
 }
 
-template <typename S>
-std::optional<std::string> readNumber(const SettingOf<S>& row, const std::string& text, int& value)
-{
-    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    bool isWhole = ec == std::errc() && end == text.data() + text.size();
-    if (!isWhole || value < row.least || value > row.most)
-        return fmt::format("[{}] {} must be a whole number from {} to {} ({})", row.section, row.key, row.least, row.most, row.unit);
-    return std::nullopt;
-}
-
-template <typename S>
-std::optional<std::string> readFraction(const SettingOf<S>& row, const std::string& text, double& value)
+// `T` is int or double; `what` names it in the message.
+template <typename S, typename T>
+std::optional<std::string> readNumber(const SettingOf<S>& row, const std::string& text, std::string_view what, T& value)
 {
     auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
     bool isWhole = ec == std::errc() && end == text.data() + text.size();
     if (!isWhole || value < row.least || value > row.most)
-        return fmt::format("[{}] {} must be a number from {} to {} ({})", row.section, row.key, row.least, row.most, row.unit);
+        return fmt::format("[{}] {} must be {} from {} to {} ({})", row.section, row.key, what, row.least, row.most, row.unit);
     return std::nullopt;
 }
 
@@ -139,9 +130,9 @@
 std::optional<std::string> setField(S& settings, const SettingOf<S>& row, const std::string& text)
 {
     if (auto* field = std::get_if<int S::*>(&row.field))
-        return readNumber(row, text, settings.*(*field));
+        return readNumber(row, text, "a whole number", settings.*(*field));
     if (auto* field = std::get_if<double S::*>(&row.field))
-        return readFraction(row, text, settings.*(*field));
+        return readNumber(row, text, "a number", settings.*(*field));
     if (auto* field = std::get_if<bool S::*>(&row.field)) {
         settings.*(*field) = text == "true";
         if (text != "true" && text != "false")
--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -68,7 +68,7 @@
 enum class Standing {
     Follows,
     Lost, // it followed, and may go on to begin what is left to it
-    Gone, // long ago, or to another keeper
+    Gone, // silent for so long that it is gone, or follows another keeper
 };
 
 static Standing getStanding(const ReportingHost& host, TimePoint now)
--- a/src/gateway/quota_exchange.cpp
+++ b/src/gateway/quota_exchange.cpp
@@ -33,8 +33,10 @@
     , m_shards(kShards)
     , m_beganAt(Clock::now())
 {
-    for (auto& it : m_shards)
-        it.host.beganAt = m_beganAt;
+    for (size_t i = 0; i < m_shards.size(); ++i) {
+        m_shards[i].rankingKey = fmt::format("quota/{}", i);
+        m_shards[i].host.beganAt = m_beganAt;
+    }
 }
 
 const decisions::AccountQuota* QuotaExchange::findQuota(const std::string& account) const
@@ -60,7 +62,7 @@
 std::string QuotaExchange::findKeeper(size_t shard, TimePoint now)
 {
     auto& links = m_shards[shard].links;
-    for (auto& name : getRankedHosts(m_context.view, fmt::format("quota/{}", shard))) {
+    for (auto& name : getRankedHosts(m_context.view, m_shards[shard].rankingKey)) {
         bool isSelf = name == m_context.name;
         if (isSelf ? m_context.isDraining || isAlone(shard, now) : !m_context.peers.isUsable(name))
             continue;
@@ -115,7 +117,7 @@
         return;
     }
     if (keeper != m_shards[shard].followed) // a keeper that does not know this host has nothing for it
-        report(shard, now);
+        report(shard, keeper, now);
     if (keeper == m_context.name) {
         takeGrant(shard, keeper, account, decisions::askKeeper(m_shards[shard].keeper, makeView(), keeper, account, now), done);
         return;
@@ -191,11 +193,10 @@
     return wire;
 }
 
-void QuotaExchange::report(size_t index, TimePoint now)
+void QuotaExchange::report(size_t index, const std::string& keeper, TimePoint now)
 {
     auto& shard = m_shards[index];
     shard.reportedAt = now;
-    auto keeper = findKeeper(index, now);
     bool isNew = keeper != shard.followed;
     shard.followed = keeper;
     if (keeper.empty())
@@ -364,8 +365,9 @@
     for (size_t i = 0; i < m_shards.size(); ++i) {
         auto passed = now - m_shards[i].reportedAt;
         auto interval = m_shards[i].isChanged ? decisions::kQuotaReportInterval : decisions::kQuotaLeaseInterval;
-        if (passed >= interval || findKeeper(i, now) != m_shards[i].followed)
-            report(i, now);
+        auto keeper = findKeeper(i, now);
+        if (passed >= interval || keeper != m_shards[i].followed)
+            report(i, keeper, now);
     }
     if (now - m_sweptAt < kSweepKeeperInterval)
         return;
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -8,7 +8,6 @@
 namespace alderward::gateway {
 
 struct QuotaContext {
-    boost::asio::io_context& context;
     ClusterView& view;
     Peers& peers;
     std::string name; // of this host
@@ -31,7 +30,6 @@
     // One that was let begin was refused before any target had it.
     void giveBack(const std::string& account);
     void sweep(TimePoint now);
-    void setRule(const decisions::QuotaRule& rule) { m_context.rule = rule; }
 
     // What stands in the platform's store.
     void takeWritten(size_t shard, const std::set<std::string>& accounts);
@@ -53,6 +51,7 @@
         std::map<std::string, uint64_t> grantsTaken {}; // by account: the newest grant
     };
     struct Shard {
+        std::string rankingKey {}; // of the hosts that may keep count for it
         decisions::QuotaHost host {};
         decisions::QuotaKeeper keeper {}; // of this host, if others take it for one
         std::map<std::string, KeeperLink> links {}; // by keeper
@@ -78,7 +77,7 @@
     void decideAlone(size_t shard, const std::string& account, const QuotaDone& done);
     void takeGrant(size_t shard, const std::string& keeper, const std::string& account, const decisions::QuotaGrant& grant, const QuotaDone& done);
     void refuse(const std::string& account, std::string_view reason, milliseconds comeBack, const QuotaDone& done) const;
-    void report(size_t shard, TimePoint now);
+    void report(size_t shard, const std::string& keeper, TimePoint now);
     peer::QuotaReport makeReport(size_t shard, const KeeperLink& link, TimePoint now) const;
     peer::QuotaState makeState(size_t shard) const;
     void tellStrict(size_t shard);
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -120,9 +120,7 @@
 
 void StatementRouter::giveUp(const std::shared_ptr<RoutedStatement>& routed, RoutedDone done, ErrorKind kind)
 {
-    boost::asio::post(m_context.context, [this, routed, done = std::move(done), kind] {
-        finish(*routed, decisions::makeFailure(kind, routed->lastReason.empty() ? "no member can serve this now" : routed->lastReason), std::nullopt, done, {});
-    });
+    refuse(routed, std::move(done), { kind, routed->lastReason.empty() ? "no member can serve this now" : routed->lastReason });
 }
 
 // No member is left to ask. A primary may come back or be replaced while there is time; on a host that is cut off the caller is told at
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -136,12 +136,12 @@
 
 bool TargetPool::hasFree(const std::string& account) const
 {
-    return std::ranges::any_of(m_sessions, [&](const SessionPtr& it) { return !it->isBusy && it->transaction == 0 && it->account == account; });
+    return std::ranges::any_of(m_sessions, [&](const SessionPtr& it) { return it->isFree() && it->account == account; });
 }
 
 unsigned TargetPool::countFree() const
 {
-    return static_cast<unsigned>(std::ranges::count_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0; }));
+    return static_cast<unsigned>(std::ranges::count_if(m_sessions, [](const SessionPtr& it) { return it->isFree(); }));
 }
 
 TargetPool::JobPtr TargetPool::popNext(TimePoint now)
@@ -254,8 +254,7 @@
 {
     std::vector<decisions::HeldConnection> held;
     for (auto& it : m_sessions) {
-        bool isIdle = !it->isBusy && it->transaction == 0;
-        held.push_back({ it->account, isIdle, it->isBusy && it->transaction == 0, it->served > 0, it->usedAt });
+        held.push_back({ it->account, it->isFree(), it->isBusy && it->transaction == 0, it->served > 0, it->usedAt });
     }
     return held;
 }
@@ -290,7 +289,7 @@
     SessionPtr best;
     size_t bestCost = 0;
     for (auto& it : m_sessions) {
-        if (it->isBusy || it->transaction != 0 || it->account != job.order.account)
+        if (!it->isFree() || it->account != job.order.account)
             continue;
         auto cost = decisions::planConnection(it->state, job.order.values, job.order.shape).getCost();
         if (!best || cost < bestCost) {
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -92,7 +92,7 @@
         // Other connections that have been quiet since may have died in the same way.
         auto sessions = m_sessions;
         for (auto& it : sessions) {
-            if (!it->isBusy && it->transaction == 0 && it->getHeardAt() < askedAt)
+            if (it->isFree() && it->getHeardAt() < askedAt)
                 dropSession(it, "quiet since a connection to the same target died");
         }
     }
@@ -112,7 +112,7 @@
 // A connection on which nothing is under way.
 TargetPool::SessionPtr TargetPool::findQuiet() const
 {
-    auto it = std::ranges::find_if(m_sessions, [](const SessionPtr& it) { return !it->isBusy && it->transaction == 0 && it->getPending() == 0; });
+    auto it = std::ranges::find_if(m_sessions, [](const SessionPtr& it) { return it->isFree() && it->getPending() == 0; });
     return it == m_sessions.end() ? nullptr : *it;
 }
 
@@ -185,7 +185,7 @@
     auto sessions = m_sessions;
     for (auto& it : sessions) {
         bool isLast = m_isCarrier && m_sessions.size() == 1;
-        if (!isLast && !it->isBusy && it->transaction == 0 && it->getPending() == 0 && now - it->usedAt > limit)
+        if (!isLast && it->isFree() && it->getPending() == 0 && now - it->usedAt > limit)
             dropSession(it, "unused");
     }
 }
--- a/src/gateway/target_session.h
+++ b/src/gateway/target_session.h
@@ -45,6 +45,8 @@
     bool isBusy { false }; // a job runs on it
     TimePoint usedAt {}; // the last time a job ended on it
     unsigned served { 0 }; // jobs
+    // Whether a job may be given to it.
+    bool isFree() const { return !isBusy && transaction == 0; }
 
 private:
     struct Pending {
