--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -1,203 +1,189 @@
 #include "decisions/quota.h"
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace alderward::decisions {
 
-static constexpr milliseconds kUsageBucketWidth { 100 };
-static constexpr double kSilentHostReserve = 0.6; // of the tolerance
-static constexpr double kStrictEnterRatio = 0.6; // of the budget's limit; the rest absorbs operations that begin before all hosts know that the account is strict
-static constexpr double kMaxUnreportedRatio = 0.35; // of the admission limit
-static constexpr double kStrictLeaveRatio = 0.5; // below kStrictEnterRatio, so that accounts do not alternate between strict and not strict
-static constexpr milliseconds kReportTimeout { 750 }; // longer than the report interval, shorter than the lease
-static constexpr double kMaxUnknownRatio = 0.5; // of a host's share, assumed used where its history is unknown and the account was not near its quota
-static constexpr milliseconds kNearQuotaRetention { 6000 }; // longer than the default window by the time that a write takes
+static constexpr double kPaceToleranceShare = 0.15; // of the tolerance of a window, added to the refill rate; keeps short fluctuations of an account just below its quota from being refused
+static constexpr double kCapacityToleranceShare = 0.25; // of the tolerance, added to the burst; the rest is the reserve
+static constexpr double kStrictEnterRatio = 0.5; // of the capacity; the rest absorbs operations that begin before all hosts know that the account is strict
+static constexpr double kStrictLeaveRatio = 0.8; // above kStrictEnterRatio, so that accounts do not alternate between strict and not strict
+static constexpr double kMaxUnreportedRatio = 0.35; // of the capacity, over all hosts; these operations are missing from the count if hosts die
+static constexpr milliseconds kSilentHostRetention { 12000 }; // similar to the lifetime of a host's entry in the platform's store
+static constexpr milliseconds kRateTimeConstant { 1000 };
+static constexpr milliseconds kContentionMemory { 1000 }; // without a refusal; must exceed the time in which refused callers retry
+static constexpr milliseconds kUrgentReserveTime { 500 }; // of requests that a less urgent priority leaves tokens for; about the time in which it refills
+static constexpr double kUrgentReserveDeviations = 3; // standard deviations of the number of requests in that time, added to its mean
+static constexpr double kMaxUrgentReserve = 0.5; // of the capacity
+static constexpr double kGuaranteedShare = 0.1; // of the pace, for each priority but the most urgent one
+static constexpr milliseconds kMaxGrantDelay { 100 }; // callers below their quota wait this long for a bucket that was just started; well below latency objectives
 static constexpr milliseconds kMinBlockTime { 20 };
-static constexpr milliseconds kMaxBlockTime { 100 }; // kept short because the budget can grow in the meantime
-static constexpr milliseconds kUnleasedUsageRetention { 20000 }; // on a host without a lease, which is limited by its usage in the window before the lease was lost
+static constexpr milliseconds kMaxBlockTime { 100 }; // kept short because the bucket's refill rate can grow in the meantime
+
+static double getSeconds(TimePoint::duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+// The time in which `count` operations are refilled, at most an hour.
+static milliseconds getRefillTime(double count, double pace)
+{
+    static constexpr milliseconds kLongest { std::chrono::hours(1) };
+    auto seconds = count / std::max(pace, 1e-9);
+    return seconds >= getSeconds(kLongest) ? kLongest : milliseconds(static_cast<int64_t>(std::ceil(seconds * 1000)));
+}
 
 QuotaLimits getQuotaLimits(const AccountQuota& quota, const QuotaRule& rule)
 {
-    auto allowed = quota.perSecond * std::chrono::duration<double>(rule.window).count() + quota.burst;
+    auto window = getSeconds(rule.window);
+    auto allowed = quota.perSecond * window + quota.burst;
     auto tolerance = allowed * rule.toleranceShare + rule.toleranceCount;
-    return { allowed + tolerance, allowed + tolerance * (1 - kSilentHostReserve) };
+    auto pace = quota.perSecond + kPaceToleranceShare * tolerance / window;
+    auto capacity = quota.burst + kCapacityToleranceShare * tolerance;
+    return { allowed + tolerance, pace, capacity, (1 - kPaceToleranceShare - kCapacityToleranceShare) * tolerance };
 }
 
 //-----------------------------------------------------------------------------
-// [SECTION] Usage
+// [SECTION] Bucket
 //-----------------------------------------------------------------------------
 
-void addUsage(UsageHistory& history, TimePoint now)
+TokenBucket refillBucket(TokenBucket bucket, double pace, double capacity, TimePoint now)
 {
-    // A bucket carries the time of its last operation, so it expires slightly late rather than early.
-    auto getStep = [](TimePoint at) { return at.time_since_epoch() / kUsageBucketWidth; };
-    if (history.empty() || getStep(history.back().at) != getStep(now)) {
-        history.push_back({ now, 1 });
-        return;
-    }
-    history.back().at = now;
-    ++history.back().count;
+    auto elapsed = std::max(TimePoint::duration::zero(), now - bucket.updatedAt);
+    return { std::min(capacity, bucket.level + pace * getSeconds(elapsed)), std::max(now, bucket.updatedAt) };
 }
 
-void removeLatestUsage(UsageHistory& history)
+double getPerSecond(const EventRate& rate, TimePoint now)
 {
-    if (history.empty())
-        return;
-    if (--history.back().count == 0)
-        history.pop_back();
+    auto elapsed = std::max(TimePoint::duration::zero(), now - rate.countedAt);
+    return rate.perSecond * std::exp(-getSeconds(elapsed) / getSeconds(kRateTimeConstant));
 }
 
-void pruneUsage(UsageHistory& history, TimePoint before)
+EventRate countEvent(const EventRate& rate, TimePoint now)
 {
-    while (!history.empty() && history.front().at < before)
-        history.pop_front();
-}
-
-unsigned countUsage(const UsageHistory& history, TimePoint after, TimePoint until)
-{
-    unsigned n = 0;
-    for (auto& it : history)
-        n += it.at > after && it.at <= until ? it.count : 0;
-    return n;
+    return { getPerSecond(rate, now) + 1 / getSeconds(kRateTimeConstant), std::max(now, rate.countedAt) };
 }
 
 //-----------------------------------------------------------------------------
 // [SECTION] Server
 //-----------------------------------------------------------------------------
 
-enum class ReportingStatus {
-    Reporting,
-    Silent, // may have lost its lease; its reserved usage still counts
-    Expired, // is down or reports to another quota server; nothing is reserved for it
-};
-
-static ReportingStatus getReportingStatus(const ReportingHost& host, TimePoint now)
+static bool isReporting(const ReportingHost& host, TimePoint now)
 {
-    auto silentFor = now - host.lastReportAt;
-    if (silentFor >= kQuotaSilentHostTimeout)
-        return ReportingStatus::Expired;
-    return silentFor <= kReportTimeout ? ReportingStatus::Reporting : ReportingStatus::Silent;
-}
-
-static double countReported(const HostUsage& usage, const QuotaRule& rule, TimePoint until, TimePoint now)
-{
-    auto grants = std::ranges::count_if(usage.grants, [&](auto& it) { return it.second > until - rule.window; });
-    return countUsage(usage.history, until - rule.window, now) + static_cast<double>(grants);
+    return !host.hasLeft && now - host.lastReportAt <= kQuotaReportTimeout;
 }
 
 size_t countReportingHosts(const QuotaServer& server, TimePoint now)
 {
-    return static_cast<size_t>(std::ranges::count_if(server.hosts, [&](auto& it) { return getReportingStatus(it.second, now) == ReportingStatus::Reporting; }));
+    return static_cast<size_t>(std::ranges::count_if(server.hosts, [&](auto& it) { return isReporting(it.second, now); }));
 }
 
 bool hasOtherReportingHost(const QuotaServer& server, const std::string& self, TimePoint now)
 {
-    return std::ranges::any_of(server.hosts, [&](auto& it) { return it.first != self && getReportingStatus(it.second, now) == ReportingStatus::Reporting; });
+    return std::ranges::any_of(server.hosts, [&](auto& it) { return it.first != self && isReporting(it.second, now); });
 }
 
-// Estimates the operations that a host began before its history starts, if that is within the window: its whole share if the account was near its
-// quota, else the part that an account far below its quota uses at most.
-static double estimateUnknown(const ReportingHost& host, const QuotaRule& rule, bool wasNearQuota, double share, TimePoint now)
+// Limits of the bucket at a quota server that has this share of the quota. A bucket that holds less than one operation would never grant any.
+static QuotaLimits scaleLimits(QuotaLimits limits, double share)
 {
-    if (host.historyStartsAt <= now - rule.window)
-        return 0;
-    return wasNearQuota ? share : kMaxUnknownRatio * share;
+    limits.pace *= share;
+    limits.capacity = share > 0 ? std::max(1.0, limits.capacity * share) : 0;
+    return limits;
 }
 
-static bool isNearQuota(const TrackedAccount& tracked, milliseconds within, TimePoint now)
+// Returns whether the account became strict or stopped being strict.
+static bool updateStrict(TrackedAccount& tracked, const QuotaLimits& limits)
 {
-    return tracked.nearQuotaAt != TimePoint {} && now - tracked.nearQuotaAt < within;
+    bool isStrict = limits.capacity == 0 || tracked.bucket.level < limits.capacity * (tracked.isStrict ? kStrictLeaveRatio : kStrictEnterRatio);
+    bool hasChanged = isStrict != tracked.isStrict;
+    tracked.isStrict = isStrict;
+    return hasChanged;
 }
 
-QuotaBudget getQuotaBudget(const QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, const AccountQuota& quota, TimePoint now)
+// Updates the share of the hosts that report, and all buckets. Between two updates the smaller share applies, so that a host that
+// moves between quota servers is not counted by both.
+static bool updateBuckets(QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now)
 {
-    auto admissionLimit = getQuotaLimits(quota, configuration.rule).admissionLimit;
-    auto share = admissionLimit / static_cast<double>(std::max({ size_t { 1 }, configuration.hostCount, countReportingHosts(server, now) }));
-    auto tracked = server.accounts.find(account);
-    bool wasNearQuota = server.storedNearQuota.contains(account) || (tracked != server.accounts.end() && isNearQuota(tracked->second, configuration.rule.window, now));
-    QuotaBudget budget;
-    for (auto& [name, host] : server.hosts) {
-        auto status = getReportingStatus(host, now);
-        if (status == ReportingStatus::Expired)
-            continue;
-        bool isSilent = status == ReportingStatus::Silent;
-        auto until = isSilent ? host.lastReportAt : now; // a silent host keeps the usage it had reported
-        double reportedCount = 0;
-        if (tracked != server.accounts.end()) {
-            auto usage = tracked->second.hosts.find(name);
-            reportedCount = usage == tracked->second.hosts.end() ? 0 : countReported(usage->second, configuration.rule, until, now);
-        }
-        if (isSilent) {
-            budget.limit -= std::max(0.0, reportedCount - share);
+    auto reporting = countReportingHosts(server, now);
+    auto share = static_cast<double>(reporting) / static_cast<double>(std::max({ size_t { 1 }, configuration.hostCount, reporting }));
+    auto pastShare = std::min(share, server.share);
+    server.share = share;
+    std::erase_if(server.accounts, [&](auto& it) { return !findQuota(configuration.accounts, it.first); });
+    bool hasChanged = false;
+    for (auto& [name, account] : configuration.accounts.byName) {
+        if (!account.quota)
             continue;
-        }
-        budget.limit += share;
-        auto estimated = estimateUnknown(host, configuration.rule, wasNearQuota, share, now);
-        budget.used += reportedCount + estimated;
-        budget.estimated += estimated;
+        auto& tracked = server.accounts.try_emplace(name, TrackedAccount { .bucket = { 0, now } }).first->second;
+        auto limits = getQuotaLimits(*account.quota, configuration.rule);
+        auto scaled = scaleLimits(limits, share);
+        tracked.bucket = refillBucket(tracked.bucket, limits.pace * pastShare, scaled.capacity, now);
+        hasChanged = updateStrict(tracked, scaled) || hasChanged;
     }
-    return budget;
+    return hasChanged;
 }
 
-// Returns whether the account became strict or stopped being strict.
-static bool updateStrict(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, TimePoint now)
+// Charges what the report adds to the operations charged so far, and refunds what it returns.
+static void chargeUsage(TrackedAccount& tracked, const std::string& host, const ReportedUsage& reported, double capacity)
 {
-    auto& tracked = server.accounts[account];
-    auto* quota = findQuota(configuration.accounts, account);
-    bool isStrict = false;
-    if (quota) {
-        auto budget = getQuotaBudget(server, configuration, account, *quota, now);
-        isStrict = budget.used >= budget.limit * (tracked.isStrict ? kStrictLeaveRatio : kStrictEnterRatio);
-        if (budget.used - budget.estimated >= kStrictEnterRatio * getQuotaLimits(*quota, configuration.rule).admissionLimit)
-            tracked.nearQuotaAt = now;
-    }
-    bool hasChanged = isStrict != tracked.isStrict;
-    tracked.isStrict = isStrict;
-    return hasChanged;
+    auto& charged = tracked.chargedByHost[host];
+    charged = { std::max(charged.begun, reported.charged.begun), std::max(charged.returned, reported.charged.returned) };
+    auto begun = static_cast<double>(std::max(charged.begun, reported.counts.begun) - charged.begun);
+    auto returned = static_cast<double>(std::max(charged.returned, reported.counts.returned) - charged.returned);
+    tracked.bucket.level = std::min(capacity, tracked.bucket.level - begun + returned);
+    charged = { std::max(charged.begun, reported.counts.begun), std::max(charged.returned, reported.counts.returned) };
 }
 
-// Replaces the usage that the report covers. Earlier usage stays: a previous process of the host reported it before a restart.
-static void applyUsage(HostUsage& usage, const ReportedUsage& reported, TimePoint historyStartsAt)
+static void forgetHost(QuotaServer& server, const std::string& host)
 {
-    std::erase_if(usage.history, [&](const UsageBucket& it) { return it.at >= historyStartsAt; });
-    usage.history.insert(usage.history.end(), reported.history.begin(), reported.history.end());
-    std::erase_if(usage.grants, [&](auto& it) { return it.first <= reported.grantsTaken; });
+    for (auto& [name, tracked] : server.accounts)
+        tracked.chargedByHost.erase(host);
 }
 
 ReportResult applyReport(QuotaServer& server, const QuotaConfiguration& configuration, const QuotaReport& report, TimePoint now)
 {
-    if (!report.isWhole && !server.hosts.contains(report.host))
+    auto known = server.hosts.find(report.host);
+    bool isSameProcess = known != server.hosts.end() && known->second.incarnation == report.incarnation;
+    if (!isSameProcess && !report.isWhole)
         return { .isAccepted = false };
-    auto& host = server.hosts.try_emplace(report.host, ReportingHost { now, report.historyStartsAt }).first->second;
-    host.lastReportAt = now;
+    if (!isSameProcess)
+        forgetHost(server, report.host);
+    bool wasReporting = isSameProcess && isReporting(known->second, now);
+    server.hosts[report.host] = { report.incarnation, now, report.isLeaving };
     ReportResult result;
-    for (auto& reported : report.accounts) {
-        applyUsage(server.accounts[reported.account].hosts[report.host], reported, report.historyStartsAt);
-        result.hasStrictChanged = updateStrict(server, configuration, reported.account, now) || result.hasStrictChanged;
-        bool isNewNearQuota = server.accounts[reported.account].nearQuotaAt == now && !server.storedNearQuota.contains(reported.account);
-        result.hasNewNearQuota = result.hasNewNearQuota || isNewNearQuota;
+    if (wasReporting == report.isLeaving)
+        result.hasStrictChanged = updateBuckets(server, configuration, now);
+    for (auto& it : report.accounts) {
+        auto* quota = findQuota(configuration.accounts, it.account);
+        auto tracked = server.accounts.find(it.account);
+        if (!quota || tracked == server.accounts.end())
+            continue;
+        auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
+        tracked->second.bucket = refillBucket(tracked->second.bucket, limits.pace, limits.capacity, now);
+        chargeUsage(tracked->second, report.host, it, limits.capacity);
+        result.hasStrictChanged = updateStrict(tracked->second, limits) || result.hasStrictChanged;
     }
     return result;
 }
 
+bool removeHost(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& host, TimePoint now)
+{
+    auto it = server.hosts.find(host);
+    if (it == server.hosts.end() || it->second.hasLeft)
+        return false;
+    it->second.hasLeft = true;
+    return updateBuckets(server, configuration, now);
+}
+
 bool sweepQuotaServer(QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now)
 {
-    bool hasChanged = false;
-    std::erase_if(server.hosts, [&](auto& it) { return now - it.second.lastReportAt > kQuotaSilentHostTimeout + configuration.rule.window; });
-    for (auto& [account, tracked] : server.accounts) {
-        for (auto& [host, usage] : tracked.hosts) {
-            auto known = server.hosts.find(host);
-            bool isSilent = known != server.hosts.end() && getReportingStatus(known->second, now) == ReportingStatus::Silent;
-            auto windowStart = (isSilent ? known->second.lastReportAt : now) - configuration.rule.window;
-            pruneUsage(usage.history, windowStart);
-            std::erase_if(usage.grants, [&](auto& it) { return it.second < windowStart; });
-        }
-        std::erase_if(tracked.hosts, [](auto& it) { return it.second.history.empty() && it.second.grants.empty(); });
-    }
-    std::erase_if(server.accounts, [&](auto& it) { return it.second.hosts.empty() && !it.second.isStrict && !isNearQuota(it.second, kNearQuotaRetention, now); });
-    for (auto& [name, tracked] : server.accounts) // all accounts, because silent hosts reduce the budget of each
-        hasChanged = updateStrict(server, configuration, name, now) || hasChanged;
-    return hasChanged;
+    std::erase_if(server.hosts, [&](auto& it) {
+        bool isExpired = now - it.second.lastReportAt > kSilentHostRetention;
+        if (isExpired)
+            forgetHost(server, it.first);
+        return isExpired;
+    });
+    return updateBuckets(server, configuration, now);
 }
 
 std::vector<std::string> getStrictAccounts(const QuotaServer& server)
@@ -210,46 +196,97 @@
     return strict;
 }
 
-std::set<std::string> getNearQuotaAccounts(const QuotaServer& server, TimePoint now)
+static bool isContended(const TrackedAccount& tracked, TimePoint now)
 {
-    std::set<std::string> names;
-    for (auto& [name, tracked] : server.accounts) {
-        if (isNearQuota(tracked, kNearQuotaRetention, now))
-            names.insert(name);
-    }
-    return names;
+    return tracked.lastRefusedAt != TimePoint {} && now - tracked.lastRefusedAt < kContentionMemory;
 }
 
-// The time until the oldest operation in the window expires, clamped.
-static milliseconds getBlockTime(const TrackedAccount& tracked, const QuotaRule& rule, TimePoint now)
+// Sums a rate of all priorities that are more urgent than `priority`.
+static double sumMoreUrgent(const TrackedAccount& tracked, int priority, EventRate PriorityDemand::*rate, TimePoint now)
 {
-    auto first = now;
-    for (auto& [name, usage] : tracked.hosts) {
-        for (auto& it : usage.history) {
-            if (it.at > now - rule.window) {
-                first = std::min(first, it.at);
-                break;
-            }
-        }
-    }
-    auto left = std::chrono::duration_cast<milliseconds>(first + rule.window - now);
-    return std::clamp(left, kMinBlockTime, kMaxBlockTime);
+    double sum = 0;
+    for (auto& [other, demand] : tracked.demands)
+        sum += other < priority ? getPerSecond(demand.*rate, now) : 0;
+    return sum;
+}
+
+// The tokens that a request of the priority leaves in the bucket for more urgent ones. Without contention they are at most what the capacity
+// exceeds the burst by, so that a burst of any priority is admitted from a full bucket.
+static double getUrgentReserve(const TrackedAccount& tracked, int priority, double capacity, double burst, TimePoint now)
+{
+    auto expected = sumMoreUrgent(tracked, priority, &PriorityDemand::asked, now) * getSeconds(kUrgentReserveTime);
+    auto wanted = expected + kUrgentReserveDeviations * std::sqrt(expected);
+    auto most = isContended(tracked, now) ? kMaxUrgentReserve * (capacity - 1) : capacity - std::max(1.0, burst);
+    return std::min(wanted, std::max(0.0, most));
+}
+
+// Takes a token that is kept for the priority, if it is not the most urgent one.
+static bool takeGuaranteed(TrackedAccount& tracked, int priority, double pace, TimePoint now)
+{
+    if (tracked.demands.begin()->first == priority)
+        return false;
+    auto& bucket = tracked.demands[priority].guaranteed;
+    bucket = refillBucket(bucket, kGuaranteedShare * pace, std::max(1.0, kGuaranteedShare * pace), now);
+    if (bucket.level < 1)
+        return false;
+    bucket.level -= 1;
+    return true;
 }
 
-QuotaGrant requestGrant(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& host, const std::string& account, TimePoint now)
+// Callers of the same or a more urgent priority that were refused before are expected to retry first.
+static QuotaGrant refuseGrant(TrackedAccount& tracked, const QuotaConfiguration& configuration, int priority, const QuotaLimits& limits, double missing, TimePoint now)
+{
+    auto& refused = tracked.demands[priority].refused;
+    auto retrying = sumMoreUrgent(tracked, priority + 1, &PriorityDemand::refused, now) * getSeconds(kRateTimeConstant);
+    refused = countEvent(refused, now);
+    tracked.lastRefusedAt = now;
+    auto urgent = sumMoreUrgent(tracked, priority, &PriorityDemand::asked, now);
+    auto available = std::max(limits.pace - urgent, kGuaranteedShare * limits.pace);
+    auto window = configuration.rule.window;
+    auto getWait = [&](double tokens) { return std::min(window, getRefillTime(tokens, available)); };
+    auto blockedFor = std::clamp(getWait(missing), kMinBlockTime, kMaxBlockTime);
+    return { .blockedFor = blockedFor, .retryAfter = std::max(blockedFor, getWait(missing + retrying)) };
+}
+
+QuotaGrant requestGrant(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, int priority, TimePoint now)
 {
     auto* quota = findQuota(configuration.accounts, account);
-    auto& tracked = server.accounts[account];
-    auto& usage = tracked.hosts[host];
-    bool isGranted = true;
-    if (quota) {
-        auto budget = getQuotaBudget(server, configuration, account, *quota, now);
-        isGranted = budget.used + 1 <= budget.limit;
+    if (!quota)
+        return { .isGranted = true };
+    auto& tracked = server.accounts.try_emplace(account, TrackedAccount { .bucket = { 0, now }, .isStrict = true }).first->second;
+    auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
+    tracked.bucket = refillBucket(tracked.bucket, limits.pace, limits.capacity, now);
+    auto& demand = tracked.demands.try_emplace(priority, PriorityDemand { .guaranteed = { 0, now } }).first->second;
+    demand.asked = countEvent(demand.asked, now);
+    auto needed = 1 + getUrgentReserve(tracked, priority, limits.capacity, quota->burst * server.share, now);
+    auto missing = std::max(0.0, needed - tracked.bucket.level);
+    auto startAfter = missing == 0 ? milliseconds(0) : getRefillTime(missing, limits.pace);
+    bool isSoon = startAfter <= kMaxGrantDelay && !isContended(tracked, now);
+    bool isGranted = missing == 0 || isSoon;
+    if (!isGranted && tracked.bucket.level >= 1 && takeGuaranteed(tracked, priority, limits.pace, now)) {
+        isGranted = true;
+        startAfter = {};
     }
     if (!isGranted)
-        return { false, 0, getBlockTime(tracked, configuration.rule, now) };
-    usage.grants[++server.lastGrantNumber] = now;
-    return { true, server.lastGrantNumber, {} };
+        return refuseGrant(tracked, configuration, priority, limits, missing, now);
+    tracked.bucket.level -= 1;
+    return { .isGranted = true, .startAfter = startAfter };
+}
+
+std::vector<AccountStatus> getAccountStatus(const QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now)
+{
+    std::vector<AccountStatus> statuses;
+    for (auto& [name, tracked] : server.accounts) {
+        auto* quota = findQuota(configuration.accounts, name);
+        if (!quota)
+            continue;
+        auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
+        AccountStatus status { name, refillBucket(tracked.bucket, limits.pace, limits.capacity, now).level, limits.capacity, limits.pace, tracked.isStrict, isContended(tracked, now), {} };
+        for (auto& [priority, demand] : tracked.demands)
+            status.askedPerSecond[priority] = getPerSecond(demand.asked, now);
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
 }
 
 //-----------------------------------------------------------------------------
@@ -261,61 +298,87 @@
     return host.leaseStartedAt != TimePoint {} && now - host.leaseStartedAt < kQuotaLeaseTime;
 }
 
-Admission admitOperation(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now)
+static bool isBlocked(const AccountUsage& usage, int priority, TimePoint now)
+{
+    return std::ranges::any_of(usage.blocks, [&](auto& it) { return it.first <= priority && now < it.second.until; });
+}
+
+Admission admitOperation(const QuotaHost& host, const std::string& account, int priority, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now)
 {
     auto it = host.accounts.find(account);
-    if (it != host.accounts.end() && now < it->second.blockedUntil)
+    if (it != host.accounts.end() && isBlocked(it->second, priority, now))
         return Admission::Refuse;
     if (!hasLease(host, now) || host.strictAccounts.contains(account))
         return Admission::RequestGrant;
-    // The quota server may have failed since the lease was renewed, so unreported operations of all hosts together must fit into the rest of the budget.
-    auto maxUnreported = std::max(1.0, kMaxUnreportedRatio * getQuotaLimits(quota, rule).admissionLimit / static_cast<double>(std::max<size_t>(1, hostCount)));
-    auto unreported = it == host.accounts.end() ? 0 : countUsage(it->second.history, host.leaseStartedAt, now);
-    return unreported < maxUnreported ? Admission::Begin : Admission::RequestGrant;
+    // The quota server may have failed since the lease was renewed, so the unreported operations of all hosts together must fit into the reserve.
+    auto maxUnreported = std::max(1.0, kMaxUnreportedRatio * getQuotaLimits(quota, rule).capacity / static_cast<double>(std::max<size_t>(1, hostCount)));
+    auto unreported = it == host.accounts.end() ? 0 : it->second.counts.begun - std::min(it->second.counts.begun, it->second.charged.begun);
+    return static_cast<double>(unreported) < maxUnreported ? Admission::Begin : Admission::RequestGrant;
 }
 
-bool mayBeginWithoutQuotaServer(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now)
+milliseconds getRetryAfter(const QuotaHost& host, const std::string& account, int priority, TimePoint now)
 {
-    if (now - std::max(host.leaseStartedAt, host.startedAt) < kQuotaLeaseTime)
-        return false;
     auto it = host.accounts.find(account);
-    auto limits = getQuotaLimits(quota, rule);
-    auto share = static_cast<unsigned>(limits.admissionLimit / static_cast<double>(std::max<size_t>(1, hostCount)));
+    auto retryAt = now;
     if (it == host.accounts.end())
-        return share > 0;
-    auto& history = it->second.history;
-    bool isUsageReserved = host.leaseStartedAt != TimePoint {} && now - host.leaseStartedAt < kQuotaSilentHostTimeout;
-    auto lastReported = !isUsageReserved ? 0 : countUsage(history, host.leaseStartedAt - rule.window, host.leaseStartedAt);
-    return countUsage(history, now - rule.window, now) < std::max(lastReported, share);
+        return {};
+    for (auto& [blocked, block] : it->second.blocks) {
+        if (blocked <= priority)
+            retryAt = std::max(retryAt, block.retryAt);
+    }
+    return std::chrono::ceil<milliseconds>(retryAt - now);
 }
 
-void recordOperation(QuotaHost& host, const std::string& account, TimePoint now)
+bool beginWithoutQuotaServer(QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now)
 {
-    auto& used = host.accounts[account];
-    addUsage(used.history, now);
-    used.isUnreported = true;
+    auto leaseEnd = std::max(host.leaseStartedAt, host.startedAt) + kQuotaLeaseTime;
+    auto limits = getQuotaLimits(quota, rule);
+    auto hosts = static_cast<double>(std::max<size_t>(1, hostCount));
+    // Each host can have saved one operation, so with too many hosts the saved operations alone could exceed the bound.
+    if (now < leaseEnd || hosts > limits.capacity + limits.reserve)
+        return false;
+    auto& bucket = host.accounts[account].ownBucket;
+    if (bucket.updatedAt < leaseEnd)
+        bucket = { 0, leaseEnd };
+    bucket = refillBucket(bucket, limits.pace / hosts, std::max(1.0, limits.capacity / hosts), now);
+    if (bucket.level < 1)
+        return false;
+    bucket.level -= 1;
+    return true;
 }
 
-void revertOperation(QuotaHost& host, const std::string& account)
+void recordOperation(QuotaHost& host, const std::string& account, bool isGranted, TimePoint)
 {
-    auto it = host.accounts.find(account);
-    if (it == host.accounts.end())
+    if (isGranted) // charged by the quota server already
         return;
-    removeLatestUsage(it->second.history);
-    it->second.isUnreported = true;
+    auto& usage = host.accounts[account];
+    ++usage.counts.begun;
+    usage.isUnreported = true;
 }
 
-void blockAccount(QuotaHost& host, const std::string& account, milliseconds blockedFor, TimePoint now)
+void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket)
 {
-    host.accounts[account].blockedUntil = now + blockedFor;
+    auto& usage = host.accounts[account];
+    if (isOwnBucket) {
+        usage.ownBucket.level += 1;
+        return;
+    }
+    ++usage.counts.returned;
+    usage.isUnreported = true;
 }
 
-void pruneUsage(QuotaHost& host, const QuotaRule& rule, TimePoint now)
+void blockAccount(QuotaHost& host, const std::string& account, int priority, const QuotaGrant& refusal, TimePoint now)
 {
-    auto retention = hasLease(host, now) ? rule.window : std::max(kUnleasedUsageRetention, rule.window);
-    for (auto& [account, used] : host.accounts)
-        pruneUsage(used.history, now - retention);
-    std::erase_if(host.accounts, [&](auto& it) { return it.second.history.empty() && now >= it.second.blockedUntil && !it.second.isUnreported; });
+    host.accounts[account].blocks[priority] = { now + refusal.blockedFor, now + refusal.retryAfter };
+}
+
+void acknowledgeReport(QuotaHost& host, const std::string& account, const UsageCounts& counts)
+{
+    auto it = host.accounts.find(account);
+    if (it == host.accounts.end())
+        return;
+    auto& charged = it->second.charged;
+    charged = { std::max(charged.begun, counts.begun), std::max(charged.returned, counts.returned) };
 }
 
 }
--- a/src/decisions/quota.h
+++ b/src/decisions/quota.h
@@ -1,21 +1,24 @@
 // Distributed rate limiting: bounds the operations of a client account that begin on all hosts together within any time window.
 //
-// A few hosts act as quota servers. Each host reports the operations it has begun to one quota server and holds a lease while its reports are answered.
-// Under a lease, operations begin without a request unless the account is strict, that is, near its quota: then each operation needs a grant.
-// A host without a lease is limited to its equal share of the quota or to the usage it had last reported, whichever is more; quota servers reserve that much.
-// docs/design/0011-accounts.md states the bound and its proof.
+// A few hosts act as quota servers. Each keeps a token bucket for each account. Its refill rate and capacity scale with the share of the hosts that report to
+// it, so the buckets of all quota servers together never exceed the account's quota. Each host reports the operations it has begun to one quota server and holds a
+// lease while its reports are answered. Under a lease, operations begin without a request unless the account is strict, that is, its bucket is low: then each
+// operation needs a grant. A host without a lease has a bucket of its own with its equal share of the quota.
+//
+// A quota server that has just started begins with empty buckets. It needs no knowledge of earlier operations: what they used is no longer in any bucket.
+// docs/design/0012-paced-quotas.md states the bound and its proof.
 //
 // COMMON MISTAKES
-//   - Reporting increments. A lost or duplicated report would be missed or counted twice; each report holds the whole window.
+//   - Reporting increments. A lost or duplicated report would be missed or counted twice; reports hold counts that only grow.
+//   - Filling a bucket at its start, or when a host joins. Each restart would then admit another burst within the same window.
 //
 // [SECTION] Limits        what a quota allows
-// [SECTION] Usage         operations that have begun
+// [SECTION] Bucket        the token bucket of one account
 // [SECTION] Server        counts for all hosts
 // [SECTION] Host          admits operations on this host
 #pragma once
 #include "decisions/accounts.h"
 #include "decisions/freshness.h"
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -37,30 +40,37 @@
 
 struct QuotaLimits {
     double hardLimit { 0 }; // guaranteed maximum of operations in any window
-    double admissionLimit { 0 }; // operations that quota servers admit per window; the rest is reserved for unreachable hosts and for unreported operations
+    double pace { 0 }; // refill rate of the bucket, in operations per second
+    double capacity { 0 }; // of the bucket, in operations; at least the quota's burst
+    double reserve { 0 }; // operations of a window that are left for operations missing from the count
+    friend bool operator==(const QuotaLimits&, const QuotaLimits&) = default;
 };
 
 QuotaLimits getQuotaLimits(const AccountQuota& quota, const QuotaRule& rule);
 
 //-----------------------------------------------------------------------------
-// [SECTION] Usage
+// [SECTION] Bucket
 //-----------------------------------------------------------------------------
 
-// Operations that began within the same short interval.
-struct UsageBucket {
-    TimePoint at {}; // when the last one began
-    unsigned count { 0 };
-    friend bool operator==(const UsageBucket&, const UsageBucket&) = default;
+// Level of a token bucket at a point in time. A negative level is a debt: operations that began before they were charged.
+struct TokenBucket {
+    double level { 0 }; // operations
+    TimePoint updatedAt {};
+    friend bool operator==(const TokenBucket&, const TokenBucket&) = default;
 };
 
-using UsageHistory = std::deque<UsageBucket>; // oldest first
+// Refills the bucket until `now` and cuts its level to the capacity.
+TokenBucket refillBucket(TokenBucket bucket, double pace, double capacity, TimePoint now);
+
+// Exponentially smoothed rate of events.
+struct EventRate {
+    double perSecond { 0 }; // at `countedAt`
+    TimePoint countedAt {};
+    friend bool operator==(const EventRate&, const EventRate&) = default;
+};
 
-void addUsage(UsageHistory& history, TimePoint now);
-// Removes the latest operation, which was counted but did not begin.
-void removeLatestUsage(UsageHistory& history);
-void pruneUsage(UsageHistory& history, TimePoint before);
-// Counts the operations in (after, until].
-unsigned countUsage(const UsageHistory& history, TimePoint after, TimePoint until);
+EventRate countEvent(const EventRate& rate, TimePoint now);
+double getPerSecond(const EventRate& rate, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Server
@@ -69,43 +79,54 @@
 inline constexpr milliseconds kQuotaLeaseTime { 1250 }; // from the sending of an answered report; long enough to survive two lost answers
 inline constexpr milliseconds kQuotaReportInterval { 250 }; // maximum delay before an operation is reported
 inline constexpr milliseconds kQuotaIdleReportInterval { 500 }; // between reports while no operations begin
-inline constexpr milliseconds kQuotaSilentHostTimeout { 12000 }; // how long usage stays reserved for a silent host; similar to the lifetime of its entry in the platform's store
+inline constexpr milliseconds kQuotaReportTimeout { 750 }; // without a report for this long, a host's share leaves the buckets; longer than the report interval, shorter than the lease
 
-// The usage of one account by one host, as known to a quota server.
-struct HostUsage {
-    UsageHistory history {};
-    std::map<uint64_t, TimePoint> grants {}; // by number: granted and not yet reported in `history`
+// Operations of one account since the start of a host's process. The counts only grow.
+struct UsageCounts {
+    uint64_t begun { 0 }; // without a grant
+    uint64_t returned { 0 }; // counted or granted, but not begun
+    friend bool operator==(const UsageCounts&, const UsageCounts&) = default;
+};
+
+// The requests of one priority for grants of an account. 0 is the highest priority.
+struct PriorityDemand {
+    EventRate asked {};
+    EventRate refused {}; // these callers are expected to retry
+    TokenBucket guaranteed {}; // keeps a less urgent priority from starving while more urgent ones take all tokens
 };
 
 struct TrackedAccount {
-    std::map<std::string, HostUsage> hosts {};
+    TokenBucket bucket {};
+    std::map<std::string, UsageCounts> chargedByHost {}; // counts already charged, for the current process of each host
+    std::map<int, PriorityDemand> demands {}; // by priority
     bool isStrict { false };
-    TimePoint nearQuotaAt {}; // when reported usage was last near the quota; estimates can make an account strict without it
+    TimePoint lastRefusedAt {}; // the account is contended for a while after it
 };
 
 struct ReportingHost {
+    uint64_t incarnation { 0 }; // of its process
     TimePoint lastReportAt {};
-    TimePoint historyStartsAt {}; // its earlier operations are unknown
+    bool hasLeft { false }; // it reports to another quota server, or its connection has ended
 };
 
 struct QuotaServer {
-    std::map<std::string, TrackedAccount> accounts {};
+    std::map<std::string, TrackedAccount> accounts {}; // all accounts of the configuration that have a quota
     std::map<std::string, ReportingHost> hosts {};
-    std::set<std::string> storedNearQuota {}; // accounts recently near their quotas, as persisted by the shard's quota servers
-    uint64_t lastGrantNumber { 0 };
+    double share { 0 }; // of the quotas, in [0, 1]: the part of the system's hosts that reported at the last update
 };
 
-// The operations of one account that a host has begun within the window, in the quota server's time.
+// The operations of one account that a host has begun.
 struct ReportedUsage {
     std::string account {};
-    UsageHistory history {};
-    uint64_t grantsTaken { 0 }; // grants up to this number are included in `history` or were returned
+    UsageCounts counts {};
+    UsageCounts charged {}; // as acknowledged by any quota server
 };
 
 struct QuotaReport {
     std::string host {};
-    TimePoint historyStartsAt {}; // the report covers operations since then
-    bool isWhole { false }; // lists all accounts used within the window, not just those that changed
+    uint64_t incarnation { 0 }; // of the host's process
+    bool isWhole { false }; // lists all accounts used since the process started, not just those that changed
+    bool isLeaving { false }; // the host's next report goes to another quota server
     std::vector<ReportedUsage> accounts {};
 };
 
@@ -119,36 +140,42 @@
 struct ReportResult {
     bool isAccepted { true }; // false: the quota server does not know the host and needs a whole report
     bool hasStrictChanged { false }; // an account became strict or stopped being strict
-    bool hasNewNearQuota { false }; // an account near its quota is not persisted as such yet
 };
 
 ReportResult applyReport(QuotaServer& server, const QuotaConfiguration& configuration, const QuotaReport& report, TimePoint now);
-// Re-evaluates all accounts and drops expired records. Returns whether an account became strict or stopped being strict. Call it every few hundred ms.
+// Removes a host whose connection has ended. Returns whether an account became strict or stopped being strict.
+bool removeHost(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& host, TimePoint now);
+// Updates all buckets and drops silent hosts. Returns whether an account became strict or stopped being strict. Call it every few hundred ms.
 bool sweepQuotaServer(QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now);
 std::vector<std::string> getStrictAccounts(const QuotaServer& server);
-// The accounts to persist, so that quota servers know after a restart of all hosts which accounts may have exhausted their quotas.
-std::set<std::string> getNearQuotaAccounts(const QuotaServer& server, TimePoint now);
 // Hosts whose last report is recent.
 size_t countReportingHosts(const QuotaServer& server, TimePoint now);
 // Whether any host other than `self` has reported recently.
 bool hasOtherReportingHost(const QuotaServer& server, const std::string& self, TimePoint now);
 
-// Usage and limit of one account in a window, over the hosts that report to the quota server.
-struct QuotaBudget {
-    double used { 0 }; // operations, including `estimated`
-    double estimated { 0 }; // allowance for unknown operations of hosts that started within the window
-    double limit { 0 };
+struct QuotaGrant {
+    bool isGranted { false };
+    milliseconds startAfter { 0 }; // if granted: the operation must not begin before its token is there
+    milliseconds blockedFor { 0 }; // if refused: the host requests no grant of this priority or a less urgent one meanwhile
+    milliseconds retryAfter { 0 }; // if refused: when a retry is likely to be granted
+    friend bool operator==(const QuotaGrant&, const QuotaGrant&) = default;
 };
 
-QuotaBudget getQuotaBudget(const QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, const AccountQuota& quota, TimePoint now);
+// Decides whether one operation may begin, now or soon, and charges it if so.
+QuotaGrant requestGrant(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, int priority, TimePoint now);
 
-struct QuotaGrant {
-    bool isGranted { false };
-    uint64_t number { 0 }; // identifies the grant in the host's reports
-    milliseconds blockedFor { 0 }; // if refused: no operation of the account is admitted for this long
+// State of one account at a quota server, for operators.
+struct AccountStatus {
+    std::string account {};
+    double level { 0 };
+    double capacity { 0 };
+    double pace { 0 }; // operations per second
+    bool isStrict { false };
+    bool isContended { false };
+    std::map<int, double> askedPerSecond {}; // grants, by priority
 };
 
-QuotaGrant requestGrant(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& host, const std::string& account, TimePoint now);
+std::vector<AccountStatus> getAccountStatus(const QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Host
@@ -160,9 +187,17 @@
     Refuse,
 };
 
+// A refusal by a quota server that still applies to requests of its priority and less urgent ones.
+struct QuotaBlock {
+    TimePoint until {};
+    TimePoint retryAt {};
+};
+
 struct AccountUsage {
-    UsageHistory history {};
-    TimePoint blockedUntil {}; // as the quota server requested
+    UsageCounts counts {};
+    UsageCounts charged {}; // as acknowledged by any quota server
+    std::map<int, QuotaBlock> blocks {}; // by priority
+    TokenBucket ownBucket {}; // used while no quota server answers
     bool isUnreported { false }; // changed since the last report
 };
 
@@ -175,12 +210,18 @@
 };
 
 bool hasLease(const QuotaHost& host, TimePoint now);
-Admission admitOperation(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
-// Whether an operation may begin while no quota server answers. None may before the lease has expired, because quota servers reserve nothing for the host until then.
-bool mayBeginWithoutQuotaServer(const QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
-void recordOperation(QuotaHost& host, const std::string& account, TimePoint now);
-void revertOperation(QuotaHost& host, const std::string& account);
-void blockAccount(QuotaHost& host, const std::string& account, milliseconds blockedFor, TimePoint now);
-void pruneUsage(QuotaHost& host, const QuotaRule& rule, TimePoint now);
+Admission admitOperation(const QuotaHost& host, const std::string& account, int priority, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
+// The time after which a caller that admitOperation() refused should retry.
+milliseconds getRetryAfter(const QuotaHost& host, const std::string& account, int priority, TimePoint now);
+// Takes a token from the host's own bucket while no quota server answers. None is available before the lease has expired, because until then a quota
+// server may grant the host's share to other hosts.
+bool beginWithoutQuotaServer(QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
+// Counts an operation that begins under the lease or a grant.
+void recordOperation(QuotaHost& host, const std::string& account, bool isGranted, TimePoint now);
+// Returns an operation that was admitted but did not begin. `isOwnBucket`: beginWithoutQuotaServer() admitted it.
+void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket);
+void blockAccount(QuotaHost& host, const std::string& account, int priority, const QuotaGrant& refusal, TimePoint now);
+// Records that a quota server has charged the account's operations up to `counts`.
+void acknowledgeReport(QuotaHost& host, const std::string& account, const UsageCounts& counts);
 
 }
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 #include <fmt/format.h>
 
 namespace alderward::gateway {
@@ -403,8 +402,6 @@
         applyHost(item);
     else if (item.key.starts_with(kCoordinatorRecordPrefix))
         m_events.onCoordinatorRecord(item.key.substr(kCoordinatorRecordPrefix.size()), item);
-    else if (item.key.starts_with(kQuotaPrefix) && !item.isDeleted)
-        applyNearQuotaAccounts(item);
 }
 
 // Ignores versions older than the current one: they come from outdated answers.
@@ -440,38 +437,6 @@
     m_events.onHostRemoved(name);
 }
 
-asio::awaitable<bool> Directory::writeNearQuotaAccounts(size_t shard, std::set<std::string> accounts)
-{
-    links::StoreItem item;
-    item.key = fmt::format("{}{}", kQuotaPrefix, shard);
-    item.value = json::serialize(json::array(accounts.begin(), accounts.end()));
-    links::StoreChange change;
-    change.puts.push_back(std::move(item));
-    auto written = co_await m_platform.getStore().change(std::move(change), getDeadline());
-    co_return written.has_value();
-}
-
-// Parses the output of writeNearQuotaAccounts(). The store may hold entries by other writers, so the value is validated.
-void Directory::applyNearQuotaAccounts(const links::StoreItem& item)
-{
-    boost::system::error_code ec;
-    auto value = json::parse(item.value, ec);
-    auto* list = ec ? nullptr : value.if_array();
-    size_t shard = 0;
-    auto number = std::string_view(item.key).substr(kQuotaPrefix.size());
-    bool isNumber = !number.empty() && std::from_chars(number.data(), number.data() + number.size(), shard).ptr == number.data() + number.size();
-    if (!list || !isNumber) {
-        reportUnreadable(item, "not a list of accounts");
-        return;
-    }
-    std::set<std::string> accounts;
-    for (auto& it : *list) {
-        if (it.is_string())
-            accounts.emplace(it.as_string());
-    }
-    m_events.onNearQuotaAccounts(shard, accounts);
-}
-
 // Logs one line for each change of an entry.
 void Directory::reportUnreadable(const links::StoreItem& item, const std::string& reason)
 {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -14,7 +14,6 @@
 inline constexpr std::string_view kOwnPrefix = "alderward/";
 inline constexpr std::string_view kHostsPrefix = "alderward/hosts/";
 inline constexpr std::string_view kCoordinatorRecordPrefix = "alderward/succession/";
-inline constexpr std::string_view kQuotaPrefix = "alderward/quota/";
 
 struct DirectoryEvents {
     std::function<void(const links::GatewayConfiguration&)> onConfiguration;
@@ -25,7 +24,6 @@
     std::function<void(const links::RegisteredHost&)> onHostChanged;
     std::function<void(const std::string& name)> onHostRemoved;
     std::function<void(const std::string& group, const links::StoreItem&)> onCoordinatorRecord;
-    std::function<void(size_t shard, const std::set<std::string>& accounts)> onNearQuotaAccounts; // accounts that may have used up their quotas
 };
 
 // A change in the store as one host passes it on to another.
@@ -66,8 +64,6 @@
     uint64_t getNewestChange() const { return m_newestChange; }
     // Another host has received `change`. If it does not arrive here in time, this host probes the store.
     void applyReportedRevision(uint64_t change);
-    // Stores which accounts of a shard are near their quotas. Returns whether the write succeeded.
-    boost::asio::awaitable<bool> writeNearQuotaAccounts(size_t shard, std::set<std::string> accounts);
     // Returns the changes after revision `since` for a host that uses this one as a relay. Only changes that this host received from the store
     // itself are passed on.
     RelayedChanges getChanges(uint64_t since) const;
@@ -98,7 +94,6 @@
     bool isFollowingRelay() const;
     void applyConfigurationItem(const links::StoreItem& item);
     void applyHost(const links::StoreItem& item);
-    void applyNearQuotaAccounts(const links::StoreItem& item);
     void reportUnreadable(const links::StoreItem& item, const std::string& reason);
     void setReachable(bool isReachable, const std::string& reason);
     base::TimePoint getDeadline() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,7 +43,7 @@
     , m_platform(std::move(platform))
     , m_self { m_settings.name, m_settings.peerAddress, m_settings.dataCentre, static_cast<uint64_t>(base::getRandom() * 1e15) + 1 }
     , m_peers(context, m_settings.name, makePeerCallbacks())
-    , m_quotas({ m_view, m_peers, m_settings.name, m_self.incarnation, getQuotaRule(), m_isDraining, [this](size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done) { writeNearQuotaAccounts(shard, accounts, std::move(done)); } })
+    , m_quotas({ m_view, m_peers, m_settings.name, m_self.incarnation, getQuotaRule(), m_isDraining })
     , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isUnreachable(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::canJudgePrimary(m_peers.getReachability()); }, getDrainTime(), m_quotas })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.storeCallTimeoutMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
     , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { queryStatus(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, [this](const std::string& group, const decisions::KnownPrimary& before, std::string_view source) { notifyPrimaryChange(group, before, source); }, m_isDraining })
@@ -361,9 +361,10 @@
     };
     callbacks.onMembersAnswer = [this](const std::string&, const peer::MembersAnswer& answer, TimePoint sentAt) { handleMembersAnswer(answer, sentAt); };
     callbacks.handleQuotaReport = [this](const peer::QuotaReport& report) { return m_quotas.handleReport(report); };
+    callbacks.onQuotaReporterLost = [this](const std::string& host) { m_quotas.handleReporterLost(host); };
     callbacks.handleQuotaAsk = [this](const peer::QuotaAsk& ask) { return m_quotas.handleAsk(ask); };
     callbacks.onQuotaState = [this](const std::string& host, const peer::QuotaState& state) { m_quotas.handleState(host, state); };
-    callbacks.onQuotaAnswer = [this](const std::string& host, const peer::QuotaAnswer& answer) { m_quotas.handleAnswer(host, answer); };
+    callbacks.onQuotaAnswer = [this](const peer::QuotaAnswer& answer) { m_quotas.handleAnswer(answer); };
     callbacks.onHostChange = [](const std::string& host, bool isUp, const std::string& reason) { base::incrementCounter(base::MetricFamily::HostChanges, {{"peer", host}, {"change", isUp ? "regained" : "lost"}}); base::logEvent(LogClass::State, isUp ? "host-regained" : "host-lost", { { "peer", std::string_view(host) }, { "reason", std::string_view(reason) } }); };
     return callbacks;
 }
@@ -407,15 +408,9 @@
             m_hostsRemovedAt[name] = Clock::now();
     };
     events.onCoordinatorRecord = [this](const std::string& group, const links::StoreItem& item) { m_promoter.applyCoordinatorRecord(group, item); };
-    events.onNearQuotaAccounts = [this](size_t shard, const std::set<std::string>& accounts) { m_quotas.applyStoredNearQuota(shard, accounts); };
     return events;
 }
 
-void Gateway::writeNearQuotaAccounts(size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done)
-{
-    asio::co_spawn(m_context, m_directory.writeNearQuotaAccounts(shard, accounts), [done = std::move(done)](const std::exception_ptr& error, bool isDone) { done(!error && isDone); });
-}
-
 void Gateway::updatePeerHosts()
 {
     std::vector<links::RegisteredHost> hosts;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,7 +42,6 @@
     // Starts a comparison with the group's replicas if one is needed to trust the target as primary.
     LogComparison ensureComparison(const TargetAddress& target);
     decisions::QuotaRule getQuotaRule() const;
-    void writeNearQuotaAccounts(size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done);
     PoolLimits getPoolLimits(const TargetAddress& target) const;
     PoolObserver makePoolObserver();
     PeerCallbacks makePeerCallbacks();
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -1,5 +1,6 @@
 #include "gateway/inbound_peers.h"
 #include "links/http.h"
+#include <algorithm>
 
 namespace alderward::gateway {
 
@@ -86,7 +87,7 @@
 
 void InboundPeers::answerQuotaReport(const ConnectionPtr& connection, const peer::QuotaReport& report)
 {
-    connection->isReporter = true;
+    connection->reporter = report.host();
     peer::Frame reply;
     *reply.mutable_quota_state() = m_callbacks.handleQuotaReport(report);
     sendFrame(*connection->channel, reply);
@@ -104,7 +105,7 @@
     peer::Frame frame;
     *frame.mutable_quota_state() = state;
     for (auto& it : m_connections) {
-        if (it->isReporter)
+        if (!it->reporter.empty())
             sendFrame(*it->channel, frame);
     }
 }
@@ -198,6 +199,9 @@
     for (auto& [number, remote] : transactions)
         remote.pool->endTransaction(remote.transaction);
     m_connections.erase(connection);
+    bool isReporter = !connection->reporter.empty();
+    if (isReporter && std::ranges::none_of(m_connections, [&](const ConnectionPtr& it) { return it->reporter == connection->reporter; }))
+        m_callbacks.onQuotaReporterLost(connection->reporter);
 }
 
 }
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -26,11 +26,12 @@
     // Members known to this host, for one that cannot reach the store; and another host's answer to such a question.
     std::function<void(const peer::MembersQuestion&, peer::MembersAnswer&)> fillMembersAnswer;
     std::function<void(const std::string& host, const peer::MembersAnswer&, TimePoint sentAt)> onMembersAnswer;
-    // Quotas of client accounts: the first two are called on quota servers, the others on hosts that report to one.
+    // Quotas of client accounts: the first three are called on quota servers, the others on hosts that report to one.
     std::function<peer::QuotaState(const peer::QuotaReport&)> handleQuotaReport;
+    std::function<void(const std::string& host)> onQuotaReporterLost; // its last connection has ended
     std::function<peer::QuotaAnswer(const peer::QuotaAsk&)> handleQuotaAsk;
     std::function<void(const std::string& host, const peer::QuotaState&)> onQuotaState;
-    std::function<void(const std::string& host, const peer::QuotaAnswer&)> onQuotaAnswer;
+    std::function<void(const peer::QuotaAnswer&)> onQuotaAnswer;
 };
 
 class InboundPeers {
@@ -48,7 +49,7 @@
     struct Connection {
         std::string host; // empty until its first ping
         std::shared_ptr<links::Channel> channel;
-        bool isReporter { false }; // it has reported usage of client accounts
+        std::string reporter; // the host, if it has reported usage of client accounts
         struct RemoteTransaction {
             std::shared_ptr<TargetPool> pool;
             uint64_t transaction;
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -400,7 +400,7 @@
     } else if (frame.has_quota_state()) {
         m_callbacks.onQuotaState(link->host.name, frame.quota_state());
     } else if (frame.has_quota_answer()) {
-        m_callbacks.onQuotaAnswer(link->host.name, frame.quota_answer());
+        m_callbacks.onQuotaAnswer(frame.quota_answer());
     } else if (frame.has_members_answer())
         m_callbacks.onMembersAnswer(link->host.name, frame.members_answer(), link->membersRequestedAt);
 }
--- a/src/gateway/quota_exchange.cpp
+++ b/src/gateway/quota_exchange.cpp
@@ -18,8 +18,7 @@
 static constexpr milliseconds kServerAnswerTimeout { 600 }; // a quota server with reports unanswered for longer is not used
 static constexpr milliseconds kServerRetryDelay { 2000 }; // after the last report to a quota server that did not answer
 static constexpr milliseconds kAskTimeout { 150 }; // must exceed the round trip between data centres
-static constexpr milliseconds kStartupSettleTime { 1000 }; // for starting hosts to agree on a quota server
-static constexpr milliseconds kStoreInterval { 1000 }; // between writes of the accounts near their quotas
+static constexpr milliseconds kServerLinkRetention { 12000 }; // after the last report to a quota server; longer than it remembers a host
 static constexpr milliseconds kServerSweepInterval { 250 };
 static constexpr milliseconds kNoServerRetryAfter { 1000 }; // while no quota server answers; must exceed the time to find another one
 
@@ -31,11 +30,10 @@
 QuotaExchange::QuotaExchange(QuotaContext context)
     : m_context(std::move(context))
     , m_shards(kShards)
-    , m_startedAt(Clock::now())
 {
     for (size_t i = 0; i < m_shards.size(); ++i) {
         m_shards[i].rankingKey = fmt::format("quota/{}", i);
-        m_shards[i].host.startedAt = m_startedAt;
+        m_shards[i].host.startedAt = Clock::now();
     }
 }
 
@@ -75,130 +73,138 @@
     return {};
 }
 
-void QuotaExchange::admitOperation(const std::string& account, QuotaCallback done)
+void QuotaExchange::admitOperation(const std::string& account, int priority, QuotaCallback done)
 {
     auto* quota = findQuota(account);
     if (!quota) {
-        done(std::nullopt);
+        done({});
         return;
     }
     auto now = Clock::now();
     auto shard = getShard(account);
     auto& host = m_shards[shard].host;
-    switch (decisions::admitOperation(host, account, *quota, m_context.rule, m_context.view.hosts.size(), now)) {
+    switch (decisions::admitOperation(host, account, priority, *quota, m_context.rule, m_context.view.hosts.size(), now)) {
     case decisions::Admission::Begin:
-        decisions::recordOperation(host, account, now);
+        decisions::recordOperation(host, account, false, now);
         m_shards[shard].hasUnreportedUsage = true;
-        done(std::nullopt);
+        done({ .isCounted = true });
         return;
     case decisions::Admission::Refuse:
-        refuse(account, "the quota is used up", duration_cast<milliseconds>(host.accounts[account].blockedUntil - now), done);
+        refuse(account, priority, "the quota is used up", decisions::getRetryAfter(host, account, priority, now), done);
         return;
     case decisions::Admission::RequestGrant:
-        requestGrant(shard, account, std::move(done));
+        requestGrant(shard, account, priority, std::move(done));
         return;
     }
 }
 
-void QuotaExchange::revertOperation(const std::string& account)
+void QuotaExchange::revertOperation(const std::string& account, bool isOwnBucket)
 {
-    if (!findQuota(account))
-        return;
     auto& shard = m_shards[getShard(account)];
-    decisions::revertOperation(shard.host, account);
-    shard.hasUnreportedUsage = true;
+    decisions::revertOperation(shard.host, account, isOwnBucket);
+    shard.hasUnreportedUsage = shard.hasUnreportedUsage || !isOwnBucket;
 }
 
-void QuotaExchange::requestGrant(size_t shard, const std::string& account, QuotaCallback done)
+void QuotaExchange::requestGrant(size_t shard, const std::string& account, int priority, QuotaCallback done)
 {
     auto now = Clock::now();
     auto server = findQuotaServer(shard, now);
     if (server.empty()) {
-        decideWithoutServer(shard, account, done);
+        decideWithoutServer(shard, account, priority, done);
         return;
     }
     if (server != m_shards[shard].currentServer) // a quota server grants nothing to a host that it does not know
         sendReport(shard, server, now);
     if (server == m_context.name) {
-        applyGrant(shard, server, account, decisions::requestGrant(m_shards[shard].server, makeConfiguration(), server, account, now), done);
+        applyGrant(shard, account, priority, decisions::requestGrant(m_shards[shard].server, makeConfiguration(), account, priority, now), done);
         return;
     }
     peer::Frame frame;
     frame.mutable_quota_ask()->set_call(++m_lastCall);
     frame.mutable_quota_ask()->set_account(account);
     frame.mutable_quota_ask()->set_host(m_context.name);
-    m_pendingAsks[m_lastCall] = { shard, account, std::move(done), now + kAskTimeout };
+    frame.mutable_quota_ask()->set_priority(priority);
+    m_pendingAsks[m_lastCall] = { shard, account, priority, std::move(done), now + kAskTimeout };
     m_context.peers.send(server, frame);
 }
 
-// Limits this host to the operations that quota servers reserve for it while it has no lease.
-void QuotaExchange::decideWithoutServer(size_t shard, const std::string& account, const QuotaCallback& done)
+// Limits this host to its own share, which quota servers no longer grant to other hosts once its lease has expired.
+void QuotaExchange::decideWithoutServer(size_t shard, const std::string& account, int priority, const QuotaCallback& done)
 {
     auto now = Clock::now();
-    auto& host = m_shards[shard].host;
     auto* quota = findQuota(account);
-    if (quota && !decisions::mayBeginWithoutQuotaServer(host, account, *quota, m_context.rule, m_context.view.hosts.size(), now)) {
-        refuse(account, "no host that counts for all answers", kNoServerRetryAfter, done);
-        return;
-    }
-    decisions::recordOperation(host, account, now);
-    m_shards[shard].hasUnreportedUsage = true;
-    done(std::nullopt);
+    if (quota && !decisions::beginWithoutQuotaServer(m_shards[shard].host, account, *quota, m_context.rule, m_context.view.hosts.size(), now))
+        refuse(account, priority, "no quota server answers", kNoServerRetryAfter, done);
+    else
+        done({ .isCounted = quota != nullptr, .isOwnBucket = true });
 }
 
-void QuotaExchange::applyGrant(size_t shard, const std::string& server, const std::string& account, const decisions::QuotaGrant& grant, const QuotaCallback& done)
+void QuotaExchange::applyGrant(size_t shard, const std::string& account, int priority, const decisions::QuotaGrant& grant, const QuotaCallback& done)
 {
     auto now = Clock::now();
     auto& host = m_shards[shard].host;
     if (!grant.isGranted) {
-        decisions::blockAccount(host, account, grant.blockedFor, now);
-        refuse(account, "the quota is used up", grant.blockedFor, done);
+        decisions::blockAccount(host, account, priority, grant, now);
+        refuse(account, priority, "the quota is used up", grant.retryAfter, done);
         return;
     }
-    decisions::recordOperation(host, account, now);
-    auto& grantsTaken = m_shards[shard].serverLinks[server].grantsTaken[account];
-    grantsTaken = std::max(grantsTaken, grant.number);
-    m_shards[shard].hasUnreportedUsage = true;
-    done(std::nullopt);
+    decisions::recordOperation(host, account, true, now);
+    if (grant.startAfter.count() > 0)
+        m_delayedStarts.push_back({ now + grant.startAfter, done });
+    else
+        done({ .isCounted = true });
 }
 
-void QuotaExchange::refuse(const std::string& account, std::string_view reason, milliseconds blockedFor, const QuotaCallback& done) const
+void QuotaExchange::refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, const QuotaCallback& done) const
 {
-    auto retryAfter = decisions::jitterRetryAfter(std::max(blockedFor, milliseconds(1)), base::getRandom());
-    base::incrementCounter(base::MetricFamily::QuotaRefused, { { "reason", reason } });
-    done(decisions::Error { ErrorKind::QuotaExceeded, fmt::format("client account {}: {}; retry after {} ms", account, reason, retryAfter.count()), retryAfter });
+    auto spread = decisions::jitterRetryAfter(std::max(retryAfter, milliseconds(1)), base::getRandom());
+    base::incrementCounter(base::MetricFamily::QuotaRefused, { { "reason", reason }, { "priority", std::to_string(priority) } });
+    done({ .refusal = decisions::Error { ErrorKind::QuotaExceeded, fmt::format("client account {}: {}; retry after {} ms", account, reason, spread.count()), spread } });
 }
 
-peer::QuotaReport QuotaExchange::makeReport(size_t shard, const ServerLink& link, TimePoint now) const
+peer::QuotaReport QuotaExchange::makeReport(size_t shard, const ServerLink& link) const
 {
     peer::QuotaReport wire;
     wire.set_number(link.lastReportNumber);
     wire.set_shard(static_cast<uint32_t>(shard));
     wire.set_host(m_context.name);
+    wire.set_incarnation(m_context.incarnation);
     wire.set_is_whole(link.needsWholeReport);
-    wire.set_covered_ms(static_cast<uint64_t>(duration_cast<milliseconds>(std::min<TimePoint::duration>(now - m_startedAt, m_context.rule.window)).count()));
     for (auto& [account, usage] : m_shards[shard].host.accounts) {
         if (!link.needsWholeReport && !usage.isUnreported)
             continue;
         auto& reported = *wire.add_uses();
         reported.set_account(account);
-        for (auto& bucket : usage.history) {
-            if (now - bucket.at > m_context.rule.window)
-                continue;
-            reported.add_age_ms(static_cast<uint32_t>(duration_cast<milliseconds>(now - bucket.at).count()));
-            reported.add_count(bucket.count);
-        }
-        if (auto newestGrant = link.grantsTaken.find(account); newestGrant != link.grantsTaken.end())
-            reported.set_grants_taken(newestGrant->second);
+        reported.set_begun(usage.counts.begun);
+        reported.set_returned(usage.counts.returned);
+        reported.set_charged_begun(usage.charged.begun);
+        reported.set_charged_returned(usage.charged.returned);
     }
     return wire;
 }
 
+// Without it, the previous quota server would count this host's share until it notices that reports are missing.
+void QuotaExchange::sendLeavingReport(size_t shard, const std::string& server)
+{
+    peer::Frame frame;
+    auto& report = *frame.mutable_quota_report();
+    report.set_shard(static_cast<uint32_t>(shard));
+    report.set_host(m_context.name);
+    report.set_incarnation(m_context.incarnation);
+    report.set_is_leaving(true);
+    if (server == m_context.name)
+        handleReport(report);
+    else
+        m_context.peers.send(server, frame);
+}
+
 void QuotaExchange::sendReport(size_t index, const std::string& server, TimePoint now)
 {
     auto& shard = m_shards[index];
     shard.lastReportAt = now;
     bool isNew = server != shard.currentServer;
+    if (isNew && !shard.currentServer.empty())
+        sendLeavingReport(index, shard.currentServer);
     shard.currentServer = server;
     if (server.empty())
         return;
@@ -207,8 +213,11 @@
     ++link.lastReportNumber;
     link.lastReportSentAt = now;
     peer::Frame frame;
-    *frame.mutable_quota_report() = makeReport(index, link, now);
+    *frame.mutable_quota_report() = makeReport(index, link);
     link.needsWholeReport = false;
+    link.lastReport.clear();
+    for (auto& it : frame.quota_report().uses())
+        link.lastReport[it.account()] = { it.begun(), it.returned() };
     for (auto& [account, usage] : shard.host.accounts)
         usage.isUnreported = false;
     shard.hasUnreportedUsage = false;
@@ -233,20 +242,13 @@
 
 peer::QuotaState QuotaExchange::handleReport(const peer::QuotaReport& wire)
 {
-    auto now = Clock::now();
     auto shard = wire.shard() % kShards;
-    decisions::QuotaReport report { wire.host(), now - milliseconds(wire.covered_ms()), wire.is_whole(), {} };
-    for (auto& it : wire.uses()) {
-        decisions::ReportedUsage usage { it.account(), {}, it.grants_taken() };
-        for (int i = 0; i < std::min(it.age_ms_size(), it.count_size()); ++i)
-            usage.history.push_back({ now - milliseconds(it.age_ms(i)), it.count(i) });
-        report.accounts.push_back(std::move(usage));
-    }
-    auto result = decisions::applyReport(m_shards[shard].server, makeConfiguration(), report, now);
+    decisions::QuotaReport report { wire.host(), wire.incarnation(), wire.is_whole(), wire.is_leaving(), {} };
+    for (auto& it : wire.uses())
+        report.accounts.push_back({ it.account(), { it.begun(), it.returned() }, { it.charged_begun(), it.charged_returned() } });
+    auto result = decisions::applyReport(m_shards[shard].server, makeConfiguration(), report, Clock::now());
     if (result.hasStrictChanged)
         announceStrictAccounts(shard);
-    if (result.hasNewNearQuota)
-        updateStoredNearQuota(shard, now);
     auto state = makeState(shard);
     if (result.isAccepted)
         state.set_number(wire.number());
@@ -255,14 +257,23 @@
     return state;
 }
 
+void QuotaExchange::handleReporterLost(const std::string& host)
+{
+    for (size_t i = 0; i < m_shards.size(); ++i) {
+        if (decisions::removeHost(m_shards[i].server, makeConfiguration(), host, Clock::now()))
+            announceStrictAccounts(i);
+    }
+}
+
 peer::QuotaAnswer QuotaExchange::handleAsk(const peer::QuotaAsk& ask)
 {
-    auto grant = decisions::requestGrant(m_shards[getShard(ask.account())].server, makeConfiguration(), ask.host(), ask.account(), Clock::now());
+    auto grant = decisions::requestGrant(m_shards[getShard(ask.account())].server, makeConfiguration(), ask.account(), ask.priority(), Clock::now());
     peer::QuotaAnswer answer;
     answer.set_call(ask.call());
     answer.set_is_granted(grant.isGranted);
-    answer.set_grant(grant.number);
+    answer.set_start_after_ms(static_cast<uint32_t>(grant.startAfter.count()));
     answer.set_closed_ms(static_cast<uint32_t>(grant.blockedFor.count()));
+    answer.set_retry_after_ms(static_cast<uint32_t>(grant.retryAfter.count()));
     return answer;
 }
 
@@ -275,31 +286,6 @@
     handleState(m_context.name, state);
 }
 
-void QuotaExchange::applyStoredNearQuota(size_t shard, const std::set<std::string>& accounts)
-{
-    if (shard < m_shards.size())
-        m_shards[shard].server.storedNearQuota = accounts;
-}
-
-// A host that started recently only adds accounts: its counts may be too low to remove any.
-void QuotaExchange::updateStoredNearQuota(size_t index, TimePoint now)
-{
-    auto& shard = m_shards[index];
-    auto accounts = decisions::getNearQuotaAccounts(shard.server, now);
-    bool isNew = !std::ranges::includes(shard.server.storedNearQuota, accounts);
-    bool mayRemove = shard.currentServer == m_context.name && now - m_startedAt > m_context.rule.window + kStartupSettleTime;
-    bool isDue = isNew || (mayRemove && accounts != shard.server.storedNearQuota);
-    if (!isDue || shard.isStoring || now - shard.lastStoreAttemptAt < kStoreInterval)
-        return;
-    shard.isStoring = true;
-    shard.lastStoreAttemptAt = now;
-    m_context.storeNearQuota(index, accounts, [this, index, accounts](bool isDone) {
-        m_shards[index].isStoring = false;
-        if (isDone)
-            applyStoredNearQuota(index, accounts);
-    });
-}
-
 void QuotaExchange::handleState(const std::string& server, const peer::QuotaState& state)
 {
     auto now = Clock::now();
@@ -311,11 +297,14 @@
     auto& link = known->second;
     if (link.incarnation != state.incarnation()) { // the process has restarted and lost earlier reports
         link.incarnation = state.incarnation();
-        link.grantsTaken.clear();
+        link.needsWholeReport = true;
     }
     link.needsWholeReport = link.needsWholeReport || state.needs_whole();
-    if (state.number() == link.lastReportNumber)
+    if (state.number() == link.lastReportNumber) {
         link.unansweredSince = {};
+        for (auto& [account, counts] : link.lastReport)
+            decisions::acknowledgeReport(shard.host, account, counts);
+    }
     if (server == shard.currentServer) {
         shard.host.strictAccounts = { state.strict().begin(), state.strict().end() };
         if (state.number() == link.lastReportNumber)
@@ -334,14 +323,14 @@
     base::logEvent(LogClass::State, hasLease ? "quota-lease" : "quota-lease-lost", { { "shard", static_cast<int64_t>(index) }, { "keeper", std::string_view(shard.currentServer) } });
 }
 
-void QuotaExchange::handleAnswer(const std::string& server, const peer::QuotaAnswer& answer)
+void QuotaExchange::handleAnswer(const peer::QuotaAnswer& answer)
 {
     auto it = m_pendingAsks.find(answer.call());
     if (it == m_pendingAsks.end()) // timed out and decided locally; the grant stays counted at the quota server
         return;
     auto ask = std::move(it->second);
     m_pendingAsks.erase(it);
-    applyGrant(ask.shard, server, ask.account, { answer.is_granted(), answer.grant(), milliseconds(answer.closed_ms()) }, ask.done);
+    applyGrant(ask.shard, ask.account, ask.priority, { answer.is_granted(), milliseconds(answer.start_after_ms()), milliseconds(answer.closed_ms()), milliseconds(answer.retry_after_ms()) }, ask.done);
 }
 
 void QuotaExchange::expireAsks(TimePoint now)
@@ -354,15 +343,29 @@
         return isLate;
     });
     for (auto& it : late)
-        decideWithoutServer(it.shard, it.account, it.done);
+        decideWithoutServer(it.shard, it.account, it.priority, it.done);
+}
+
+void QuotaExchange::runDelayedStarts(TimePoint now)
+{
+    std::vector<DelayedStart> due;
+    std::erase_if(m_delayedStarts, [&](DelayedStart& it) {
+        bool isDue = now >= it.startAt;
+        if (isDue)
+            due.push_back(std::move(it));
+        return isDue;
+    });
+    for (auto& it : due)
+        it.done({ .isCounted = true });
 }
 
 void QuotaExchange::sweep(TimePoint now)
 {
+    expireAsks(now);
+    runDelayedStarts(now);
     auto& accounts = m_context.view.configuration.accounts;
     if (!accounts)
         return;
-    expireAsks(now);
     for (size_t i = 0; i < m_shards.size(); ++i) {
         auto passed = now - m_shards[i].lastReportAt;
         auto interval = m_shards[i].hasUnreportedUsage ? decisions::kQuotaReportInterval : decisions::kQuotaIdleReportInterval;
@@ -375,12 +378,10 @@
     m_lastSweepAt = now;
     for (size_t i = 0; i < m_shards.size(); ++i) {
         auto& shard = m_shards[i];
-        decisions::pruneUsage(shard.host, m_context.rule, now);
-        std::erase_if(shard.serverLinks, [&](auto& it) { return now - it.second.lastReportSentAt > decisions::kQuotaSilentHostTimeout; });
+        std::erase_if(shard.serverLinks, [&](auto& it) { return now - it.second.lastReportSentAt > kServerLinkRetention; });
         logLeaseChange(i, now);
         if (decisions::sweepQuotaServer(shard.server, makeConfiguration(), now))
             announceStrictAccounts(i);
-        updateStoredNearQuota(i, now);
     }
 }
 
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -14,32 +14,34 @@
     uint64_t incarnation; // of its process
     decisions::QuotaRule rule;
     const bool& isDraining;
-    // Persists the accounts of a shard that are near their quotas in the platform's store; `done` receives whether that succeeded.
-    std::function<void(size_t shard, const std::set<std::string>& accounts, std::function<void(bool)> done)> storeNearQuota;
 };
 
-// `refusal` is empty if the operation may begin.
-using QuotaCallback = std::function<void(const std::optional<decisions::Error>& refusal)>;
+struct QuotaDecision {
+    std::optional<decisions::Error> refusal {}; // empty: the operation may begin
+    bool isCounted { false }; // against a quota
+    bool isOwnBucket { false }; // no quota server answered, and the host's own share admitted the operation
+};
+
+using QuotaCallback = std::function<void(const QuotaDecision& decision)>;
 
 class QuotaExchange {
 public:
     explicit QuotaExchange(QuotaContext context);
 
     // Decides whether an operation of the account may begin. Calls `done` exactly once, possibly before returning.
-    void admitOperation(const std::string& account, QuotaCallback done);
-    // Uncounts an admitted operation that was refused before it was sent to a target.
-    void revertOperation(const std::string& account);
+    void admitOperation(const std::string& account, int priority, QuotaCallback done);
+    // Returns a counted operation that was refused before it was sent to a target.
+    void revertOperation(const std::string& account, bool isOwnBucket);
     // Sends reports, ends late requests and evaluates quotas. Call it periodically.
     void sweep(TimePoint now);
 
-    // Applies the accounts near their quotas that the platform's store holds for a shard.
-    void applyStoredNearQuota(size_t shard, const std::set<std::string>& accounts);
     // On a quota server:
     peer::QuotaState handleReport(const peer::QuotaReport& report);
+    void handleReporterLost(const std::string& host); // its connection has ended
     peer::QuotaAnswer handleAsk(const peer::QuotaAsk& ask);
     // Messages from quota servers:
     void handleState(const std::string& server, const peer::QuotaState& state);
-    void handleAnswer(const std::string& server, const peer::QuotaAnswer& answer);
+    void handleAnswer(const peer::QuotaAnswer& answer);
 
 private:
     // Reports of this host to one quota server of a shard.
@@ -49,7 +51,7 @@
         TimePoint unansweredSince {}; // when the first unanswered report was sent; zero: the last one was answered
         uint64_t incarnation { 0 }; // of the quota server's process, as last reported
         bool needsWholeReport { true }; // the quota server may not have the earlier reports
-        std::map<std::string, uint64_t> grantsTaken {}; // number of the newest grant, by account
+        std::map<std::string, decisions::UsageCounts> lastReport {}; // counts in the last report, by account
     };
     struct Shard {
         std::string rankingKey {}; // key of the ranking of hosts that its quota server is chosen from
@@ -60,37 +62,43 @@
         TimePoint lastReportAt {};
         bool hasUnreportedUsage { false };
         bool hasLoggedLease { false }; // whether the last logged event says that there is a lease
-        bool isStoring { false };
-        TimePoint lastStoreAttemptAt {};
     };
     struct PendingAsk {
         size_t shard { 0 };
         std::string account {};
+        int priority { 0 };
         QuotaCallback done {};
         TimePoint expiresAt {};
     };
 
+    // A granted operation that waits for its token.
+    struct DelayedStart {
+        TimePoint startAt {};
+        QuotaCallback done {};
+    };
+
     const decisions::AccountQuota* findQuota(const std::string& account) const;
     decisions::QuotaConfiguration makeConfiguration() const;
     bool isIsolated(size_t shard, TimePoint now) const;
     std::string findQuotaServer(size_t shard, TimePoint now);
-    void requestGrant(size_t shard, const std::string& account, QuotaCallback done);
-    void decideWithoutServer(size_t shard, const std::string& account, const QuotaCallback& done);
-    void applyGrant(size_t shard, const std::string& server, const std::string& account, const decisions::QuotaGrant& grant, const QuotaCallback& done);
-    void refuse(const std::string& account, std::string_view reason, milliseconds blockedFor, const QuotaCallback& done) const;
+    void requestGrant(size_t shard, const std::string& account, int priority, QuotaCallback done);
+    void decideWithoutServer(size_t shard, const std::string& account, int priority, const QuotaCallback& done);
+    void applyGrant(size_t shard, const std::string& account, int priority, const decisions::QuotaGrant& grant, const QuotaCallback& done);
+    void refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, const QuotaCallback& done) const;
+    void sendLeavingReport(size_t shard, const std::string& server);
     void sendReport(size_t shard, const std::string& server, TimePoint now);
-    peer::QuotaReport makeReport(size_t shard, const ServerLink& link, TimePoint now) const;
+    peer::QuotaReport makeReport(size_t shard, const ServerLink& link) const;
     peer::QuotaState makeState(size_t shard) const;
     void announceStrictAccounts(size_t shard);
-    void updateStoredNearQuota(size_t shard, TimePoint now);
     void logLeaseChange(size_t shard, TimePoint now);
     void expireAsks(TimePoint now);
+    void runDelayedStarts(TimePoint now);
 
     QuotaContext m_context;
     std::vector<Shard> m_shards;
     std::map<uint64_t, PendingAsk> m_pendingAsks; // by number of the call
+    std::vector<DelayedStart> m_delayedStarts;
     uint64_t m_lastCall { 0 };
-    TimePoint m_startedAt;
     TimePoint m_lastSweepAt {};
 };
 
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -21,10 +21,11 @@
 {
     auto shared = std::make_shared<RoutedStatement>(std::move(routed));
     // Checked before queueing, so that operations beyond the quota do not delay those of other accounts.
-    m_context.quotas.admitOperation(shared->request.account, [this, shared, done = std::move(done)](const std::optional<decisions::Error>& refusal) {
-        shared->isCounted = !refusal;
-        if (refusal)
-            refuse(shared, done, *refusal);
+    m_context.quotas.admitOperation(shared->request.account, shared->request.priority, [this, shared, done = std::move(done)](const QuotaDecision& decision) {
+        shared->isCounted = decision.isCounted;
+        shared->isOwnBucket = decision.isOwnBucket;
+        if (decision.refusal)
+            refuse(shared, done, *decision.refusal);
         else
             attempt(shared, done);
     });
@@ -274,7 +275,7 @@
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
     if (routed.isCounted && outcome.error && !outcome.wasSent && !routed.wasSent)
-        m_context.quotas.revertOperation(routed.request.account);
+        m_context.quotas.revertOperation(routed.request.account, routed.isOwnBucket);
     done(outcome, transaction);
 }
 
