Return no more quota tokens than the bucket had room for

Cause: the token of an operation that was counted but not begun was given back up to the bucket's capacity at the time of its return. If operations wait for seconds before they fail, as while members fail, tokens of earlier windows came back one after another and were granted again.

Change: a quota server keeps the least headroom of each bucket in slices of 250 ms for 10 s. A returned operation gets back what its token would be worth now had it never been taken. Reports tell the age of the oldest returned operation that is not acknowledged (QuotaUse.returned_age_ms). Nothing is given back for operations counted before the quota server's bucket started.

Ruled out: returning only recent operations (to stay within the reserve the limit would be 0.3 s, which most statements in a queue exceed).

--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -11,6 +11,8 @@
 static constexpr double kStrictLeaveRatio = 0.8; // above kStrictEnterRatio, so that accounts do not alternate between strict and not strict
 static constexpr double kMaxUnreportedRatio = 0.35; // of the capacity, over all hosts; these operations are missing from the count if hosts die
 static constexpr milliseconds kSilentHostRetention { 12000 }; // similar to the lifetime of a host's entry in the platform's store
+static constexpr milliseconds kHeadroomSlice { 250 };
+static constexpr milliseconds kHeadroomRetention { 10000 }; // must exceed the time for which statements wait; operations returned later get no token back
 static constexpr milliseconds kRateTimeConstant { 1000 };
 static constexpr milliseconds kContentionMemory { 1000 }; // without a refusal; must exceed the time in which refused callers retry
 static constexpr milliseconds kUrgentReserveTime { 500 }; // of requests that a less urgent priority leaves tokens for; about the time in which it refills
@@ -101,6 +103,34 @@
     return hasChanged;
 }
 
+// Refills the account's bucket and records its headroom.
+static void refillAccount(TrackedAccount& tracked, double pace, double capacity, TimePoint now)
+{
+    tracked.bucket = refillBucket(tracked.bucket, pace, capacity, now);
+    auto& slices = tracked.headroom;
+    auto headroom = capacity - tracked.bucket.level;
+    if (slices.empty() || now - slices.back().startedAt >= kHeadroomSlice)
+        slices.push_back({ now, headroom });
+    slices.back().least = std::min(slices.back().least, headroom);
+    while (now - slices.front().startedAt > kHeadroomRetention)
+        slices.pop_front();
+}
+
+// Gives the tokens of operations back that were counted at `countedAt` and did not begin. The level becomes what it would be without them: a token does not count
+// if the bucket would have been full since. Nothing is given back for operations counted before the first slice, which another quota server may have charged.
+static void returnTokens(TrackedAccount& tracked, double count, TimePoint countedAt)
+{
+    auto& slices = tracked.headroom;
+    if (slices.empty() || countedAt < slices.front().startedAt)
+        return;
+    auto first = std::prev(std::ranges::upper_bound(slices, countedAt, {}, &HeadroomSlice::startedAt));
+    for (auto it = first; it != slices.end(); ++it)
+        count = std::min(count, std::max(0.0, it->least));
+    for (auto it = first; it != slices.end(); ++it)
+        it->least -= count;
+    tracked.bucket.level += count;
+}
+
 // Updates the share of the hosts that report, and all buckets. Between two updates the smaller share applies, so that a host that
 // moves between quota servers is not counted by both.
 static bool updateBuckets(QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now)
@@ -117,20 +147,21 @@
         auto& tracked = server.accounts.try_emplace(name, TrackedAccount { .bucket = { 0, now } }).first->second;
         auto limits = getQuotaLimits(*account.quota, configuration.rule);
         auto scaled = scaleLimits(limits, share);
-        tracked.bucket = refillBucket(tracked.bucket, limits.pace * pastShare, scaled.capacity, now);
+        refillAccount(tracked, limits.pace * pastShare, scaled.capacity, now);
         hasChanged = updateStrict(tracked, scaled) || hasChanged;
     }
     return hasChanged;
 }
 
 // Charges what the report adds to the operations charged so far, and refunds what it returns.
-static void chargeUsage(TrackedAccount& tracked, const std::string& host, const ReportedUsage& reported, double capacity)
+static void chargeUsage(TrackedAccount& tracked, const std::string& host, const ReportedUsage& reported, TimePoint now)
 {
     auto& charged = tracked.chargedByHost[host];
     charged = { std::max(charged.begun, reported.charged.begun), std::max(charged.returned, reported.charged.returned) };
     auto begun = static_cast<double>(std::max(charged.begun, reported.counts.begun) - charged.begun);
     auto returned = static_cast<double>(std::max(charged.returned, reported.counts.returned) - charged.returned);
-    tracked.bucket.level = std::min(capacity, tracked.bucket.level - begun + returned);
+    tracked.bucket.level -= begun;
+    returnTokens(tracked, returned, now - reported.returnedAge);
     charged = { std::max(charged.begun, reported.counts.begun), std::max(charged.returned, reported.counts.returned) };
 }
 
@@ -159,8 +190,8 @@
         if (!quota || tracked == server.accounts.end())
             continue;
         auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
-        tracked->second.bucket = refillBucket(tracked->second.bucket, limits.pace, limits.capacity, now);
-        chargeUsage(tracked->second, report.host, it, limits.capacity);
+        refillAccount(tracked->second, limits.pace, limits.capacity, now);
+        chargeUsage(tracked->second, report.host, it, now);
         result.hasStrictChanged = updateStrict(tracked->second, limits) || result.hasStrictChanged;
     }
     return result;
@@ -255,7 +286,7 @@
         return { .isGranted = true };
     auto& tracked = server.accounts.try_emplace(account, TrackedAccount { .bucket = { 0, now }, .isStrict = true }).first->second;
     auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
-    tracked.bucket = refillBucket(tracked.bucket, limits.pace, limits.capacity, now);
+    refillAccount(tracked, limits.pace, limits.capacity, now);
     auto& demand = tracked.demands.try_emplace(priority, PriorityDemand { .guaranteed = { 0, now } }).first->second;
     demand.asked = countEvent(demand.asked, now);
     auto needed = 1 + getUrgentReserve(tracked, priority, limits.capacity, quota->burst * server.share, now);
@@ -356,7 +387,12 @@
     usage.isUnreported = true;
 }
 
-void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket)
+static TimePoint getEarlier(TimePoint a, TimePoint b)
+{
+    return a == TimePoint {} || (b != TimePoint {} && b < a) ? b : a;
+}
+
+void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket, TimePoint countedAt)
 {
     auto& usage = host.accounts[account];
     if (isOwnBucket) {
@@ -364,9 +400,19 @@
         return;
     }
     ++usage.counts.returned;
+    usage.unreportedReturnFrom = getEarlier(usage.unreportedReturnFrom, countedAt);
     usage.isUnreported = true;
 }
 
+ReportedUsage takeUsageReport(AccountUsage& usage, const std::string& account, TimePoint now)
+{
+    usage.reportedReturnFrom = getEarlier(usage.reportedReturnFrom, usage.unreportedReturnFrom);
+    usage.unreportedReturnFrom = {};
+    usage.isUnreported = false;
+    auto age = usage.reportedReturnFrom == TimePoint {} ? TimePoint::duration::zero() : std::max(TimePoint::duration::zero(), now - usage.reportedReturnFrom);
+    return { account, usage.counts, usage.charged, std::chrono::ceil<milliseconds>(age) };
+}
+
 void blockAccount(QuotaHost& host, const std::string& account, int priority, const QuotaGrant& refusal, TimePoint now)
 {
     host.accounts[account].blocks[priority] = { now + refusal.blockedFor, now + refusal.retryAfter };
@@ -379,6 +425,7 @@
         return;
     auto& charged = it->second.charged;
     charged = { std::max(charged.begun, counts.begun), std::max(charged.returned, counts.returned) };
+    it->second.reportedReturnFrom = {};
 }
 
 }
--- a/src/decisions/quota.h
+++ b/src/decisions/quota.h
@@ -11,6 +11,7 @@
 // COMMON MISTAKES
 //   - Reporting increments. A lost or duplicated report would be missed or counted twice; reports hold counts that only grow.
 //   - Filling a bucket at its start, or when a host joins. Each restart would then admit another burst within the same window.
+//   - Returning the token of an operation that was counted long ago as if it were new. Without the operation the bucket could have been full since.
 //
 // [SECTION] Limits        what a quota allows
 // [SECTION] Bucket        the token bucket of one account
@@ -19,6 +20,7 @@
 #pragma once
 #include "decisions/accounts.h"
 #include "decisions/freshness.h"
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -95,8 +97,15 @@
     TokenBucket guaranteed {}; // keeps a less urgent priority from starving while more urgent ones take all tokens
 };
 
+// The least room that a bucket had below its capacity, from `startedAt` to the start of the next slice.
+struct HeadroomSlice {
+    TimePoint startedAt {};
+    double least { 0 }; // operations
+};
+
 struct TrackedAccount {
     TokenBucket bucket {};
+    std::deque<HeadroomSlice> headroom {}; // of the bucket, the oldest slice first
     std::map<std::string, UsageCounts> chargedByHost {}; // counts already charged, for the current process of each host
     std::map<int, PriorityDemand> demands {}; // by priority
     bool isStrict { false };
@@ -120,6 +129,7 @@
     std::string account {};
     UsageCounts counts {};
     UsageCounts charged {}; // as acknowledged by any quota server
+    milliseconds returnedAge { 0 }; // time since the oldest of the returned operations that are not acknowledged was counted
 };
 
 struct QuotaReport {
@@ -199,6 +209,9 @@
     std::map<int, QuotaBlock> blocks {}; // by priority
     TokenBucket ownBucket {}; // used while no quota server answers
     bool isUnreported { false }; // changed since the last report
+    // When the oldest of the returned operations was counted that no report contains yet, and that are in a report without acknowledgement; zero: there are none.
+    TimePoint unreportedReturnFrom {};
+    TimePoint reportedReturnFrom {};
 };
 
 // The quota state of a host for the accounts of one shard.
@@ -218,10 +231,12 @@
 bool beginWithoutQuotaServer(QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
 // Counts an operation that begins under the lease or a grant.
 void recordOperation(QuotaHost& host, const std::string& account, bool isGranted, TimePoint now);
-// Returns an operation that was admitted but did not begin. `isOwnBucket`: beginWithoutQuotaServer() admitted it.
-void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket);
+// Returns an operation that was admitted but did not begin. `isOwnBucket`: beginWithoutQuotaServer() admitted it. `countedAt`: when it was admitted, or earlier.
+void revertOperation(QuotaHost& host, const std::string& account, bool isOwnBucket, TimePoint countedAt);
 void blockAccount(QuotaHost& host, const std::string& account, int priority, const QuotaGrant& refusal, TimePoint now);
-// Records that a quota server has charged the account's operations up to `counts`.
+// Returns the account's entry for a report that is sent now.
+ReportedUsage takeUsageReport(AccountUsage& usage, const std::string& account, TimePoint now);
+// Records that a quota server has charged the account's operations up to `counts`, which are those of the latest report.
 void acknowledgeReport(QuotaHost& host, const std::string& account, const UsageCounts& counts);
 
 }
--- a/src/gateway/quota_exchange.cpp
+++ b/src/gateway/quota_exchange.cpp
@@ -98,10 +98,10 @@
     }
 }
 
-void QuotaExchange::revertOperation(const std::string& account, bool isOwnBucket)
+void QuotaExchange::revertOperation(const std::string& account, bool isOwnBucket, TimePoint countedAt)
 {
     auto& shard = m_shards[getShard(account)];
-    decisions::revertOperation(shard.host, account, isOwnBucket);
+    decisions::revertOperation(shard.host, account, isOwnBucket, countedAt);
     shard.hasUnreportedUsage = shard.hasUnreportedUsage || !isOwnBucket;
 }
 
@@ -162,7 +162,7 @@
     done({ .refusal = decisions::Error { ErrorKind::QuotaExceeded, fmt::format("client account {}: {}; retry after {} ms", account, reason, spread.count()), spread } });
 }
 
-peer::QuotaReport QuotaExchange::makeReport(size_t shard, const ServerLink& link) const
+peer::QuotaReport QuotaExchange::makeReport(size_t shard, const ServerLink& link, TimePoint now)
 {
     peer::QuotaReport wire;
     wire.set_number(link.lastReportNumber);
@@ -173,12 +173,14 @@
     for (auto& [account, usage] : m_shards[shard].host.accounts) {
         if (!link.needsWholeReport && !usage.isUnreported)
             continue;
-        auto& reported = *wire.add_uses();
-        reported.set_account(account);
-        reported.set_begun(usage.counts.begun);
-        reported.set_returned(usage.counts.returned);
-        reported.set_charged_begun(usage.charged.begun);
-        reported.set_charged_returned(usage.charged.returned);
+        auto reported = decisions::takeUsageReport(usage, account, now);
+        auto& use = *wire.add_uses();
+        use.set_account(account);
+        use.set_begun(reported.counts.begun);
+        use.set_returned(reported.counts.returned);
+        use.set_charged_begun(reported.charged.begun);
+        use.set_charged_returned(reported.charged.returned);
+        use.set_returned_age_ms(static_cast<uint32_t>(reported.returnedAge.count()));
     }
     return wire;
 }
@@ -213,13 +215,11 @@
     ++link.lastReportNumber;
     link.lastReportSentAt = now;
     peer::Frame frame;
-    *frame.mutable_quota_report() = makeReport(index, link);
+    *frame.mutable_quota_report() = makeReport(index, link, now);
     link.needsWholeReport = false;
     link.lastReport.clear();
     for (auto& it : frame.quota_report().uses())
         link.lastReport[it.account()] = { it.begun(), it.returned() };
-    for (auto& [account, usage] : shard.host.accounts)
-        usage.isUnreported = false;
     shard.hasUnreportedUsage = false;
     if (server == m_context.name) {
         handleState(server, handleReport(frame.quota_report()));
@@ -245,7 +245,7 @@
     auto shard = wire.shard() % kShards;
     decisions::QuotaReport report { wire.host(), wire.incarnation(), wire.is_whole(), wire.is_leaving(), {} };
     for (auto& it : wire.uses())
-        report.accounts.push_back({ it.account(), { it.begun(), it.returned() }, { it.charged_begun(), it.charged_returned() } });
+        report.accounts.push_back({ it.account(), { it.begun(), it.returned() }, { it.charged_begun(), it.charged_returned() }, milliseconds(it.returned_age_ms()) });
     auto result = decisions::applyReport(m_shards[shard].server, makeConfiguration(), report, Clock::now());
     if (result.hasStrictChanged)
         announceStrictAccounts(shard);
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -31,7 +31,7 @@
     // Decides whether an operation of the account may begin. Calls `done` exactly once, possibly before returning.
     void admitOperation(const std::string& account, int priority, QuotaCallback done);
     // Returns a counted operation that was refused before it was sent to a target.
-    void revertOperation(const std::string& account, bool isOwnBucket);
+    void revertOperation(const std::string& account, bool isOwnBucket, TimePoint countedAt);
     // Sends reports, ends late requests and evaluates quotas. Call it periodically.
     void sweep(TimePoint now);
 
@@ -87,7 +87,7 @@
     void refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, const QuotaCallback& done) const;
     void sendLeavingReport(size_t shard, const std::string& server);
     void sendReport(size_t shard, const std::string& server, TimePoint now);
-    peer::QuotaReport makeReport(size_t shard, const ServerLink& link) const;
+    peer::QuotaReport makeReport(size_t shard, const ServerLink& link, TimePoint now);
     peer::QuotaState makeState(size_t shard) const;
     void announceStrictAccounts(size_t shard);
     void logLeaseChange(size_t shard, TimePoint now);
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -275,7 +275,7 @@
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
     if (routed.isCounted && outcome.error && !outcome.wasSent && !routed.wasSent)
-        m_context.quotas.revertOperation(routed.request.account, routed.isOwnBucket);
+        m_context.quotas.revertOperation(routed.request.account, routed.isOwnBucket, routed.arrivedAt);
     done(outcome, transaction);
 }
 
--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -2,6 +2,7 @@
 #include "decisions/quota.h"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <queue>
@@ -279,7 +280,7 @@
         bool isWhole = isNew || !host.sentWholeReport.contains(k) || host.unansweredSince.contains(k);
         QuotaReport report { host.name, host.generation, isWhole, false, {} };
         if (used != host.own.accounts.end() && (used->second.isUnreported || isWhole))
-            report.accounts.push_back({ kAccount, used->second.counts, used->second.charged });
+            report.accounts.push_back(takeUsageReport(used->second, kAccount, m_now));
         host.sentWholeReport.insert(k);
         host.unansweredSince.try_emplace(k, m_now);
         host.sentAt[k] = m_now;
@@ -298,8 +299,6 @@
                 applyState(i, k, isAccepted ? std::optional(sentAt) : std::nullopt, strict);
             });
         });
-        if (used != host.own.accounts.end())
-            used->second.isUnreported = false;
     }
 
     void sendLeavingReport(size_t i, size_t k)
@@ -498,6 +497,23 @@
     BOOST_TEST(level() == -9);
 }
 
+// Guards against an age that never falls again, which would make all later returns worthless, and against one that is lost with a report.
+BOOST_AUTO_TEST_CASE(a_report_tells_the_age_of_the_returns_that_are_not_acknowledged)
+{
+    QuotaHost host;
+    auto ageAt = [&](int ms) { return takeUsageReport(host.accounts[kAccount], kAccount, kStart + milliseconds(ms)).returnedAge.count(); };
+    BOOST_TEST(ageAt(0) == 0);
+    revertOperation(host, kAccount, false, kStart);
+    BOOST_TEST(ageAt(1000) == 1000);
+    revertOperation(host, kAccount, false, kStart + milliseconds(1100));
+    BOOST_TEST(ageAt(1200) == 1200); // the first report was not acknowledged
+    revertOperation(host, kAccount, false, kStart + milliseconds(1150)); // after the report that is acknowledged now
+    acknowledgeReport(host, kAccount, { 0, 2 });
+    BOOST_TEST(ageAt(1250) == 100);
+    acknowledgeReport(host, kAccount, { 0, 3 });
+    BOOST_TEST(ageAt(1300) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_host_without_lease_runs_its_own_share)
 {
     QuotaHost host;
@@ -679,4 +695,47 @@
     BOOST_TEST(passed == 200u);
 }
 
+// Operations that are returned long after they were granted, as while members fail and statements wait for their whole deadline. Guards against refunds that bring
+// tokens of an earlier window into the present one.
+BOOST_AUTO_TEST_CASE(operations_returned_late_do_not_raise_a_window_above_its_bound)
+{
+    for (double rate : { 2.0, 24.0, 128.0 }) {
+        for (int returnedAfterMs : { 250, 1000, 2000, 4000 }) {
+            auto accounts = makeAccounts(rate, rate);
+            QuotaConfiguration configuration { {}, accounts, 1 };
+            auto limits = getQuotaLimits(*findQuota(accounts, kAccount), {});
+            QuotaServer server;
+            QuotaHost host;
+            std::deque<TimePoint> waiting; // granted operations that will be returned
+            std::vector<TimePoint> begun;
+            auto recoversAt = kStart + milliseconds(10000);
+            for (auto now = kStart; now < kStart + milliseconds(20000); now += milliseconds(5)) {
+                while (!waiting.empty() && waiting.front() <= now) {
+                    revertOperation(host, kAccount, false, waiting.front() - milliseconds(returnedAfterMs));
+                    waiting.pop_front();
+                }
+                if ((now - kStart) % milliseconds(250) == milliseconds(0)) {
+                    auto usage = takeUsageReport(host.accounts[kAccount], kAccount, now);
+                    applyReport(server, configuration, { "a", 1, true, false, { usage } }, now);
+                    acknowledgeReport(host, kAccount, usage.counts);
+                    sweepQuotaServer(server, configuration, now);
+                }
+                while (requestGrant(server, configuration, kAccount, 0, now).isGranted) {
+                    if (now < recoversAt)
+                        waiting.push_back(now + milliseconds(returnedAfterMs));
+                    else
+                        begun.push_back(now);
+                }
+            }
+            size_t most = 0;
+            for (size_t i = 0, first = 0; i < begun.size(); ++i) {
+                while (begun[i] - begun[first] >= milliseconds(5000))
+                    ++first;
+                most = std::max(most, i - first + 1);
+            }
+            BOOST_TEST(static_cast<double>(most) <= limits.hardLimit, rate << "/s, returned after " << returnedAfterMs << " ms: " << most << " of " << limits.hardLimit);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
