--- a/tests/unit/quota_test.cpp
+++ b/tests/unit/quota_test.cpp
@@ -695,6 +695,23 @@
     BOOST_TEST(passed == 200u);
 }
 
+// One operation at each host at the same time, after a time without load: each host may begin one without a grant. Guards against hosts that together begin more
+// than the reserve covers.
+BOOST_AUTO_TEST_CASE(operations_at_all_hosts_at_once_stay_within_the_bound)
+{
+    for (double rate : { 2.0, 24.0, 128.0 }) {
+        size_t hosts = 74;
+        Fleet fleet(3, hosts, rate, rate);
+        fleet.runUntil(kStart);
+        for (int round = 0; round < 25; ++round) {
+            for (size_t i = 0; i < hosts; ++i)
+                fleet.arrive(i);
+            fleet.runUntil(fleet.getNow() + milliseconds(200));
+        }
+        BOOST_TEST(static_cast<double>(fleet.getMaxInWindow()) <= getHardLimit(fleet), rate << "/s: " << fleet.getMaxInWindow() << " of " << getHardLimit(fleet));
+    }
+}
+
 // Operations that are returned long after they were granted, as while members fail and statements wait for their whole deadline. Guards against refunds that bring
 // tokens of an earlier window into the present one.
 BOOST_AUTO_TEST_CASE(operations_returned_late_do_not_raise_a_window_above_its_bound)
