Share a member's capacity between client accounts

Cause: entries in a member's queue had no account. An account that sent many times its usual load, or left transactions idle, took the slots, connections and places for transactions of the other accounts.

Change: weighted fair queueing by account (decisions/account_shares), weights by the quota's rate, in multiples of a tolerated lead, so that priorities decide within a rank. It orders the queue, admission and the opening and eviction of connections while some statement waits longer than is tolerable or the overload is sustained; otherwise the order is as before. An account leaves a fifth of the places for transactions, and is limited to its share while others wait. Retry times follow from the rate at which the account is served. Enabled only where connections belong to accounts. Metric alderward_account_refused_total, event accounts-compete.

--- a/src/base/families.h
+++ b/src/base/families.h
@@ -21,6 +21,7 @@
     ConnectionsClosed,
     ConnectionsEvicted,
     QuotaRefused,
+    AccountRefused,
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
--- a/src/decisions/accounts.cpp
+++ b/src/decisions/accounts.cpp
@@ -5,6 +5,8 @@
 
 namespace alderward::decisions {
 
+static constexpr double kMinAccountWeight = 0.1; // operations/s; an account with a quota of 0 still has its burst
+
 KeyDigest digestKey(std::string_view key)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> whole {};
@@ -55,6 +57,19 @@
     return account == accounts.byName.end() ? nullptr : &account->second;
 }
 
+double getAccountWeight(const Accounts& accounts, const std::string& account)
+{
+    if (auto quota = findQuota(accounts, account))
+        return std::max(kMinAccountWeight, quota->perSecond);
+    double sum = 0;
+    double count = 0;
+    for (auto& [name, it] : accounts.byName) {
+        sum += it.quota ? it.quota->perSecond : 0;
+        count += it.quota ? 1 : 0;
+    }
+    return count == 0 ? 1 : std::max(kMinAccountWeight, sum / count);
+}
+
 const AccountQuota* findQuota(const Accounts& accounts, const std::string& account)
 {
     auto it = accounts.byName.find(account);
--- a/src/decisions/accounts.h
+++ b/src/decisions/accounts.h
@@ -45,5 +45,7 @@
 const ClientAccount* findAccount(const Accounts& accounts, const KeyDigest& key);
 // Returns nullptr if the account is unknown or unlimited.
 const AccountQuota* findQuota(const Accounts& accounts, const std::string& account);
+// Returns the weight by which the account shares a member with others: its quota's rate, or the mean rate if it has no quota.
+double getAccountWeight(const Accounts& accounts, const std::string& account);
 
 }
--- a/src/decisions/connections.cpp
+++ b/src/decisions/connections.cpp
@@ -11,18 +11,25 @@
     return it.isIdle && (it.hasServed || now - it.lastUsedAt > kMaxUnservedTime);
 }
 
-static bool hasWaiting(std::string_view account, const std::vector<AccountDemand>& demands)
+static size_t countHeld(std::string_view account, const std::vector<PooledConnection>& pooled)
 {
-    return std::ranges::any_of(demands, [&](const AccountDemand& it) { return it.account == account && it.waiting > 0; });
+    return static_cast<size_t>(std::ranges::count(pooled, account, &PooledConnection::account));
 }
 
-// Finds the least recently used connection that can be evicted, among accounts with no waiting operations.
+// Whether the account's waiting operations protect its connections from eviction.
+static bool isProtected(std::string_view account, const std::vector<PooledConnection>& pooled, const std::vector<AccountDemand>& demands)
+{
+    auto demand = std::ranges::find(demands, account, &AccountDemand::account);
+    return demand != demands.end() && demand->waiting > 0 && countHeld(account, pooled) <= demand->kept;
+}
+
+// Finds the least recently used connection that can be evicted, among accounts that are not protected.
 static std::optional<size_t> findLeastRecentlyUsed(const std::vector<PooledConnection>& pooled, const std::vector<AccountDemand>& demands, TimePoint now)
 {
     std::optional<size_t> oldest;
     for (size_t i = 0; i < pooled.size(); ++i) {
         bool isOlder = !oldest || pooled[i].lastUsedAt < pooled[*oldest].lastUsedAt;
-        if (isOlder && canEvict(pooled[i], now) && !hasWaiting(pooled[i].account, demands))
+        if (isOlder && canEvict(pooled[i], now) && !isProtected(pooled[i].account, pooled, demands))
             oldest = i;
     }
     return oldest;
@@ -46,6 +53,8 @@
             continue;
         if (pooled.size() + capacity.opening < capacity.maxConnections)
             return OpeningPlan { std::string(demand.account), std::nullopt };
+        if (countHeld(demand.account, pooled) >= demand.kept)
+            continue;
         auto evicted = findLeastRecentlyUsed(pooled, demands, now);
         if (!evicted)
             return std::nullopt;
--- a/src/decisions/connections.h
+++ b/src/decisions/connections.h
@@ -3,11 +3,13 @@
 //
 // Guards against thrashing, where connections are evicted before they have served and the slots are taken by openings that serve nobody. Therefore
 // a connection that has not served is kept for a while, an account opens one connection at a time, and it waits for its busy connections while few operations queue for them.
+// An account that uses more than its share of the member keeps at least one connection, and loses others only to accounts that hold fewer than they keep.
 //
 // COMMON MISTAKES
 //   - Opening a connection for the account that has waited longest. If its connections are already being opened, other accounts lose the capacity.
 #pragma once
 #include "decisions/freshness.h"
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +31,8 @@
     std::string_view account {};
     size_t waiting { 0 }; // operations
     size_t opening { 0 }; // connections being opened
+    // Connections that the account keeps while others wait for one. At this number it evicts none, and its idle ones above it can be evicted.
+    size_t kept { std::numeric_limits<size_t>::max() };
 };
 
 struct ConnectionCapacity {
--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -16,6 +16,8 @@
 static constexpr milliseconds kOverloadStartDelay { 2000 };
 static constexpr milliseconds kOverloadEndDelay { 500 }; // time without a refusal
 static constexpr double kMaxWaitFactor = 2; // multiple of the tolerable wait after which a queued entry is refused during overload
+// Upper bound of the retry time: the shortest deadline of interactive callers. A later retry is of no use to them.
+static constexpr double kMaxRetryAfterMs = 2000;
 
 static double getMs(TimePoint::duration time)
 {
@@ -87,6 +89,12 @@
 
 bool isScheduledBefore(const MemberQueue& queue, const QueueEntry& a, const QueueEntry& b, TimePoint now)
 {
+    if (queue.shares.isCompeting && !a.scheduling.isContinuation && !b.scheduling.isContinuation) {
+        auto rankA = getShareRank(queue.shares, a.account);
+        auto rankB = getShareRank(queue.shares, b.account);
+        if (rankA != rankB)
+            return rankA < rankB;
+    }
     if (!queue.overload.isSustained)
         return isScheduledBefore(a.scheduling, b.scheduling, now, queue.workMs);
     auto rank = [&](const QueueEntry& it) { return std::tuple(!it.scheduling.isContinuation, !isStarved(queue.costs, it.kind), it.scheduling.priority, it.arrivedAt); };
@@ -157,6 +165,40 @@
     return refused;
 }
 
+void updateShares(MemberQueue& queue, TimePoint now)
+{
+    auto& shares = queue.shares;
+    if (!shares.isEnabled)
+        return;
+    for (auto& it : shares.accounts)
+        it.waiting = it.waitingTransactions = 0;
+    bool isTolerable = !queue.overload.isSustained;
+    for (auto& it : queue.entries) {
+        auto& account = shares.accounts[it.account];
+        ++account.waiting;
+        if (it.scheduling.isContinuation)
+            continue;
+        account.waitingTransactions += it.kind.isTransaction ? 1 : 0;
+        isTolerable = isTolerable && getMs(now - it.arrivedAt) <= getTolerableWaitMs(queue, it);
+    }
+    shares.isCompeting = !isTolerable;
+    advanceShares(shares, queue.concurrency, queue.workMs, now);
+}
+
+void settleCharge(MemberQueue& queue, uint32_t account, double chargedMs, double usedMs)
+{
+    if (queue.shares.isEnabled)
+        chargeAccount(queue.shares, account, usedMs - chargedMs);
+}
+
+double getRetryAfterMs(MemberQueue& queue, const QueueEntry& refused)
+{
+    auto waitMs = getTotalWaitMs(queue);
+    if (!queue.shares.isEnabled)
+        return waitMs;
+    return std::min(kMaxRetryAfterMs, std::max(waitMs, getRefusedWaitMs(queue.shares, refused.account, getEstimatedMs(queue, refused))));
+}
+
 static bool isAdmitted(const MemberQueue& queue, const QueueEntry& entry, TimePoint now)
 {
     if (queue.overload.isSustained)
@@ -168,6 +210,7 @@
 std::vector<QueueEntry> admit(MemberQueue& queue, const QueueEntry& entry, TimePoint now)
 {
     halveCounts(queue, now);
+    updateShares(queue, now);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].offered += 1;
     bool wasSustained = queue.overload.isSustained;
@@ -183,6 +226,7 @@
 
 std::vector<QueueEntry> removeExpired(MemberQueue& queue, TimePoint now)
 {
+    updateShares(queue, now);
     std::vector<QueueEntry> expired;
     std::erase_if(queue.entries, [&](const QueueEntry& it) {
         bool hasWaitedTooLong = queue.overload.isSustained && !it.scheduling.isContinuation && getMs(now - it.arrivedAt) > kMaxWaitFactor * getTolerableWaitMs(queue, it);
@@ -196,6 +240,7 @@
 
 std::optional<QueueEntry> popNextRunnable(MemberQueue& queue, TimePoint now, const std::function<bool(const QueueEntry&)>& isRunnable)
 {
+    updateShares(queue, now);
     auto best = queue.entries.end();
     for (auto it = queue.entries.begin(); it != queue.entries.end(); ++it) {
         bool isBetter = best == queue.entries.end() || isScheduledBefore(queue, *it, *best, now);
@@ -208,6 +253,10 @@
     queue.entries.erase(best);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].served += 1;
+    if (queue.shares.isEnabled) {
+        entry.chargedMs = queue.workMs;
+        chargeAccount(queue.shares, entry.account, entry.chargedMs);
+    }
     return entry;
 }
 
--- a/src/decisions/member_queue.h
+++ b/src/decisions/member_queue.h
@@ -10,6 +10,7 @@
 // [SECTION] Overload   detection of sustained overload
 // [SECTION] Queue      admission and scheduling
 #pragma once
+#include "decisions/account_shares.h"
 #include "decisions/scheduling.h"
 #include <functional>
 #include <map>
@@ -71,6 +72,8 @@
     SchedulingParameters scheduling {};
     OperationKind kind {};
     TimePoint arrivedAt {};
+    uint32_t account { 0 }; // number in AccountShares
+    double chargedMs { 0 }; // slot time that the account was charged when the entry was dequeued
 
     // Returns the wait that uses only a small part of the time left to the objective, in ms.
     double getTolerableWaitMs() const;
@@ -84,9 +87,10 @@
     double workMs { 10 }; // typical time of one statement at the member
     unsigned concurrency { 1 }; // maximum number of statements sent to the member at a time
     TimePoint countedAt {}; // when the counts of operations were last halved
+    AccountShares shares {}; // enabled where connections belong to accounts
 };
 
-// Whether `a` is scheduled before `b`. The order depends on whether the queue is in a sustained overload.
+// Whether `a` is scheduled before `b`. The order depends on whether the queue is in a sustained overload, and on accounts' shares while they compete.
 bool isScheduledBefore(const MemberQueue& queue, const QueueEntry& a, const QueueEntry& b, TimePoint now);
 // Returns the estimated time until the queue is empty, in ms.
 double getTotalWaitMs(const MemberQueue& queue);
@@ -98,6 +102,12 @@
 void noteQueueHeld(MemberQueue& queue, TimePoint now);
 // Removes and returns entries that are past their deadline or, in a sustained overload, have waited too long. Call it every few tens of ms.
 std::vector<QueueEntry> removeExpired(MemberQueue& queue, TimePoint now);
+// Updates the shares of accounts and whether they compete. The other functions that modify the queue call it as well.
+void updateShares(MemberQueue& queue, TimePoint now);
+// Replaces the estimate that the account of a dequeued entry was charged by the slot time that the statement used.
+void settleCharge(MemberQueue& queue, uint32_t account, double chargedMs, double usedMs);
+// Returns when the caller of a refused entry should retry, from the rate at which the member serves the queue and the account's share.
+double getRetryAfterMs(MemberQueue& queue, const QueueEntry& refused);
 // Removes and returns the first runnable entry in scheduling order.
 std::optional<QueueEntry> popNextRunnable(MemberQueue& queue, TimePoint now, const std::function<bool(const QueueEntry&)>& isRunnable);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -233,6 +233,10 @@
         if (m_view.groups[target.group].primary.member == target.member)
             raiseAlarm(target.group, reason);
     };
+    observer.getAccountWeight = [this](const std::string& account) {
+        auto& accounts = m_view.configuration.accounts;
+        return accounts ? decisions::getAccountWeight(*accounts, account) : 1;
+    };
     observer.onConnectionRefused = [](const TargetAddress& target, size_t open, const std::string& reason) {
         base::logEvent(LogClass::State, "connection-refused", { { "member", std::string_view(target.member) }, { "group", std::string_view(target.group) }, { "open", static_cast<int64_t>(open) }, { "reason", std::string_view(reason) } });
     };
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -40,6 +40,7 @@
 {
     m_limits = limits;
     m_queue.concurrency = limits.concurrency;
+    m_queue.shares.isEnabled = limits.isPerAccount;
 }
 
 static bool isInTransaction(RequestKind kind)
@@ -54,7 +55,16 @@
 
 decisions::QueueEntry TargetPool::makeQueueEntry(const Job& job)
 {
-    return { job.number, getScheduling(job.request), { job.request.database, isInTransaction(job.request.kind) }, job.submittedAt };
+    return { job.number, getScheduling(job.request), { job.request.database, isInTransaction(job.request.kind) }, job.submittedAt, job.account };
+}
+
+uint32_t TargetPool::identifyAccount(const std::string& account)
+{
+    if (!m_limits.isPerAccount)
+        return 0;
+    auto number = decisions::getAccountNumber(m_queue.shares, account);
+    m_queue.shares.accounts[number].weight = m_observer.getAccountWeight(account);
+    return number;
 }
 
 void TargetPool::submit(StatementRequest request, RequestCallback done)
@@ -69,8 +79,9 @@
         return;
     }
     job->number = ++m_lastQueueNumber;
+    job->account = identifyAccount(job->request.account);
     m_waitingJobs[job->number] = job;
-    refuseEntries(decisions::admit(m_queue, makeQueueEntry(*job), now), "");
+    refuseEntries(decisions::admit(m_queue, makeQueueEntry(*job), now), false);
     if (!m_isDispatching) {
         m_isDispatching = true;
         boost::asio::post(m_executor, [self = shared_from_this()] {
@@ -88,15 +99,27 @@
     m_queue.entries.push_back(makeQueueEntry(*job));
 }
 
-// Fails the jobs of entries that the queue refused or expired. None of them was sent.
-void TargetPool::refuseEntries(const std::vector<decisions::QueueEntry>& entries, const std::string& reason)
+// Fails the jobs of entries that the queue refused on arrival or removed. None of them was sent.
+void TargetPool::refuseEntries(const std::vector<decisions::QueueEntry>& entries, bool wasQueued)
 {
     for (auto& it : entries) {
         auto job = m_waitingJobs.at(it.number);
         m_waitingJobs.erase(it.number);
-        auto wait = milliseconds(static_cast<int64_t>(decisions::getTotalWaitMs(m_queue)));
+        bool isAboveShare = decisions::getShareRank(m_queue.shares, it.account) > 0;
+        if (m_limits.isPerAccount) {
+            std::string_view reason = isAboveShare ? "above-share" : wasQueued ? "waited"
+                : m_queue.overload.isSustained                                 ? "overload"
+                                                                               : "deadline";
+            base::incrementCounter(base::MetricFamily::AccountRefused, { { "member", m_target.member }, { "reason", reason } });
+        }
+        if (wasQueued && !m_limits.isPerAccount) {
+            finish(job, decisions::makeFailure(ErrorKind::Overloaded, "not sent before its deadline or the queue's wait limit"));
+            continue;
+        }
+        auto wait = milliseconds(static_cast<int64_t>(decisions::getRetryAfterMs(m_queue, it)));
         auto retryAfter = decisions::jitterRetryAfter(std::max(wait, kMinRetryAfter), base::getRandom());
-        finish(job, decisions::makeFailure(ErrorKind::Overloaded, reason.empty() ? fmt::format("overloaded: {} statements queued at {:.0f} ms each{}; retry after {} ms", m_waitingJobs.size(), m_queue.workMs, m_queue.overload.isSustained ? " for a sustained time" : "", retryAfter.count()) : reason));
+        auto reason = wasQueued ? "not sent before its deadline or the queue's wait limit" : fmt::format("overloaded: {} statements queued at {:.0f} ms each{}", m_waitingJobs.size(), m_queue.workMs, m_queue.overload.isSustained ? " for a sustained time" : "");
+        finish(job, decisions::makeFailure(ErrorKind::Overloaded, fmt::format("{}{}; retry after {} ms", reason, isAboveShare ? "; the client account uses more than its share of the member" : "", retryAfter.count())));
     }
 }
 
@@ -120,8 +143,12 @@
     auto& request = job.request;
     if (now < job.retryAt || isHeld(job, now) || (m_logComparison != LogComparison::NotNeeded && needsPrimary(request)))
         return false;
-    auto transactions = m_transactions.size();
-    return request.kind != RequestKind::Begin || transactions + std::min(kReservedConnections, m_limits.maxConnections - 1) < m_limits.maxConnections;
+    return request.kind != RequestKind::Begin || decisions::canBeginTransaction(m_queue.shares, job.account, getTransactionPlaces(), m_transactions.size());
+}
+
+size_t TargetPool::getTransactionPlaces() const
+{
+    return m_limits.maxConnections - std::min(kReservedConnections, m_limits.maxConnections - 1);
 }
 
 bool TargetPool::isRunnable(const Job& job, TimePoint now) const
@@ -151,6 +178,7 @@
         return nullptr;
     auto job = m_waitingJobs.at(next->number);
     m_waitingJobs.erase(next->number);
+    job->chargedMs = next->chargedMs;
     return job;
 }
 
@@ -194,14 +222,17 @@
         if (!job)
             break;
         if (!decisions::isWorthSending(getScheduling(job->request), now, m_queue.workMs) && job->request.statement.kind != StatementKind::Commit) {
+            decisions::settleCharge(m_queue, job->account, job->chargedMs, 0);
             finish(job, decisions::makeFailure(ErrorKind::Overloaded, "queued too long to be answered before the deadline"));
             continue;
         }
         auto session = findSession(*job);
         if (session)
             startJob(job, session);
-        else // its transaction lost its connection while the job was queued
+        else { // its transaction lost its connection while the job was queued
+            decisions::settleCharge(m_queue, job->account, job->chargedMs, 0);
             finish(job, decisions::makeFailure(ErrorKind::TransactionAborted, "the connection of the transaction was lost"));
+        }
     }
     openSessions(now);
 }
@@ -274,7 +305,7 @@
             continue;
         }
         auto opening = m_openingByAccount.find(std::string(account));
-        demands.push_back({ account, 1, opening == m_openingByAccount.end() ? 0 : opening->second });
+        demands.push_back({ account, 1, opening == m_openingByAccount.end() ? 0 : opening->second, decisions::getKeptConnections(m_queue.shares, it.account, m_limits.maxConnections) });
     }
     return demands;
 }
@@ -391,7 +422,8 @@
     bool isReadOnly = job->request.kind == RequestKind::Begin && job->request.isReadOnly;
     if (job->request.kind == RequestKind::Begin) {
         session->transaction = job->request.transaction;
-        m_transactions[job->request.transaction] = { session, { job->request.database, true } };
+        m_transactions[job->request.transaction] = { session, { job->request.database, true }, job->account };
+        ++m_queue.shares.accounts[job->account].openTransactions;
     }
     auto knownMark = m_observer.getKnownMark(m_target);
     session->sendStatement(m_codec.formatBegin(isReadOnly, job->request.atLeast), [self = shared_from_this(), job, session, sentAt, isReadOnly, knownMark](const Outcome& outcome) {
@@ -469,6 +501,7 @@
         return;
     if (it->second.slotMs > 0)
         decisions::recordOperationCost(m_queue.costs, it->second.kind, it->second.slotMs);
+    --m_queue.shares.accounts[it->second.account].openTransactions;
     m_transactions.erase(it);
 }
 
@@ -487,8 +520,11 @@
 void TargetPool::completeJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome)
 {
     auto it = std::ranges::find(m_runningJobs, job, &std::pair<JobPtr, SessionPtr>::first);
-    if (it != m_runningJobs.end())
+    if (it != m_runningJobs.end()) {
         m_runningJobs.erase(it);
+        std::chrono::duration<double, std::milli> used = Clock::now() - job->startedAt;
+        decisions::settleCharge(m_queue, job->account, job->chargedMs, used.count());
+    }
     if (session->isOpen()) {
         std::chrono::duration<double, std::milli> elapsed = Clock::now() - job->startedAt;
         m_lastAnswerAt = Clock::now();
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -52,6 +52,8 @@
     // A connection could not be opened, or it failed or timed out while an answer was pending.
     std::function<void(const TargetAddress&, const std::string& reason)> onConnectionFailure;
     std::function<void(const TargetAddress&)> onAnswer;
+    // Returns the account's weight in sharing the target with other accounts, above 0.
+    std::function<double(const std::string& account)> getAccountWeight;
     // The target refused another connection; this host has `open` connections to it.
     std::function<void(const TargetAddress&, size_t open, const std::string& reason)> onConnectionRefused;
 };
@@ -120,6 +122,8 @@
         TimePoint retryAt {}; // earliest time of the next attempt after the target was busy
         unsigned busyCount { 0 };
         uint64_t number { 0 }; // of its queue entry
+        uint32_t account { 0 }; // number in AccountShares
+        double chargedMs { 0 }; // slot time that its account was charged when it was dequeued
         bool isHedge { false }; // second attempt of a read whose first answer is overdue but may still arrive
         bool isStalled { false }; // its answer is probably lost, so it no longer counts against the concurrency limit
         bool isDone() const { return !*done; }
@@ -129,12 +133,16 @@
     struct OpenTransaction {
         SessionPtr session;
         decisions::OperationKind kind;
+        uint32_t account { 0 }; // number in AccountShares
         double slotMs { 0 }; // slot time used at the target so far, in ms
     };
 
     static decisions::QueueEntry makeQueueEntry(const Job& job);
     void enqueue(const JobPtr& job);
-    void refuseEntries(const std::vector<decisions::QueueEntry>& entries, const std::string& reason);
+    void refuseEntries(const std::vector<decisions::QueueEntry>& entries, bool wasQueued);
+    uint32_t identifyAccount(const std::string& account);
+    size_t getTransactionPlaces() const;
+    void logCompetition(TimePoint now);
     size_t countWaitingForConnection() const;
     bool isHeld(const Job& job, TimePoint now) const;
     void failWaitingIf(const std::function<bool(const Job&)>& mustFail, const decisions::Error& error);
@@ -189,6 +197,8 @@
     decisions::MemberQueue m_queue;
     std::unordered_map<uint64_t, JobPtr> m_waitingJobs; // by number of the queue entry
     uint64_t m_lastQueueNumber { 0 };
+    bool m_wasCompeting { false }; // as last logged
+    TimePoint m_competitionLoggedAt {};
     std::vector<std::pair<JobPtr, SessionPtr>> m_runningJobs;
     std::vector<SessionPtr> m_sessions; // open connections
     unsigned m_openingCount { 0 };
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -1,6 +1,8 @@
 // The periodic work of a target pool: stalled and overdue jobs, silent and unused connections, keep-alives and proofs of the primary.
+#include "base/event_log.h"
 #include "gateway/target_pool.h"
 #include <algorithm>
+#include <fmt/ranges.h>
 
 namespace alderward::gateway {
 
@@ -12,6 +14,7 @@
 static constexpr milliseconds kSilenceTimeout { 300 }; // for messages that need no slot of the target
 static constexpr milliseconds kIdleTimeoutAsForwarder { 10000 };
 static constexpr milliseconds kIdleTimeoutOtherwise { 500 }; // the forwarder needs the connections
+static constexpr milliseconds kCompetitionLogInterval { 1000 }; // an overload can come and go many times a second
 static constexpr double kStallFactor = 8; // times the typical time of a statement
 static constexpr milliseconds kMinStallTimeout { 150 }; // tolerates short network delays
 
@@ -25,9 +28,26 @@
     queryPosition(now);
     sendKeepAlives(now);
     closeUnusedSessions(now);
+    logCompetition(now);
     dispatch();
 }
 
+// Logs when accounts begin or cease to compete for the target, at most once per interval.
+void TargetPool::logCompetition(TimePoint now)
+{
+    auto& shares = m_queue.shares;
+    if (!m_limits.isPerAccount || shares.isCompeting == m_wasCompeting || now - m_competitionLoggedAt < kCompetitionLogInterval)
+        return;
+    m_wasCompeting = shares.isCompeting;
+    m_competitionLoggedAt = now;
+    std::vector<std::string_view> above;
+    for (uint32_t i = 1; i < shares.accounts.size(); ++i) {
+        if (decisions::getShareRank(shares, i) > 0)
+            above.push_back(shares.accounts[i].name);
+    }
+    base::logEvent(base::LogClass::State, "accounts-compete", { { "member", std::string_view(m_target.member) }, { "competing", shares.isCompeting }, { "waiting", static_cast<int64_t>(m_queue.entries.size()) }, { "above_share", std::string_view(fmt::format("{}", fmt::join(above, " "))) } });
+}
+
 milliseconds TargetPool::getStallTimeout() const
 {
     return std::max(kMinStallTimeout, milliseconds(static_cast<int64_t>(kStallFactor * m_queue.workMs)));
@@ -81,7 +101,7 @@
 
 void TargetPool::failOverdueJobs(TimePoint now)
 {
-    refuseEntries(decisions::removeExpired(m_queue, now), "not sent before its deadline or the queue's wait limit");
+    refuseEntries(decisions::removeExpired(m_queue, now), true);
     auto running = m_runningJobs;
     for (auto& [job, session] : running) {
         if (now < job->request.deadline)
