Account shares: no charge for lost answers, no ranks once disabled

Cause: a statement whose answer was lost charged its account the time until its deadline, although it no longer counted against the concurrency limit. A pool whose configuration stops listing accounts kept the ranks of the last update.

Change: a stalled statement is charged its typical time; updateShares clears the competition when sharing is disabled. A test guards against a queue filled by one account at which the others are refused.

--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -168,8 +168,10 @@
 void updateShares(MemberQueue& queue, TimePoint now)
 {
     auto& shares = queue.shares;
-    if (!shares.isEnabled)
+    if (!shares.isEnabled) {
+        shares.isCompeting = false;
         return;
+    }
     for (auto& it : shares.accounts)
         it.waiting = it.waitingTransactions = 0;
     bool isTolerable = !queue.overload.isSustained;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -523,7 +523,8 @@
     if (it != m_runningJobs.end()) {
         m_runningJobs.erase(it);
         std::chrono::duration<double, std::milli> used = Clock::now() - job->startedAt;
-        decisions::settleCharge(m_queue, job->account, job->chargedMs, used.count());
+        // A stalled statement occupies no slot as far as the pool knows; the account is not charged for a lost answer.
+        decisions::settleCharge(m_queue, job->account, job->chargedMs, job->isStalled ? job->chargedMs : used.count());
     }
     if (session->isOpen()) {
         std::chrono::duration<double, std::milli> elapsed = Clock::now() - job->startedAt;
--- a/tests/unit/account_shares_test.cpp
+++ b/tests/unit/account_shares_test.cpp
@@ -464,6 +464,30 @@
     BOOST_TEST((planOpening(pooled, { { "hot", 9, 0, 3 } }, { 3, 0, 1 }, at(5)) == OpeningPlan { "hot", 2 }));
 }
 
+// Guards against a queue filled by one account at which the statements of all others are refused.
+BOOST_AUTO_TEST_CASE(accounts_above_their_share_are_refused_first)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto hot = getAccountNumber(queue.shares, "hot");
+    auto mill = getAccountNumber(queue.shares, "mill");
+    queue.overload = { true, at(0), at(0) };
+    auto admitFrom = [&](uint32_t account, uint64_t number) {
+        auto now = at(static_cast<double>(number) / 10); // a tenth of a ms apart
+        return admit(queue, { .number = number, .scheduling = { false, 0, now + milliseconds(1000), now + milliseconds(2000) }, .arrivedAt = now, .account = account }, now).empty();
+    };
+    uint64_t number = 0;
+    while (admitFrom(hot, ++number))
+        BOOST_REQUIRE(number < 1000);
+    BOOST_TEST(!admitFrom(mill, ++number)); // neither has used more than its share yet
+    chargeAccount(queue.shares, hot, 400);
+    BOOST_TEST(!admitFrom(hot, ++number));
+    BOOST_TEST(admitFrom(mill, ++number));
+    BOOST_TEST(popNextRunnable(queue, at(5), [](const QueueEntry&) { return true; })->account == mill);
+    queue.shares.isEnabled = false;
+    BOOST_TEST(!admitFrom(mill, ++number)); // as without accounts
+}
+
 // Callers refused together are told different times, as the account's share has capacity for one after another.
 BOOST_AUTO_TEST_CASE(the_retry_time_follows_from_the_rate_at_which_the_account_is_served)
 {
