Larger bursts of paced quotas, and more for the less urgent priorities

Change: 0.45 of the tolerance in the capacity (the reserve falls to 0.4), and 0.3 of the pace divided among the less urgent priorities.

Ruled out: 0.2 of the pace for each (the most urgent priority is refused at 7.5 times the usual load); 0.6 and 0.7 of the tolerance pass all chains of failures too, but leave less for operations that wait in queues.

--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -6,7 +6,7 @@
 namespace alderward::decisions {
 
 static constexpr double kPaceToleranceShare = 0.15; // of the tolerance of a window, added to the refill rate; keeps short fluctuations of an account just below its quota from being refused
-static constexpr double kCapacityToleranceShare = 0.25; // of the tolerance, added to the burst; the rest is the reserve
+static constexpr double kCapacityToleranceShare = 0.45; // of the tolerance, added to the burst; the rest is the reserve
 static constexpr double kStrictEnterRatio = 0.5; // of the capacity; the rest absorbs operations that begin before all hosts know that the account is strict
 static constexpr double kStrictLeaveRatio = 0.8; // above kStrictEnterRatio, so that accounts do not alternate between strict and not strict
 static constexpr double kMaxUnreportedRatio = 0.35; // of the capacity, over all hosts; these operations are missing from the count if hosts die
@@ -18,7 +18,7 @@
 static constexpr milliseconds kUrgentReserveTime { 500 }; // of requests that a less urgent priority leaves tokens for; about the time in which it refills
 static constexpr double kUrgentReserveDeviations = 3; // standard deviations of the number of requests in that time, added to its mean
 static constexpr double kMaxUrgentReserve = 0.5; // of the capacity
-static constexpr double kGuaranteedShare = 0.1; // of the pace, for each priority but the most urgent one
+static constexpr double kGuaranteedShare = 0.3; // of the pace, divided among all priorities but the most urgent one
 static constexpr milliseconds kMaxGrantDelay { 100 }; // callers below their quota wait this long for a bucket that was just started; well below latency objectives
 static constexpr milliseconds kMinBlockTime { 20 };
 static constexpr milliseconds kMaxBlockTime { 100 }; // kept short because the bucket's refill rate can grow in the meantime
@@ -256,8 +256,9 @@
 {
     if (tracked.demands.begin()->first == priority)
         return false;
+    auto share = kGuaranteedShare * pace / static_cast<double>(tracked.demands.size() - 1);
     auto& bucket = tracked.demands[priority].guaranteed;
-    bucket = refillBucket(bucket, kGuaranteedShare * pace, std::max(1.0, kGuaranteedShare * pace), now);
+    bucket = refillBucket(bucket, share, std::max(1.0, share), now);
     if (bucket.level < 1)
         return false;
     bucket.level -= 1;
