Sessions that lost an unconfirmed entry keep seeing their acknowledged writes

Cause: the token of that answer had no mark of the group any more, so that the next read demanded nothing and a lagging replica served it. A session's mark may cover entries that no replica holds, because a read at the primary returns the end of its log.

Evidence, from the test: orders-a acknowledges a write at term 1, position 2, confirmed by orders-b; the session reads an unconfirmed entry at 1.3; orders-b is promoted (2.3); the session's write is refused with a token without a mark; its read goes to orders-c, which holds 1.1, and is answered with no value.

Change: the token continues with the first entry of the later term in the log that lost the mark. A promotion wrote it, so that every entry that a majority held before is in front of it.

Why it holds: a log that contains that entry contains every replicated write of the terms up to the session's mark, and members check the mark themselves. In the mode "primary" acknowledged writes may be lost in a promotion, as before.

--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -83,12 +83,17 @@
     case ErrorKind::NotCaughtUp:
         return "no reachable member has caught up with the session";
     case ErrorKind::SessionWritesLost:
-        return "a change of primary lost writes that this session had seen; continue with the returned token or without one";
+        return "a change of primary lost writes that this session had seen; continue with the returned token";
     default:
         return "no member that can serve the request is reachable";
     }
 }
 
+static decisions::Error makeRefusal(const decisions::Route& route)
+{
+    return { route.reason, describeWait(route.reason), {}, route.markAfterLoss };
+}
+
 asio::awaitable<Result<Outcome>> GroupController::runRead(GroupRequest request)
 {
     auto freshnessDeadline = std::min(request.deadline, Clock::now() + kMaxFreshnessWait);
@@ -96,7 +101,7 @@
     for (;;) {
         auto route = decisions::routeRead(m_state.health, getLoads(), requirements, Clock::now());
         if (route.kind == RouteKind::Refuse)
-            co_return fail(route.reason, describeWait(route.reason));
+            co_return tl::make_unexpected(makeRefusal(route));
         bool canCatchUp = route.reason == ErrorKind::NotCaughtUp;
         if (route.kind == RouteKind::Wait && isDue(canCatchUp ? request.deadline : freshnessDeadline))
             co_return fail(route.reason, describeWait(route.reason), kRetryAfter);
@@ -198,7 +203,7 @@
 asio::awaitable<std::optional<decisions::Error>> GroupController::holdWrite(const GroupRequest& request, const decisions::Route& route)
 {
     if (route.kind == RouteKind::Refuse)
-        co_return decisions::Error { route.reason, describeWait(route.reason) };
+        co_return makeRefusal(route);
     if (isDue(request.deadline))
         co_return decisions::Error { route.reason, describeWait(route.reason), kRetryAfter };
     if (!canHoldWrites()) {
--- a/src/decisions/errors.h
+++ b/src/decisions/errors.h
@@ -1,6 +1,7 @@
 // All errors that a caller can get, with the HTTP status and retry semantics of each.
 // docs/ERRORS.md documents the same table for callers; a unit test checks that both agree.
 #pragma once
+#include "decisions/mark.h"
 #include <chrono>
 #include <optional>
 #include <span>
@@ -65,6 +66,7 @@
     ErrorKind kind { ErrorKind::Internal };
     std::string message {}; // human-readable
     milliseconds retryAfter { 0 }; // suggested delay before a retry; 0: none
+    Mark markAfterLoss {}; // SessionWritesLost: the mark with which the session continues
     friend bool operator==(const Error&, const Error&) = default;
 };
 
--- a/src/decisions/routing.cpp
+++ b/src/decisions/routing.cpp
@@ -29,6 +29,8 @@
     bool anyBehind { false };
     bool anyTooOld { false };
     size_t lost { 0 };
+    uint64_t newestLostTerm { 0 }; // newest term of a log that has lost the mark
+    Mark markAfterLoss {}; // in that log
 };
 
 }
@@ -77,6 +79,10 @@
     switch (getContainment(log, need.mark)) {
     case Containment::Lost:
         ++rejections.lost;
+        if (log.term > rejections.newestLostTerm) {
+            rejections.newestLostTerm = log.term;
+            rejections.markAfterLoss = getMarkAfterLoss(log, need.mark);
+        }
         return std::nullopt;
     case Containment::Behind:
         rejections.anyBehind = true;
@@ -106,7 +112,7 @@
 static Route refuseRead(const ReadRejections& rejections, const GroupHealth& health)
 {
     if (rejections.lost > 0 && rejections.lost > health.members.size() / 2)
-        return { RouteKind::Refuse, 0, {}, ErrorKind::SessionWritesLost };
+        return { RouteKind::Refuse, 0, {}, ErrorKind::SessionWritesLost, rejections.markAfterLoss };
     if (rejections.anyTooOld)
         return { RouteKind::Wait, 0, {}, ErrorKind::TooStale };
     if (rejections.anyBehind || rejections.anyReachable)
@@ -134,7 +140,7 @@
         return { RouteKind::Wait, 0, {}, ErrorKind::NoPrimary };
     auto& log = health.members[*health.primary].status.log;
     if (log.term == health.term && getContainment(log, mark) == Containment::Lost)
-        return { RouteKind::Refuse, 0, {}, ErrorKind::SessionWritesLost };
+        return { RouteKind::Refuse, 0, {}, ErrorKind::SessionWritesLost, getMarkAfterLoss(log, mark) };
     if (mark.term > health.term)
         return { RouteKind::Wait, 0, {}, ErrorKind::NotCaughtUp };
     return { RouteKind::Member, *health.primary, {}, {} };
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -34,6 +34,7 @@
     size_t member { 0 };
     milliseconds waitForPosition { 0 }; // how long the member may wait to reach the session's mark
     ErrorKind reason { ErrorKind::NoPrimary }; // the error for Refuse, and for Wait when the deadline passes
+    Mark markAfterLoss {}; // SessionWritesLost: the mark with which the session continues
     friend bool operator==(const Route&, const Route&) = default;
 };
 
--- a/src/decisions/session.cpp
+++ b/src/decisions/session.cpp
@@ -29,6 +29,12 @@
     return log.term > mark.term ? Containment::Lost : Containment::Behind;
 }
 
+Mark getMarkAfterLoss(const LogState& log, const Mark& lost)
+{
+    auto it = std::ranges::upper_bound(log.history, lost.term, {}, &TermStart::term);
+    return it == log.history.end() ? Mark { log.term, log.position } : Mark { it->term, it->position };
+}
+
 void raiseMark(SessionMarks& marks, const std::string& group, const Mark& mark)
 {
     auto& known = marks[group];
--- a/src/decisions/session.h
+++ b/src/decisions/session.h
@@ -2,6 +2,7 @@
 // The token that the caller sends holds the complete session state (docs/design/0001-session-token.md).
 #pragma once
 #include "decisions/errors.h"
+#include "decisions/mark.h"
 #include <cstdint>
 #include <map>
 #include <string>
@@ -9,13 +10,6 @@
 
 namespace alderward::decisions {
 
-// A position in a group's log. Compared by term first.
-struct Mark {
-    uint64_t term { 0 }; // 0: nothing seen yet
-    uint64_t position { 0 }; // index of the log entry, from 1
-    friend auto operator<=>(const Mark&, const Mark&) = default;
-};
-
 // The start of a term in a member's log. A promotion writes the first entry of its term.
 struct TermStart {
     uint64_t term { 0 };
@@ -41,6 +35,10 @@
 // safer than a missed one.
 Containment getContainment(const LogState& log, const Mark& mark);
 
+// The mark with which a session continues whose `lost` mark the log has lost: the log's first entry of a later term. It follows
+// every replicated write of the terms up to that of `lost`, so the session still sees its acknowledged writes.
+Mark getMarkAfterLoss(const LogState& log, const Mark& lost);
+
 // A session's marks by group.
 using SessionMarks = std::map<std::string, Mark>;
 
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -39,11 +39,12 @@
     return { row.status, json::serialize(answer), retryAfter };
 }
 
-// After the error that reports lost writes, the session continues from the group's present state.
+// After the error that reports lost writes, the session continues from the promotion that lost them. Without a mark, a lagging
+// replica could serve its next read without the session's acknowledged writes.
 static Reply makeErrorReply(const Services& services, RequestContext& context, const Error& error)
 {
     if (error.kind == ErrorKind::SessionWritesLost)
-        context.marks.erase(context.group);
+        context.marks[context.group] = error.markAfterLoss;
     return replyWithError(error, decisions::encodeToken(context.marks, services.node.settings.sessionKey));
 }
 
--- /dev/null
+++ b/tests/process/answers_test.cpp
@@ -0,0 +1,84 @@
+// Answers that must stay correct when a primary is replaced, or a record changes, at one particular moment of a request.
+#include "harness/harness.h"
+#include "links/json_fields.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <thread>
+
+using namespace harness;
+using alderward::links::getNumber;
+using alderward::links::getString;
+
+namespace {
+
+// Replication that is due after the test's end.
+constexpr int kNever = 600000; // ms
+
+// Stops replication to a replica. A pull that was sent with the former lag may still deliver entries for 40 ms.
+void stopReplication(Cluster& cluster, const std::string& member)
+{
+    cluster.setMember(member, { { "lagMs", kNever } });
+    std::this_thread::sleep_for(milliseconds(100));
+}
+
+uint64_t getPosition(Cluster& cluster, const std::string& member)
+{
+    return getNumber(cluster.getMemberStats(member), "position");
+}
+
+Answer fence(Cluster& cluster, const std::string& member, uint64_t term)
+{
+    return Client(cluster.getMemberAddress(member)).post("/member/fence", { { "term", term }, { "proposer", "test" } });
+}
+
+// Replaces the primary as a home would, so that the moment is the test's choice.
+void promote(Cluster& cluster, const std::string& member, uint64_t term)
+{
+    auto& members = cluster.getOptions().groups.front().members;
+    for (auto& it : members)
+        fence(cluster, it, term);
+    auto promoted = Client(cluster.getMemberAddress(member)).post("/member/promote", { { "term", term }, { "proposer", "test" } });
+    BOOST_TEST(promoted.status == 200u);
+    for (auto& it : members) {
+        if (it != member)
+            Client(cluster.getMemberAddress(it)).post("/member/follow", { { "term", term }, { "primary", member }, { "address", cluster.getMemberAddress(member) } });
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(answers)
+
+// Guards against a read that misses an acknowledged write of its session. The session has also seen an entry that was not
+// replicated; after the promotion that loses this entry, the returned token must still demand the acknowledged write.
+BOOST_AUTO_TEST_CASE(session_that_lost_an_unconfirmed_entry_still_sees_its_acknowledged_write)
+{
+    Cluster cluster(makeSmallOptions());
+    cluster.startAll();
+    stopReplication(cluster, "orders-c");
+    Caller caller(cluster.getCallerAddress(0));
+    auto acknowledged = caller.write("orders", "SET a 1", "k1");
+    BOOST_REQUIRE_EQUAL(acknowledged.status, 200u);
+    BOOST_TEST_MESSAGE("acknowledged: " << json::serialize(acknowledged.body));
+    stopReplication(cluster, "orders-b");
+    auto unconfirmed = Caller(cluster.getCallerAddress(1)).write("orders", "SET b 2", "k2", 400);
+    BOOST_TEST(getRanField(unconfirmed) == "unknown");
+    auto seen = caller.read("orders", "GET b", 0);
+    BOOST_TEST(getResult(seen) == "2");
+    BOOST_TEST_MESSAGE("unconfirmed entry seen: " << json::serialize(seen.body));
+    cluster.getMember("orders-a").kill();
+    Answer lost;
+    BOOST_TEST(waitUntil(milliseconds(8000), [&] {
+        lost = caller.write("orders", "SET c 3", "k3", 500);
+        return getErrorKind(lost) == "session-writes-lost";
+    }));
+    BOOST_TEST_MESSAGE("lost: " << json::serialize(lost.body));
+    // orders-b holds the acknowledged write, orders-c does not.
+    BOOST_TEST(getPosition(cluster, "orders-c") == 1u);
+    auto after = caller.read("orders", "GET a");
+    BOOST_TEST(after.status == 200u, json::serialize(after.body));
+    BOOST_TEST(getResult(after) == "1", json::serialize(after.body));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -81,7 +81,9 @@
     auto route = routeRead(health, kIdle, { { 1, 60 }, {} }, at(11));
     BOOST_TEST((route.kind == RouteKind::Refuse));
     BOOST_TEST((route.reason == ErrorKind::SessionWritesLost));
+    BOOST_TEST((route.markAfterLoss == Mark { 2, 50 }));
     BOOST_TEST((routeWrite(health, kIdle, { 1, 60 }).kind == RouteKind::Refuse));
+    BOOST_TEST((routeWrite(health, kIdle, { 1, 60 }).markAfterLoss == Mark { 2, 50 }));
     BOOST_TEST((routeWrite(health, kIdle, { 1, 49 }).kind == RouteKind::Member));
 }
 
--- a/tests/unit/session_test.cpp
+++ b/tests/unit/session_test.cpp
@@ -59,4 +59,17 @@
     BOOST_TEST((getContainment(log, { 3, 10 }) == Containment::Lost));
 }
 
+// Guards against a session that continues without any mark after a loss and then reads a replica that lacks its acknowledged writes.
+BOOST_AUTO_TEST_CASE(session_continues_after_a_loss_from_the_promotion_that_lost_the_entry)
+{
+    LogState log { 3, 120, { { 1, 1 }, { 2, 90 }, { 3, 110 } } };
+    auto mark = getMarkAfterLoss(log, { 1, 95 });
+    BOOST_TEST((mark == Mark { 2, 90 }));
+    BOOST_TEST((getContainment(log, mark) == Containment::Contained));
+    // A replica that holds none of the acknowledged entries 1 to 89, or only some, does not contain the mark.
+    BOOST_TEST((getContainment({ 1, 40, { { 1, 1 } } }, mark) == Containment::Behind));
+    // The history is too short to hold the promotion: the newest entry is after it.
+    BOOST_TEST((getMarkAfterLoss({ 3, 120, {} }, { 1, 95 }) == Mark { 3, 120 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
