Transactions name their member, not its place in the record

What callers saw: after a change of a record that reorders its members, the commit of a transaction begun before could be acknowledged although only the primary held it, and its answer named another member.

Cause: a transaction kept its member's index. The confirmation left out the member of that name as the one whose vote is counted already, and counted the real primary's reply as a replica's. `runBegin` also used an index after waiting for a connection, beyond the end of the list if the record had become shorter.

Change: requests keep the member's pool and name and look the index up after each wait; a transaction begun at a member that was removed meanwhile is closed and begun anew.

Left: the vote of a primary that the record drops while its write waits for the confirmation is still counted.

--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -117,7 +117,8 @@
     struct Transaction {
         Lease lease;
         uint64_t term { 0 };
-        size_t member { 0 };
+        std::shared_ptr<Pool> pool; // of its member; an index would name another member after a change of the record
+        std::string member; // name
         uint64_t epoch { 0 };
         bool isBusy { false };
         base::TimePoint lastUsedAt {};
@@ -177,7 +178,8 @@
     boost::asio::awaitable<decisions::Result<Outcome>> runInTransaction(GroupRequest request);
     boost::asio::awaitable<links::TargetResult<links::ExecuteResult>> sendInTransaction(const GroupRequest& request, Transaction& transaction);
     void endTransaction(const std::string& name, bool canReuseConnection);
-    decisions::Result<Outcome> handleTargetFailure(const links::TargetFailure& failure, size_t member);
+    decisions::Result<Outcome> handleTargetFailure(const links::TargetFailure& failure, const std::shared_ptr<Pool>& pool);
+    std::optional<size_t> findMember(const std::shared_ptr<Pool>& pool) const;
     boost::asio::awaitable<decisions::Result<size_t>> findPrimary(const GroupRequest& request);
     boost::asio::awaitable<std::optional<decisions::Error>> holdWrite(const GroupRequest& request, const decisions::Route& route);
     bool canHoldWrites() const;
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -146,7 +146,7 @@
     auto latency = Clock::now() - sentAt;
     if (!answer) {
         releaseAfterFailure(*lease, answer.error());
-        co_return handleTargetFailure(answer.error(), index);
+        co_return handleTargetFailure(answer.error(), pool);
     }
     lease->release();
     pool->recordLatency(latency);
@@ -272,12 +272,12 @@
     auto ranAt = Clock::now();
     if (!answer) {
         releaseAfterFailure(*lease, answer.error());
-        co_return handleTargetFailure(answer.error(), index);
+        co_return handleTargetFailure(answer.error(), pool);
     }
     lease->release();
     pool->recordLatency(ranAt - sentAt);
-    if (index < m_members.size() && m_members[index].record.name == member)
-        handlePiggybackedStatus(index, answer->piggybackedStatus, sentAt);
+    if (auto present = findMember(pool))
+        handlePiggybackedStatus(*present, answer->piggybackedStatus, sentAt);
     Outcome outcome;
     outcome.result = std::move(answer->result);
     outcome.mark = answer->mark;
@@ -308,12 +308,19 @@
     co_return fail(ErrorKind::OutcomeUnknown, "the write ran, but a majority did not confirm it in time", kRetryAfter);
 }
 
+// A member keeps its pool while its name and address stay in the record; its index may change.
+std::optional<size_t> GroupController::findMember(const std::shared_ptr<Pool>& pool) const
+{
+    auto it = std::ranges::find(m_members, pool, &Member::pool);
+    return it == m_members.end() ? std::nullopt : std::optional(static_cast<size_t>(it - m_members.begin()));
+}
+
 // Converts a member's failure into an error, and probes members whose state may have changed.
-Result<Outcome> GroupController::handleTargetFailure(const links::TargetFailure& failure, size_t member)
+Result<Outcome> GroupController::handleTargetFailure(const links::TargetFailure& failure, const std::shared_ptr<Pool>& pool)
 {
     if (!failure.refusal) {
-        if (member < m_members.size())
-            m_members[member].probeTimer->cancel();
+        if (auto member = findMember(pool))
+            m_members[*member].probeTimer->cancel();
         if (!failure.link.mayHaveArrived)
             return fail(ErrorKind::NoPrimary, failure.link.reason, kRetryAfter);
         return fail(ErrorKind::OutcomeUnknown, "the request was sent but not answered: " + failure.link.reason, kRetryAfter);
--- a/src/controllers/group_transactions.cpp
+++ b/src/controllers/group_transactions.cpp
@@ -28,32 +28,39 @@
         if (!primary)
             co_return tl::make_unexpected(primary.error());
         auto term = m_state.health.term;
-        auto lease = co_await m_members[*primary].pool->acquire(Lane::Write, request.deadline, true);
+        auto member = m_members[*primary].record.name;
+        auto pool = m_members[*primary].pool;
+        auto lease = co_await pool->acquire(Lane::Write, request.deadline, true);
         if (!lease)
             co_return tl::make_unexpected(lease.error());
         auto answer = co_await links::beginTransaction(lease->getLink(), m_node.settings.name, term, request.deadline);
         if (!answer) {
             lease->discard();
-            auto failure = handleTargetFailure(answer.error(), *primary);
+            auto failure = handleTargetFailure(answer.error(), pool);
             // Closing the connection rolls back a transaction whose begin was not answered, so begin can be repeated.
             if (isDue(request.deadline))
                 co_return fail(ErrorKind::NoPrimary, failure.error().message, kRetryAfter);
             co_await waitForHealthChange(std::min(request.deadline, Clock::now() + milliseconds(10)));
             continue;
         }
+        if (!findMember(pool)) { // removed from the record meanwhile; closing the connection rolls back
+            lease->discard();
+            continue;
+        }
         lease->releaseSlot();
         auto name = makeTransactionName(m_node.settings.name);
         auto transaction = std::make_shared<Transaction>();
         transaction->lease = std::move(*lease);
         transaction->term = term;
-        transaction->member = *primary;
+        transaction->pool = pool;
+        transaction->member = member;
         transaction->lastUsedAt = Clock::now();
         m_transactions[name] = std::move(transaction);
         ++m_openTransactions;
         base::count(Counter::Transactions);
         Outcome outcome;
         outcome.transaction = name;
-        outcome.member = m_members[*primary].record.name;
+        outcome.member = member;
         outcome.mark = request.mark;
         co_return outcome;
     }
@@ -95,7 +102,7 @@
     if (isLast || isLost)
         endTransaction(request.transaction, !isLost);
     if (!answer) {
-        auto failure = handleTargetFailure(answer.error(), transaction->member);
+        auto failure = handleTargetFailure(answer.error(), transaction->pool);
         // A lost connection rolls back a transaction that has not been committed.
         if (request.operation != Operation::Commit && isLost)
             co_return fail(ErrorKind::TransactionUnknown, "the transaction was rolled back because its connection was lost");
@@ -105,7 +112,7 @@
     }
     Outcome outcome;
     outcome.result = std::move(answer->result);
-    outcome.member = m_members.size() > transaction->member ? m_members[transaction->member].record.name : std::string();
+    outcome.member = transaction->member;
     outcome.mark = request.mark;
     outcome.wasReplayed = answer->wasReplayed;
     if (request.operation != Operation::Commit)
--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -81,4 +81,41 @@
     BOOST_TEST(getResult(after) == "1", json::serialize(after.body));
 }
 
+// Guards against the acknowledgement of a commit that only the primary holds: after a change of the record's order, the
+// primary's own reply was counted besides its vote, as if it came from a replica.
+BOOST_AUTO_TEST_CASE(commit_after_a_reordering_of_the_members_needs_a_replica)
+{
+    Cluster cluster(makeSmallOptions());
+    cluster.startAll();
+    Caller caller(cluster.getCallerAddress(0));
+    auto name = getString(caller.send("/v1/transaction/begin", { { "group", "orders" } }).body, "transaction");
+    BOOST_REQUIRE(!name.empty());
+    for (auto& it : { "orders-b", "orders-c" })
+        stopReplication(cluster, it);
+    cluster.applyRecord(cluster.getOptions().groups.front(), [](json::object& record) { std::ranges::reverse(record["members"].get_array()); });
+    std::this_thread::sleep_for(milliseconds(2000)); // until every host has applied the record
+    auto written = caller.send("/v1/statement", { { "group", "orders" }, { "kind", "write" }, { "statement", "SET a 1" }, { "transaction", name } });
+    BOOST_TEST(written.status == 200u, json::serialize(written.body));
+    auto committed = caller.send("/v1/transaction/commit", { { "group", "orders" }, { "transaction", name }, { "deadlineMs", 1000 } });
+    BOOST_TEST(getPosition(cluster, "orders-b") == 1u);
+    BOOST_TEST(getPosition(cluster, "orders-c") == 1u);
+    BOOST_TEST(getRanField(committed) == "unknown", json::serialize(committed.body));
+}
+
+// Guards against an index into the former list of members: the record changes while begin waits for its connection.
+BOOST_AUTO_TEST_CASE(begin_during_a_reordering_of_the_members_names_its_own_member)
+{
+    auto options = makeSmallOptions();
+    options.groups.front().connectMs = 3000;
+    Cluster cluster(options);
+    cluster.startAll();
+    Answer begun;
+    std::thread beginner([&] { begun = Caller(cluster.getCallerAddress(0)).send("/v1/transaction/begin", { { "group", "orders" }, { "deadlineMs", 8000 } }); });
+    std::this_thread::sleep_for(milliseconds(300));
+    cluster.applyRecord(cluster.getOptions().groups.front(), [](json::object& record) { std::ranges::reverse(record["members"].get_array()); });
+    beginner.join();
+    BOOST_REQUIRE_MESSAGE(begun.status == 200, json::serialize(begun.body));
+    BOOST_TEST(getString(begun.body.at("servedBy").as_object(), "member") == "orders-a", json::serialize(begun.body));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
