Reads are confirmed in the term in which they were sent

What callers saw: a read with `maximumAgeMs` 0 could be answered with role primary and `ageMs` 0 by a demoted primary, and miss a write that had been acknowledged before the read was sent.

Cause: whether the member is the primary was decided before the wait for a connection, and the term to be confirmed was taken from the member's status after the read. A primary that was demoted in between is in its successor's term by then, and a majority confirms that term.

Change: role and term are read when the statement is sent, the member's answer must still show that term and no later grant, and that term is confirmed. Otherwise the read is routed again.

Why it holds: a write acknowledged before the read was sent in a later term needs a majority that granted that term by then. It shares a member with the confirming majority, and that member's answer shows the grant.

Left: a target that does not report its term is judged by the term of its last log entry.

--- a/src/controllers/group.h
+++ b/src/controllers/group.h
@@ -172,7 +172,7 @@
     boost::asio::awaitable<decisions::Result<Outcome>> runWrite(GroupRequest request);
     boost::asio::awaitable<decisions::Result<Outcome>> tryRead(const GroupRequest& request, const decisions::Route& route);
     boost::asio::awaitable<decisions::Result<Outcome>> tryWrite(const GroupRequest& request, size_t member, uint64_t term);
-    boost::asio::awaitable<decisions::Result<Outcome>> checkStaleness(const GroupRequest& request, Outcome outcome, size_t member, base::TimePoint sentAt);
+    boost::asio::awaitable<decisions::Result<Outcome>> checkStaleness(const GroupRequest& request, Outcome outcome, uint64_t term, base::TimePoint sentAt);
     boost::asio::awaitable<decisions::Result<Outcome>> acknowledge(const GroupRequest& request, Outcome outcome, base::TimePoint ranAt);
     boost::asio::awaitable<decisions::Result<Outcome>> runBegin(GroupRequest request);
     boost::asio::awaitable<decisions::Result<Outcome>> runInTransaction(GroupRequest request);
--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -129,13 +129,18 @@
 
 asio::awaitable<Result<Outcome>> GroupController::tryRead(const GroupRequest& request, const decisions::Route& route)
 {
-    auto index = route.member;
-    auto member = m_members[index].record.name;
-    auto pool = m_members[index].pool;
-    bool isPrimary = m_state.health.primary == index;
+    auto member = m_members[route.member].record.name;
+    auto pool = m_members[route.member].pool;
     auto lease = co_await pool->acquire(Lane::Read, request.deadline, false);
     if (!lease)
         co_return tl::make_unexpected(lease.error());
+    // The member may have been promoted, demoted or removed during the wait for the connection.
+    auto index = findMember(pool);
+    if (!index) {
+        lease->release();
+        co_return fail(ErrorKind::NoPrimary, "the record changed before the read was sent", kRetryAfter);
+    }
+    auto term = m_state.health.primary == index ? m_state.health.term : 0;
     auto sentAt = Clock::now();
     links::ExecuteRequest message;
     message.statement = request.statement;
@@ -151,30 +156,33 @@
     lease->release();
     pool->recordLatency(latency);
     base::record(base::Latency::Read, latency);
-    if (index >= m_members.size() || m_members[index].record.name != member)
+    index = findMember(pool);
+    if (!index)
         co_return fail(ErrorKind::OutcomeUnknown, "the record changed during the read");
-    updateKnownPosition(index, answer->mark);
-    handlePiggybackedStatus(index, answer->piggybackedStatus, sentAt);
+    updateKnownPosition(*index, answer->mark);
+    handlePiggybackedStatus(*index, answer->piggybackedStatus, sentAt);
     base::checkInvariant(answer->mark.term >= request.mark.term, "a read was answered from an older term than its session has seen", m_name);
+    bool wasPrimary = decisions::wasPrimaryOfTerm(term, answer->mark, answer->piggybackedStatus);
     Outcome outcome;
     outcome.result = std::move(answer->result);
     outcome.mark = std::max(request.mark, answer->mark);
     outcome.member = member;
-    outcome.role = isPrimary ? decisions::Role::Primary : decisions::Role::Replica;
+    outcome.role = wasPrimary ? decisions::Role::Primary : decisions::Role::Replica;
     outcome.age = decisions::getStalenessBound(m_state.health, answer->mark.term, answer->mark.position, Clock::now());
-    base::count(isPrimary ? Counter::ReadsByPrimary : Counter::ReadsByReplica);
-    co_return co_await checkStaleness(request, std::move(outcome), index, sentAt);
+    base::count(wasPrimary ? Counter::ReadsByPrimary : Counter::ReadsByReplica);
+    co_return co_await checkStaleness(request, std::move(outcome), term, sentAt);
 }
 
-// Answers a read with a maximum age only if the bound still holds when the read ends. If a majority confirms the primary's
-// term after the read was sent, the primary was up to date when it ran the read.
-asio::awaitable<Result<Outcome>> GroupController::checkStaleness(const GroupRequest& request, Outcome outcome, size_t member, TimePoint sentAt)
+// Answers a read with a maximum age only if the bound still holds when the read ends. If a majority confirms the term in which
+// the primary ran the read, after the read was sent, the primary was up to date when it ran the read. The term that the member
+// is in afterwards proves nothing: it may have been demoted, and a majority is in its successor's term.
+asio::awaitable<Result<Outcome>> GroupController::checkStaleness(const GroupRequest& request, Outcome outcome, uint64_t term, TimePoint sentAt)
 {
     if (!request.maximumAge || (outcome.age && *outcome.age <= *request.maximumAge))
         co_return outcome;
     if (outcome.role != decisions::Role::Primary)
         co_return fail(ErrorKind::NotCaughtUp, "the member fell behind during the read", kRetryAfter);
-    decisions::PendingWrite question { { m_state.health.members[member].status.term, 0 }, sentAt, false };
+    decisions::PendingWrite question { { term, 0 }, sentAt, false };
     auto answer = co_await confirm(question, outcome.member, request.deadline);
     if (answer != Confirmation::Confirmed)
         co_return fail(ErrorKind::TooStale, "the primary could not be confirmed in time", kRetryAfter);
--- a/src/decisions/routing.cpp
+++ b/src/decisions/routing.cpp
@@ -157,6 +157,13 @@
     return (isMajorityReachable || isStarting) && now - conditions.primaryLostAt < conditions.limit;
 }
 
+bool wasPrimaryOfTerm(uint64_t term, const Mark& log, const PiggybackedStatus& status)
+{
+    if (term == 0)
+        return false;
+    return status.term == 0 ? log.term == term : status.term == term && status.fencedTerm <= term;
+}
+
 Confirmation confirmWrite(const PendingWrite& write, const std::vector<ConfirmationReply>& replies, size_t members)
 {
     size_t confirmed = 1;
--- a/src/decisions/routing.h
+++ b/src/decisions/routing.h
@@ -61,6 +61,10 @@
 // Whether a write may wait for a new primary. If not, it fails immediately.
 bool canHoldWrite(const WriteHoldConditions& conditions, TimePoint now);
 
+// Whether a member ran a read as the primary of `term`, the term in which it was primary when the read was sent (0: it was not).
+// `log` and `status` are those of its answer. A member that does not report its term is judged by the term of its last entry.
+bool wasPrimaryOfTerm(uint64_t term, const Mark& log, const PiggybackedStatus& status);
+
 // An executed write that awaits confirmation.
 struct PendingWrite {
     Mark mark {}; // of its log entry
--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -81,6 +81,46 @@
     BOOST_TEST(getResult(after) == "1", json::serialize(after.body));
 }
 
+// Guards against an answer of age 0 from a primary that was demoted while the read waited in it: the confirmation then
+// concerns the term of its successor.
+BOOST_AUTO_TEST_CASE(read_in_a_primary_that_is_demoted_meanwhile_is_not_confirmed_in_the_next_term)
+{
+    Cluster cluster(makeSmallOptions());
+    cluster.startAll();
+    BOOST_REQUIRE_EQUAL(Caller(cluster.getCallerAddress(0)).write("orders", "SET a 1", "k1").status, 200u);
+    cluster.setMember("orders-a", { { "serviceMs", 1500 }, { "lagMs", kNever } });
+    Answer read;
+    std::thread reader([&] { read = Caller(cluster.getCallerAddress(1)).read("orders", "GET a", 0, 8000); });
+    std::this_thread::sleep_for(milliseconds(300));
+    promote(cluster, "orders-b", 2);
+    reader.join();
+    BOOST_REQUIRE_MESSAGE(read.status == 200, json::serialize(read.body));
+    BOOST_TEST(getString(read.body.at("servedBy").as_object(), "member") == "orders-b", json::serialize(read.body));
+}
+
+// Guards against a read "not older than the request" that misses a write acknowledged before it was sent. Its home was frozen during
+// the promotion, routes the read by its outdated view, and learns of the new term before the former primary answers.
+BOOST_AUTO_TEST_CASE(read_routed_by_an_outdated_view_does_not_miss_an_earlier_write)
+{
+    Cluster cluster(makeSmallOptions());
+    cluster.startAll();
+    Caller caller(cluster.getCallerAddress(1));
+    BOOST_REQUIRE_EQUAL(caller.write("orders", "SET a old", "k1").status, 200u);
+    cluster.setMember("orders-a", { { "serviceMs", 500 }, { "lagMs", kNever } });
+    cluster.getHost(1).signal(SIGSTOP);
+    promote(cluster, "orders-b", 2);
+    auto written = Caller(cluster.getCallerAddress(0)).write("orders", "SET a new", "k2");
+    BOOST_TEST(written.status == 200u, json::serialize(written.body));
+    Answer read;
+    std::thread reader([&] { read = caller.read("orders", "GET a", 0, 8000); });
+    std::this_thread::sleep_for(milliseconds(100)); // the request waits in the host's socket
+    cluster.getHost(1).signal(SIGCONT);
+    reader.join();
+    BOOST_TEST_MESSAGE("read: " << json::serialize(read.body));
+    BOOST_TEST(read.status == 200u, json::serialize(read.body));
+    BOOST_TEST(getResult(read) == "new", json::serialize(read.body));
+}
+
 // Guards against the acknowledgement of a commit that only the primary holds: after a change of the record's order, the
 // primary's own reply was counted besides its vote, as if it came from a replica.
 BOOST_AUTO_TEST_CASE(commit_after_a_reordering_of_the_members_needs_a_replica)
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -180,4 +180,15 @@
     BOOST_TEST(!canHoldWrite(view, at(4)));
 }
 
+// Guards against a read of a demoted primary that is confirmed in the term of its successor.
+BOOST_AUTO_TEST_CASE(member_was_primary_of_a_read_only_in_the_term_in_which_it_was_asked)
+{
+    BOOST_TEST(wasPrimaryOfTerm(1, { 1, 100 }, { 1, 1, { 1, 100 } }));
+    BOOST_TEST(!wasPrimaryOfTerm(0, { 1, 100 }, { 1, 1, { 1, 100 } }));
+    BOOST_TEST(!wasPrimaryOfTerm(1, { 1, 100 }, { 2, 2, { 1, 100 } })); // follows the next primary
+    BOOST_TEST(!wasPrimaryOfTerm(1, { 1, 100 }, { 1, 2, { 1, 100 } })); // has granted a later term
+    BOOST_TEST(wasPrimaryOfTerm(1, { 1, 100 }, {}));
+    BOOST_TEST(!wasPrimaryOfTerm(1, { 2, 100 }, {}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
