Writes with an attempt in doubt are never reported as not run

What callers saw: a write marked repeatable could be answered with `no-primary`, ran "no", although it had run.

Cause: `runWrite` and `relayToHome` send a repeatable write again after an attempt in doubt, and returned the error of the last attempt alone.

Change: once an attempt may have run, an error that says "not run" becomes `outcome-unknown`. `key-closed` stays, because the settlement of a request key holds for every attempt. Errors of reads are unchanged, as a read changes nothing.

Ruled out: writes without `repeatable` and settlements, which are sent once; the gateway's router, which never sends a single write again that may have been received.

Why it holds: both loops pass every later error through the same function, and a unit test checks it for each error kind.

--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "base/timeline.h"
 #include "controllers/group.h"
+#include "decisions/attempts.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -238,10 +239,12 @@
 
 asio::awaitable<Result<Outcome>> GroupController::runWrite(GroupRequest request)
 {
+    bool mayHaveRun = false; // in an earlier attempt
+    auto getError = [&mayHaveRun](const decisions::Error& error) { return tl::make_unexpected(mayHaveRun ? decisions::combineWithEarlierAttempt(error) : error); };
     for (;;) {
         auto primary = co_await findPrimary(request);
         if (!primary)
-            co_return tl::make_unexpected(primary.error());
+            co_return getError(primary.error());
         auto outcome = co_await tryWrite(request, *primary, m_state.health.term);
         if (outcome) {
             m_retryBudget = decisions::depositRetry(m_retryBudget);
@@ -251,9 +254,10 @@
         bool didNotRun = kind == ErrorKind::NoPrimary; // the member was unreachable or is not the primary
         bool canRepeat = kind == ErrorKind::OutcomeUnknown && request.isRepeatable;
         if ((!didNotRun && !canRepeat) || isDue(request.deadline))
-            co_return outcome;
+            co_return getError(outcome.error());
         if (canRepeat && !decisions::tryTakeRetry(m_retryBudget))
             co_return outcome;
+        mayHaveRun = mayHaveRun || canRepeat;
         base::count(Counter::Retries);
         probeNow();
         co_await waitForHealthChange(std::min(request.deadline, Clock::now() + milliseconds(10)));
--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -1,7 +1,9 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/timeline.h"
+#include "decisions/attempts.h"
 #include "filters/request.h"
+#include "links/json_fields.h"
 #include <fmt/format.h>
 
 namespace alderward::filters {
@@ -229,8 +231,27 @@
     co_return reply;
 }
 
-// Tries the homes in order. Continues after a home that may have run the request only if the request can be repeated.
-static asio::awaitable<std::optional<Reply>> tryHomes(const Services& services, RequestContext& context, bool canRepeat)
+// Replaces a reply that says "not run" if the request may have run at a home that was asked before.
+static Reply combineWithEarlierHome(const Services& services, RequestContext& context, const Reply& reply)
+{
+    boost::system::error_code ec;
+    auto body = json::parse(reply.body, ec);
+    auto* error = !ec && body.is_object() ? body.get_object().if_contains("error") : nullptr;
+    auto kind = error && error->is_object() ? decisions::parseErrorKind(links::getString(error->get_object(), "kind")) : std::nullopt;
+    if (!kind)
+        return reply;
+    auto combined = decisions::combineWithEarlierAttempt({ *kind, links::getString(error->get_object(), "message"), reply.retryAfter });
+    return combined.kind == *kind ? reply : makeErrorReply(services, context, combined);
+}
+
+static bool isRead(const RequestContext& context)
+{
+    return !context.request.isWrite && context.request.operation == Operation::Execute;
+}
+
+// Tries the homes in order. Continues after a home that may have run the request only if the request can be repeated, and then
+// sets `mayHaveRun`.
+static asio::awaitable<std::optional<Reply>> tryHomes(const Services& services, RequestContext& context, bool canRepeat, bool& mayHaveRun)
 {
     auto homes = context.entry.relayOrder;
     for (auto& home : homes) {
@@ -239,33 +260,45 @@
             co_return result.reply;
         if (result.mayHaveArrived && !canRepeat)
             co_return makeErrorReply(services, context, { ErrorKind::OutcomeUnknown, "a home of the group did not answer and may have received the request", kRetryAfter });
-        if (result.mayHaveArrived)
+        if (result.mayHaveArrived) {
+            mayHaveRun = true;
             base::count(base::Counter::Retries);
+        }
     }
     co_return std::nullopt;
 }
 
 // Relays the request in several rounds, because all known homes may be unreachable while homes change. Each round reads the
 // group table again, as this host may have become a home.
-static asio::awaitable<std::optional<Reply>> relayToHome(const Services& services, RequestContext& context)
+static asio::awaitable<Reply> relayInRounds(const Services& services, RequestContext& context, bool& mayHaveRun)
 {
-    bool canRepeat = context.request.isRepeatable || (!context.request.isWrite && context.request.operation == Operation::Execute);
+    bool canRepeat = context.request.isRepeatable || isRead(context);
     for (int round = 0; round < kRelayRounds && context.hops < kMaxHops; ++round) {
-        if (auto reply = co_await tryHomes(services, context, canRepeat))
-            co_return reply;
+        if (auto reply = co_await tryHomes(services, context, canRepeat, mayHaveRun))
+            co_return *reply;
         if (Clock::now() + kRelayPause >= context.request.deadline - kRelayMargin)
             break;
         co_await base::sleepFor(kRelayPause);
         if (auto reply = co_await route(services, context))
-            co_return reply;
+            co_return *reply;
         if (auto reply = co_await executeHere(services, context))
-            co_return reply;
+            co_return *reply;
     }
     if (Clock::now() >= context.request.deadline - kRelayMargin)
         co_return makeErrorReply(services, context, { canRepeat ? ErrorKind::OutcomeUnknown : ErrorKind::DeadlineExceeded, "no home of the group answered in time", kRetryAfter });
     co_return makeErrorReply(services, context, { ErrorKind::NoPrimary, "no home of the group is reachable from here", kRetryAfter });
 }
 
+static asio::awaitable<std::optional<Reply>> relayToHome(const Services& services, RequestContext& context)
+{
+    bool mayHaveRun = false;
+    auto reply = co_await relayInRounds(services, context, mayHaveRun);
+    // A read changes nothing, so its last error tells the caller more.
+    if (mayHaveRun && !isRead(context))
+        co_return combineWithEarlierHome(services, context, reply);
+    co_return reply;
+}
+
 const std::vector<Filter>& getChain()
 {
     static const std::vector<Filter> chain { decode, setDeadline, checkConfigured, route, sendToOwner, executeHere, declineRelay, relayToHome };
--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -121,6 +121,58 @@
     BOOST_TEST(getResult(read) == "new", json::serialize(read.body));
 }
 
+// Guards against "not run" for a repeatable write whose first attempt ran unanswered and whose second attempt was refused.
+BOOST_AUTO_TEST_CASE(repeated_write_is_not_reported_as_not_run_after_an_attempt_that_ran)
+{
+    auto options = makeSmallOptions();
+    options.groups.front().promotion = R"({"mode":"off"})";
+    Cluster cluster(options);
+    cluster.startAll();
+    auto before = getPosition(cluster, "orders-a");
+    cluster.setMember("orders-a", { { "loseAnswers", 1 } });
+    Answer answer;
+    std::thread writer([&] {
+        answer = Caller(cluster.getCallerAddress(0)).send("/v1/statement", { { "group", "orders" }, { "kind", "write" }, { "statement", "APPEND a x" }, { "repeatable", true }, { "deadlineMs", 4000 } });
+    });
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return getPosition(cluster, "orders-b") == before + 1; }));
+    cluster.getMember("orders-a").kill(); // ends the first attempt; the second one finds no primary
+    writer.join();
+    BOOST_TEST(getPosition(cluster, "orders-b") == before + 1);
+    BOOST_TEST(getRanField(answer) == "unknown", json::serialize(answer.body));
+}
+
+// The same failure at a relay: the first home received the write and was killed, the second one refuses it.
+BOOST_AUTO_TEST_CASE(relayed_write_is_not_reported_as_not_run_after_a_home_that_ran_it)
+{
+    auto options = makeSmallOptions();
+    options.hosts = 7;
+    options.groups.front().promotion = R"({"mode":"off"})";
+    Cluster cluster(options);
+    cluster.startAll();
+    auto homes = cluster.getHomes("orders");
+    size_t relay = 0;
+    while (std::ranges::find(homes, relay) != homes.end())
+        ++relay;
+    for (auto& it : { "orders-b", "orders-c" })
+        stopReplication(cluster, it);
+    auto before = getPosition(cluster, "orders-a");
+    Answer answer;
+    std::thread writer([&] {
+        answer = Caller(cluster.getCallerAddress(relay)).send("/v1/statement", { { "group", "orders" }, { "kind", "write" }, { "statement", "APPEND a x" }, { "repeatable", true }, { "deadlineMs", 6000 } });
+    });
+    // The write has run and waits for its confirmation in the home that received it.
+    BOOST_TEST(waitUntil(milliseconds(3000), [&] { return getPosition(cluster, "orders-a") == before + 1; }));
+    BOOST_TEST(fence(cluster, "orders-a", 2).status == 200u);
+    for (auto it : homes) {
+        if (cluster.getMetric(it, "requests") > 0) {
+            cluster.getHost(it).kill();
+            break;
+        }
+    }
+    writer.join();
+    BOOST_TEST(getRanField(answer) == "unknown", json::serialize(answer.body));
+}
+
 // Guards against the acknowledgement of a commit that only the primary holds: after a change of the record's order, the
 // primary's own reply was counted besides its vote, as if it came from a replica.
 BOOST_AUTO_TEST_CASE(commit_after_a_reordering_of_the_members_needs_a_replica)
--- a/tests/unit/errors_test.cpp
+++ b/tests/unit/errors_test.cpp
@@ -1,4 +1,5 @@
 // The error table is consistent and matches docs/ERRORS.md.
+#include "decisions/attempts.h"
 #include "decisions/errors.h"
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -40,4 +41,16 @@
     BOOST_TEST(rows == known.size());
 }
 
+// Guards against "not run" for a write of which an earlier attempt may have run.
+BOOST_AUTO_TEST_CASE(no_error_after_an_attempt_in_doubt_says_not_run)
+{
+    for (auto& row : getErrorTable()) {
+        auto combined = combineWithEarlierAttempt({ row.kind, "refused", milliseconds(7) });
+        // The settlement of a request key holds for every attempt.
+        bool mayKeep = row.kind == ErrorKind::KeyClosed || row.ran != Ran::No;
+        BOOST_TEST((combined.kind == (mayKeep ? row.kind : ErrorKind::OutcomeUnknown)));
+        BOOST_TEST((combined.retryAfter == milliseconds(7)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
