--- a/src/controllers/group_statements.cpp
+++ b/src/controllers/group_statements.cpp
@@ -3,6 +3,7 @@
 #include "base/random.h"
 #include "base/timeline.h"
 #include "controllers/group.h"
+#include "decisions/attempts.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -83,12 +84,17 @@
     case ErrorKind::NotCaughtUp:
         return "no reachable member has caught up with the session";
     case ErrorKind::SessionWritesLost:
-        return "a change of primary lost writes that this session had seen; continue with the returned token or without one";
+        return "a change of primary lost writes that this session had seen; continue with the returned token";
     default:
         return "no member that can serve the request is reachable";
     }
 }
 
+static decisions::Error makeRefusal(const decisions::Route& route)
+{
+    return { route.reason, describeWait(route.reason), {}, route.markAfterLoss };
+}
+
 asio::awaitable<Result<Outcome>> GroupController::runRead(GroupRequest request)
 {
     auto freshnessDeadline = std::min(request.deadline, Clock::now() + kMaxFreshnessWait);
@@ -96,7 +102,7 @@
     for (;;) {
         auto route = decisions::routeRead(m_state.health, getLoads(), requirements, Clock::now());
         if (route.kind == RouteKind::Refuse)
-            co_return fail(route.reason, describeWait(route.reason));
+            co_return tl::make_unexpected(makeRefusal(route));
         bool canCatchUp = route.reason == ErrorKind::NotCaughtUp;
         if (route.kind == RouteKind::Wait && isDue(canCatchUp ? request.deadline : freshnessDeadline))
             co_return fail(route.reason, describeWait(route.reason), kRetryAfter);
@@ -124,13 +130,18 @@
 
 asio::awaitable<Result<Outcome>> GroupController::tryRead(const GroupRequest& request, const decisions::Route& route)
 {
-    auto index = route.member;
-    auto member = m_members[index].record.name;
-    auto pool = m_members[index].pool;
-    bool isPrimary = m_state.health.primary == index;
+    auto member = m_members[route.member].record.name;
+    auto pool = m_members[route.member].pool;
     auto lease = co_await pool->acquire(Lane::Read, request.deadline, false);
     if (!lease)
         co_return tl::make_unexpected(lease.error());
+    // The member may have been promoted, demoted or removed during the wait for the connection.
+    auto index = findMember(pool);
+    if (!index) {
+        lease->release();
+        co_return fail(ErrorKind::NoPrimary, "the record changed before the read was sent", kRetryAfter);
+    }
+    auto term = m_state.health.primary == index ? m_state.health.term : 0;
     auto sentAt = Clock::now();
     links::ExecuteRequest message;
     message.statement = request.statement;
@@ -141,35 +152,38 @@
     auto latency = Clock::now() - sentAt;
     if (!answer) {
         releaseAfterFailure(*lease, answer.error());
-        co_return handleTargetFailure(answer.error(), index);
+        co_return handleTargetFailure(answer.error(), pool);
     }
     lease->release();
     pool->recordLatency(latency);
     base::record(base::Latency::Read, latency);
-    if (index >= m_members.size() || m_members[index].record.name != member)
+    index = findMember(pool);
+    if (!index)
         co_return fail(ErrorKind::OutcomeUnknown, "the record changed during the read");
-    updateKnownPosition(index, answer->mark);
-    handlePiggybackedStatus(index, answer->piggybackedStatus, sentAt);
+    updateKnownPosition(*index, answer->mark);
+    handlePiggybackedStatus(*index, answer->piggybackedStatus, sentAt);
     base::checkInvariant(answer->mark.term >= request.mark.term, "a read was answered from an older term than its session has seen", m_name);
+    bool wasPrimary = decisions::wasPrimaryOfTerm(term, answer->mark, answer->piggybackedStatus);
     Outcome outcome;
     outcome.result = std::move(answer->result);
     outcome.mark = std::max(request.mark, answer->mark);
     outcome.member = member;
-    outcome.role = isPrimary ? decisions::Role::Primary : decisions::Role::Replica;
+    outcome.role = wasPrimary ? decisions::Role::Primary : decisions::Role::Replica;
     outcome.age = decisions::getStalenessBound(m_state.health, answer->mark.term, answer->mark.position, Clock::now());
-    base::count(isPrimary ? Counter::ReadsByPrimary : Counter::ReadsByReplica);
-    co_return co_await checkStaleness(request, std::move(outcome), index, sentAt);
+    base::count(wasPrimary ? Counter::ReadsByPrimary : Counter::ReadsByReplica);
+    co_return co_await checkStaleness(request, std::move(outcome), term, sentAt);
 }
 
-// Answers a read with a maximum age only if the bound still holds when the read ends. If a majority confirms the primary's
-// term after the read was sent, the primary was up to date when it ran the read.
-asio::awaitable<Result<Outcome>> GroupController::checkStaleness(const GroupRequest& request, Outcome outcome, size_t member, TimePoint sentAt)
+// Answers a read with a maximum age only if the bound still holds when the read ends. If a majority confirms the term in which
+// the primary ran the read, after the read was sent, the primary was up to date when it ran the read. The term that the member
+// is in afterwards proves nothing: it may have been demoted, and a majority is in its successor's term.
+asio::awaitable<Result<Outcome>> GroupController::checkStaleness(const GroupRequest& request, Outcome outcome, uint64_t term, TimePoint sentAt)
 {
     if (!request.maximumAge || (outcome.age && *outcome.age <= *request.maximumAge))
         co_return outcome;
     if (outcome.role != decisions::Role::Primary)
         co_return fail(ErrorKind::NotCaughtUp, "the member fell behind during the read", kRetryAfter);
-    decisions::PendingWrite question { { m_state.health.members[member].status.term, 0 }, sentAt, false };
+    decisions::PendingWrite question { { term, 0 }, sentAt, false };
     auto answer = co_await confirm(question, outcome.member, request.deadline);
     if (answer != Confirmation::Confirmed)
         co_return fail(ErrorKind::TooStale, "the primary could not be confirmed in time", kRetryAfter);
@@ -198,7 +212,7 @@
 asio::awaitable<std::optional<decisions::Error>> GroupController::holdWrite(const GroupRequest& request, const decisions::Route& route)
 {
     if (route.kind == RouteKind::Refuse)
-        co_return decisions::Error { route.reason, describeWait(route.reason) };
+        co_return makeRefusal(route);
     if (isDue(request.deadline))
         co_return decisions::Error { route.reason, describeWait(route.reason), kRetryAfter };
     if (!canHoldWrites()) {
@@ -225,10 +239,12 @@
 
 asio::awaitable<Result<Outcome>> GroupController::runWrite(GroupRequest request)
 {
+    bool mayHaveRun = false; // in an earlier attempt
+    auto getError = [&mayHaveRun](const decisions::Error& error) { return tl::make_unexpected(mayHaveRun ? decisions::combineWithEarlierAttempt(error) : error); };
     for (;;) {
         auto primary = co_await findPrimary(request);
         if (!primary)
-            co_return tl::make_unexpected(primary.error());
+            co_return getError(primary.error());
         auto outcome = co_await tryWrite(request, *primary, m_state.health.term);
         if (outcome) {
             m_retryBudget = decisions::depositRetry(m_retryBudget);
@@ -238,9 +254,10 @@
         bool didNotRun = kind == ErrorKind::NoPrimary; // the member was unreachable or is not the primary
         bool canRepeat = kind == ErrorKind::OutcomeUnknown && request.isRepeatable;
         if ((!didNotRun && !canRepeat) || isDue(request.deadline))
-            co_return outcome;
+            co_return getError(outcome.error());
         if (canRepeat && !decisions::tryTakeRetry(m_retryBudget))
             co_return outcome;
+        mayHaveRun = mayHaveRun || canRepeat;
         base::count(Counter::Retries);
         probeNow();
         co_await waitForHealthChange(std::min(request.deadline, Clock::now() + milliseconds(10)));
@@ -267,12 +284,12 @@
     auto ranAt = Clock::now();
     if (!answer) {
         releaseAfterFailure(*lease, answer.error());
-        co_return handleTargetFailure(answer.error(), index);
+        co_return handleTargetFailure(answer.error(), pool);
     }
     lease->release();
     pool->recordLatency(ranAt - sentAt);
-    if (index < m_members.size() && m_members[index].record.name == member)
-        handlePiggybackedStatus(index, answer->piggybackedStatus, sentAt);
+    if (auto present = findMember(pool))
+        handlePiggybackedStatus(*present, answer->piggybackedStatus, sentAt);
     Outcome outcome;
     outcome.result = std::move(answer->result);
     outcome.mark = answer->mark;
@@ -303,12 +320,19 @@
     co_return fail(ErrorKind::OutcomeUnknown, "the write ran, but a majority did not confirm it in time", kRetryAfter);
 }
 
+// A member keeps its pool while its name and address stay in the record; its index may change.
+std::optional<size_t> GroupController::findMember(const std::shared_ptr<Pool>& pool) const
+{
+    auto it = std::ranges::find(m_members, pool, &Member::pool);
+    return it == m_members.end() ? std::nullopt : std::optional(static_cast<size_t>(it - m_members.begin()));
+}
+
 // Converts a member's failure into an error, and probes members whose state may have changed.
-Result<Outcome> GroupController::handleTargetFailure(const links::TargetFailure& failure, size_t member)
+Result<Outcome> GroupController::handleTargetFailure(const links::TargetFailure& failure, const std::shared_ptr<Pool>& pool)
 {
     if (!failure.refusal) {
-        if (member < m_members.size())
-            m_members[member].probeTimer->cancel();
+        if (auto member = findMember(pool))
+            m_members[*member].probeTimer->cancel();
         if (!failure.link.mayHaveArrived)
             return fail(ErrorKind::NoPrimary, failure.link.reason, kRetryAfter);
         return fail(ErrorKind::OutcomeUnknown, "the request was sent but not answered: " + failure.link.reason, kRetryAfter);
