Show client accounts over all hosts and explain refusals by quotas

Cause: nothing showed which account is short of tokens, at which quota server, and what each host counts; a refused operation's log line did not tell the state that the quota server decided on.

Change: GET /accounts on the metrics address (src/gateway/account_report), `alderctl accounts ADDRESS... [--account NAME]` (src/ctl/accounts.cpp), the metrics alderward_quota_level and alderward_quota_grants_total, and priority, quota_level and retry_after_ms in request lines, from which `alderctl explain` says why a quota refused. QuotaAnswer carries the level.

--- a/src/base/families.h
+++ b/src/base/families.h
@@ -21,6 +21,8 @@
     ConnectionsClosed,
     ConnectionsEvicted,
     QuotaRefused,
+    QuotaLevel,
+    QuotaGrants,
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -20,6 +20,7 @@
     std::string changedBy { "operator" }; // stored with each change
     std::string onlyGroup {};
     std::string onlyHost {};
+    std::string onlyAccount {};
     base::milliseconds timeout { 10000 };
     bool mustWait { false };
     std::vector<std::string> arguments {};
@@ -34,6 +35,8 @@
 boost::asio::awaitable<int> runConfig(Options options);
 boost::asio::awaitable<int> showStatus(Options options);
 boost::asio::awaitable<int> showTimeline(Options options);
+// Prints one table of the client accounts over the hosts whose metrics addresses are the arguments.
+boost::asio::awaitable<int> showAccounts(Options options);
 // Prints, from hosts' log files (standard input if none), the state of the host at a request, events of its group, and the
 // request's own lines.
 int explainRequest(const std::string& id, const std::vector<std::string>& paths);
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -102,6 +102,29 @@
     fmt::print("{} {:<22} {}{}\n", line.wall, line.host, line.event, fieldsText);
 }
 
+static bool namesAccount(const Line& line, const std::string& account)
+{
+    return (" " + getText(line.fields, "accounts") + " ").find(" " + account + " ") != std::string::npos;
+}
+
+// Prints why the quota refused the request, and the state of the quota server at that time.
+static void printQuotaRefusal(const std::vector<Line>& lines, const Line& request)
+{
+    auto account = getText(request.fields, "account");
+    auto level = getText(request.fields, "quota_level");
+    fmt::print("\nrefused by the quota of account {}: {}\n  priority {}, level of the bucket at the quota server {}, retry after {} ms\n", account, getText(request.fields, "reason"), getText(request.fields, "priority"),
+        level.empty() ? "unknown" : level, getText(request.fields, "retry_after_ms"));
+    std::map<std::string, Line> last; // by event
+    for (auto& it : lines) {
+        bool isLease = it.host == request.host && (it.event == "quota-lease" || it.event == "quota-lease-lost");
+        bool isStrict = it.event == "quota-strict" && namesAccount(it, account);
+        if (it.wallMs <= request.wallMs && (isLease || isStrict))
+            last[isLease ? "lease/" + getText(it.fields, "shard") : it.event] = it;
+    }
+    for (auto& [kind, line] : last)
+        print(line);
+}
+
 int explainRequest(const std::string& id, const std::vector<std::string>& paths)
 {
     auto lines = readLines(paths);
@@ -133,6 +156,10 @@
         if (isRequestLine(it))
             print(it);
     }
+    for (auto& it : lines) {
+        if (isRequestLine(it) && getText(it.fields, "outcome") == "quota-exceeded")
+            printQuotaRefusal(lines, it);
+    }
     return kExitSuccess;
 }
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -17,6 +17,7 @@
   config diff GROUP FILE       show what apply would change
   config history-of GROUP      show the last changes of a record
   status                       show hosts, groups, primaries, terms, ages, homes, records in force
+  accounts ADDRESS...          show client accounts over hosts, by their metrics addresses; --account NAME: also by host
   timeline [FILE...]           merge the timelines of all hosts; with files: the state changes in hosts' logs
   explain ID [FILE...]         explain one request from hosts' logs (standard input without files)
   replay FILE                  replay a recorded trace (GET /debug/trace?group=NAME) through this version's decisions)";
@@ -29,6 +30,7 @@
     TCLAP::ValueArg<std::string> by("", "by", "Your name, stored with each change", false, "operator", "name", command);
     TCLAP::ValueArg<std::string> onlyGroup("g", "group", "Timeline and status of this group only", false, "", "group", command);
     TCLAP::ValueArg<std::string> onlyHost("", "only-host", "Timeline of this host only", false, "", "host", command);
+    TCLAP::ValueArg<std::string> onlyAccount("", "account", "Only this client account, also by host", false, "", "account", command);
     TCLAP::ValueArg<int> timeout("t", "timeout-ms", "Time limit of the command", false, 10000, "ms", command);
     TCLAP::SwitchArg wait("w", "wait", "After apply: wait until every live host has the record in force", command);
     TCLAP::UnlabeledMultiArg<std::string> arguments("command", "Command and its arguments", true, "command", command);
@@ -39,6 +41,7 @@
     options.changedBy = by.getValue();
     options.onlyGroup = onlyGroup.getValue();
     options.onlyHost = onlyHost.getValue();
+    options.onlyAccount = onlyAccount.getValue();
     options.timeout = base::milliseconds(timeout.getValue());
     options.mustWait = wait.getValue();
     options.arguments = arguments.getValue();
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -168,6 +168,8 @@
         co_return co_await runConfig(std::move(options));
     if (command == "status" && options.arguments.size() == 1)
         co_return co_await showStatus(std::move(options));
+    if (command == "accounts" && options.arguments.size() >= 2)
+        co_return co_await showAccounts(std::move(options));
     if (command == "explain" && options.arguments.size() >= 2)
         co_return explainRequest(options.arguments[1], { options.arguments.begin() + 2, options.arguments.end() });
     if (command == "timeline" && options.arguments.size() > 1)
--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -276,7 +276,7 @@
     auto window = configuration.rule.window;
     auto getWait = [&](double tokens) { return std::min(window, getRefillTime(tokens, available)); };
     auto blockedFor = std::clamp(getWait(missing), kMinBlockTime, kMaxBlockTime);
-    return { .blockedFor = blockedFor, .retryAfter = std::max(blockedFor, getWait(missing + retrying)) };
+    return { .blockedFor = blockedFor, .retryAfter = std::max(blockedFor, getWait(missing + retrying)), .level = tracked.bucket.level };
 }
 
 QuotaGrant requestGrant(QuotaServer& server, const QuotaConfiguration& configuration, const std::string& account, int priority, TimePoint now)
@@ -300,8 +300,20 @@
     }
     if (!isGranted)
         return refuseGrant(tracked, configuration, priority, limits, missing, now);
+    auto level = tracked.bucket.level;
     tracked.bucket.level -= 1;
-    return { .isGranted = true, .startAfter = startAfter };
+    return { .isGranted = true, .startAfter = startAfter, .level = level };
+}
+
+std::optional<milliseconds> getNewestReportAge(const QuotaServer& server, TimePoint now)
+{
+    std::optional<milliseconds> newest;
+    for (auto& [name, host] : server.hosts) {
+        auto age = std::chrono::duration_cast<milliseconds>(now - host.lastReportAt);
+        if (!host.hasLeft && (!newest || age < *newest))
+            newest = age;
+    }
+    return newest;
 }
 
 std::vector<AccountStatus> getAccountStatus(const QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now)
@@ -347,17 +359,23 @@
     return static_cast<double>(unreported) < maxUnreported ? Admission::Begin : Admission::RequestGrant;
 }
 
-milliseconds getRetryAfter(const QuotaHost& host, const std::string& account, int priority, TimePoint now)
+const QuotaBlock* findBlock(const QuotaHost& host, const std::string& account, int priority)
 {
     auto it = host.accounts.find(account);
-    auto retryAt = now;
+    const QuotaBlock* last = nullptr;
     if (it == host.accounts.end())
-        return {};
+        return nullptr;
     for (auto& [blocked, block] : it->second.blocks) {
-        if (blocked <= priority)
-            retryAt = std::max(retryAt, block.retryAt);
+        if (blocked <= priority && (!last || block.retryAt > last->retryAt))
+            last = &block;
     }
-    return std::chrono::ceil<milliseconds>(retryAt - now);
+    return last;
+}
+
+milliseconds getRetryAfter(const QuotaHost& host, const std::string& account, int priority, TimePoint now)
+{
+    auto* block = findBlock(host, account, priority);
+    return block ? std::chrono::ceil<milliseconds>(std::max(now, block->retryAt) - now) : milliseconds(0);
 }
 
 bool beginWithoutQuotaServer(QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now)
@@ -415,7 +433,7 @@
 
 void blockAccount(QuotaHost& host, const std::string& account, int priority, const QuotaGrant& refusal, TimePoint now)
 {
-    host.accounts[account].blocks[priority] = { now + refusal.blockedFor, now + refusal.retryAfter };
+    host.accounts[account].blocks[priority] = { now + refusal.blockedFor, now + refusal.retryAfter, refusal.level };
 }
 
 void acknowledgeReport(QuotaHost& host, const std::string& account, const UsageCounts& counts)
--- a/src/decisions/quota.h
+++ b/src/decisions/quota.h
@@ -22,6 +22,7 @@
 #include "decisions/freshness.h"
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -168,6 +169,7 @@
     milliseconds startAfter { 0 }; // if granted: the operation must not begin before its token is there
     milliseconds blockedFor { 0 }; // if refused: the host requests no grant of this priority or a less urgent one meanwhile
     milliseconds retryAfter { 0 }; // if refused: when a retry is likely to be granted
+    double level { 0 }; // of the bucket, before the decision
     friend bool operator==(const QuotaGrant&, const QuotaGrant&) = default;
 };
 
@@ -185,6 +187,8 @@
     std::map<int, double> askedPerSecond {}; // grants, by priority
 };
 
+// nullopt: no host reports to this one.
+std::optional<milliseconds> getNewestReportAge(const QuotaServer& server, TimePoint now);
 std::vector<AccountStatus> getAccountStatus(const QuotaServer& server, const QuotaConfiguration& configuration, TimePoint now);
 
 //-----------------------------------------------------------------------------
@@ -201,6 +205,7 @@
 struct QuotaBlock {
     TimePoint until {};
     TimePoint retryAt {};
+    double level { 0 }; // of the account's bucket when the quota server refused
 };
 
 struct AccountUsage {
@@ -226,6 +231,8 @@
 Admission admitOperation(const QuotaHost& host, const std::string& account, int priority, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
 // The time after which a caller that admitOperation() refused should retry.
 milliseconds getRetryAfter(const QuotaHost& host, const std::string& account, int priority, TimePoint now);
+// The block that ends last of those that apply to the priority, or nullptr.
+const QuotaBlock* findBlock(const QuotaHost& host, const std::string& account, int priority);
 // Takes a token from the host's own bucket while no quota server answers. None is available before the lease has expired, because until then a quota
 // server may grant the host's share to other hosts.
 bool beginWithoutQuotaServer(QuotaHost& host, const std::string& account, const AccountQuota& quota, const QuotaRule& rule, size_t hostCount, TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,9 +68,13 @@
         return tl::make_unexpected(ready.error());
     m_readinessServer = std::move(*ready);
     if (!m_settings.metricsAddress.empty()) {
-        auto metrics = links::startHttpServer(m_context, m_settings.metricsAddress, [this](links::HttpRequest) -> asio::awaitable<links::HttpResponse> {
-            updateGauges();
+        auto metrics = links::startHttpServer(m_context, m_settings.metricsAddress, [this](links::HttpRequest request) -> asio::awaitable<links::HttpResponse> {
             links::HttpResponse response;
+            if (request.path == "/accounts") {
+                response.body = formatAccountReports(m_self.name, m_view.configuration.version, describeAccounts(Clock::now()));
+                co_return response;
+            }
+            updateGauges();
             response.contentType = "text/plain; version=0.0.4";
             response.body = base::formatMetricFamilies();
             co_return response;
@@ -85,12 +89,25 @@
     return {};
 }
 
+AccountReports Gateway::describeAccounts(TimePoint now) const
+{
+    AccountReports reports;
+    m_quotas.describeAccounts(reports, now);
+    for (auto& [member, pool] : m_pools) {
+        for (auto& [account, use] : pool->getUseByAccount()) {
+            if (!account.empty())
+                reports[account].pools[member] = use;
+        }
+    }
+    return reports;
+}
+
 // Called for each scrape of the metrics endpoint.
 void Gateway::updateGauges() const
 {
     using base::MetricFamily;
     auto now = Clock::now();
-    for (auto family : { MetricFamily::PoolConnections, MetricFamily::PoolWaiting, MetricFamily::PoolRunning, MetricFamily::FloorAge, MetricFamily::Term, MetricFamily::LeavingPrimary })
+    for (auto family : { MetricFamily::PoolConnections, MetricFamily::PoolWaiting, MetricFamily::PoolRunning, MetricFamily::FloorAge, MetricFamily::Term, MetricFamily::LeavingPrimary, MetricFamily::QuotaLevel })
         base::clearMetric(family);
     for (auto& [member, pool] : m_pools) {
         auto load = pool->getLoad();
@@ -106,6 +123,12 @@
         if (primary != m_view.members.end() && primary->second.leavingSince)
             base::setGauge(MetricFamily::LeavingPrimary, { { "group", name } }, std::chrono::duration<double>(now - *primary->second.leavingSince).count());
     }
+    AccountReports accounts;
+    m_quotas.describeAccounts(accounts, now);
+    for (auto& [account, report] : accounts) {
+        if (report.bucket)
+            base::setGauge(MetricFamily::QuotaLevel, { { "account", account } }, report.bucket->status.level);
+    }
     base::setGauge(MetricFamily::ConfigurationVersion, {}, static_cast<double>(m_view.configuration.version));
     base::setGauge(MetricFamily::Sessions, {}, static_cast<double>(m_sessions.size()));
     base::setGauge(MetricFamily::Ready, {}, isReady() ? 1 : 0);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -75,6 +75,7 @@
     boost::asio::awaitable<links::HttpResponse> handleReadinessRequest(links::HttpRequest request);
     void logReadinessChange();
     void updateGauges() const;
+    AccountReports describeAccounts(TimePoint now) const;
     boost::asio::awaitable<void> finishShutdown();
 
     boost::asio::io_context& m_context;
--- a/src/gateway/quota_exchange.cpp
+++ b/src/gateway/quota_exchange.cpp
@@ -22,6 +22,8 @@
 static constexpr milliseconds kServerSweepInterval { 250 };
 static constexpr milliseconds kNoServerRetryAfter { 1000 }; // while no quota server answers; must exceed the time to find another one
 
+static constexpr std::string_view kQuotaUsedUp = "the quota is used up";
+
 static size_t getShard(const std::string& account)
 {
     return decisions::getHash(account) % kShards;
@@ -76,8 +78,10 @@
 void QuotaExchange::admitOperation(const std::string& account, int priority, QuotaCallback done)
 {
     auto* quota = findQuota(account);
+    if (!account.empty())
+        ++m_counts[account].asked;
     if (!quota) {
-        done({});
+        begin(account, {}, false, done);
         return;
     }
     auto now = Clock::now();
@@ -87,11 +91,13 @@
     case decisions::Admission::Begin:
         decisions::recordOperation(host, account, false, now);
         m_shards[shard].hasUnreportedUsage = true;
-        done({ .isCounted = true });
+        begin(account, { .isCounted = true }, false, done);
         return;
-    case decisions::Admission::Refuse:
-        refuse(account, priority, "the quota is used up", decisions::getRetryAfter(host, account, priority, now), done);
+    case decisions::Admission::Refuse: {
+        auto* block = decisions::findBlock(host, account, priority);
+        refuse(account, priority, kQuotaUsedUp, decisions::getRetryAfter(host, account, priority, now), block ? std::optional(block->level) : std::nullopt, done);
         return;
+    }
     case decisions::Admission::RequestGrant:
         requestGrant(shard, account, priority, std::move(done));
         return;
@@ -101,6 +107,7 @@
 void QuotaExchange::revertOperation(const std::string& account, bool isOwnBucket, TimePoint countedAt)
 {
     auto& shard = m_shards[getShard(account)];
+    ++m_counts[account].returned;
     decisions::revertOperation(shard.host, account, isOwnBucket, countedAt);
     shard.hasUnreportedUsage = shard.hasUnreportedUsage || !isOwnBucket;
 }
@@ -116,7 +123,7 @@
     if (server != m_shards[shard].currentServer) // a quota server grants nothing to a host that it does not know
         sendReport(shard, server, now);
     if (server == m_context.name) {
-        applyGrant(shard, account, priority, decisions::requestGrant(m_shards[shard].server, makeConfiguration(), account, priority, now), done);
+        applyGrant(shard, account, priority, decideGrant(account, priority), done);
         return;
     }
     peer::Frame frame;
@@ -134,9 +141,9 @@
     auto now = Clock::now();
     auto* quota = findQuota(account);
     if (quota && !decisions::beginWithoutQuotaServer(m_shards[shard].host, account, *quota, m_context.rule, m_context.view.hosts.size(), now))
-        refuse(account, priority, "no quota server answers", kNoServerRetryAfter, done);
+        refuse(account, priority, "no quota server answers", kNoServerRetryAfter, std::nullopt, done);
     else
-        done({ .isCounted = quota != nullptr, .isOwnBucket = true });
+        begin(account, { .isCounted = quota != nullptr, .isOwnBucket = true }, false, done);
 }
 
 void QuotaExchange::applyGrant(size_t shard, const std::string& account, int priority, const decisions::QuotaGrant& grant, const QuotaCallback& done)
@@ -145,21 +152,50 @@
     auto& host = m_shards[shard].host;
     if (!grant.isGranted) {
         decisions::blockAccount(host, account, priority, grant, now);
-        refuse(account, priority, "the quota is used up", grant.retryAfter, done);
+        refuse(account, priority, kQuotaUsedUp, grant.retryAfter, grant.level, done);
         return;
     }
     decisions::recordOperation(host, account, true, now);
     if (grant.startAfter.count() > 0)
-        m_delayedStarts.push_back({ now + grant.startAfter, done });
+        m_delayedStarts.push_back({ now + grant.startAfter, account, done });
     else
-        done({ .isCounted = true });
+        begin(account, { .isCounted = true }, true, done);
+}
+
+void QuotaExchange::begin(const std::string& account, const QuotaDecision& decision, bool isGranted, const QuotaCallback& done)
+{
+    if (!account.empty()) {
+        auto& counts = m_counts[account];
+        ++counts.begun;
+        counts.granted += isGranted ? 1 : 0;
+        counts.ownBucket += decision.isOwnBucket ? 1 : 0;
+    }
+    done(decision);
 }
 
-void QuotaExchange::refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, const QuotaCallback& done) const
+void QuotaExchange::refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, std::optional<double> level, const QuotaCallback& done)
 {
+    ++m_counts[account].refused[{ std::string(reason), priority }];
     auto spread = decisions::jitterRetryAfter(std::max(retryAfter, milliseconds(1)), base::getRandom());
     base::incrementCounter(base::MetricFamily::QuotaRefused, { { "reason", reason }, { "priority", std::to_string(priority) } });
-    done({ .refusal = decisions::Error { ErrorKind::QuotaExceeded, fmt::format("client account {}: {}; retry after {} ms", account, reason, spread.count()), spread } });
+    done({ .refusal = decisions::Error { ErrorKind::QuotaExceeded, fmt::format("client account {}: {}; retry after {} ms", account, reason, spread.count()), spread }, .level = level });
+}
+
+void QuotaExchange::describeAccounts(AccountReports& reports, TimePoint now) const
+{
+    for (auto& [account, counts] : m_counts)
+        reports[account].counts = counts;
+    for (size_t i = 0; i < m_shards.size(); ++i) {
+        auto& server = m_shards[i].server;
+        auto age = decisions::getNewestReportAge(server, now);
+        auto hosts = decisions::countReportingHosts(server, now);
+        if (!age || hosts == 0)
+            continue;
+        for (auto& it : decisions::getAccountStatus(server, makeConfiguration(), now)) {
+            if (getShard(it.account) == i)
+                reports[it.account].bucket = AccountBucket { it, hosts, *age };
+        }
+    }
 }
 
 peer::QuotaReport QuotaExchange::makeReport(size_t shard, const ServerLink& link, TimePoint now)
@@ -265,15 +301,26 @@
     }
 }
 
+// Decides on a quota server.
+decisions::QuotaGrant QuotaExchange::decideGrant(const std::string& account, int priority)
+{
+    auto grant = decisions::requestGrant(m_shards[getShard(account)].server, makeConfiguration(), account, priority, Clock::now());
+    std::string_view result = !grant.isGranted ? "refused" : grant.startAfter.count() > 0 ? "delayed"
+                                                                                          : "granted";
+    base::incrementCounter(base::MetricFamily::QuotaGrants, { { "result", result } });
+    return grant;
+}
+
 peer::QuotaAnswer QuotaExchange::handleAsk(const peer::QuotaAsk& ask)
 {
-    auto grant = decisions::requestGrant(m_shards[getShard(ask.account())].server, makeConfiguration(), ask.account(), ask.priority(), Clock::now());
+    auto grant = decideGrant(ask.account(), ask.priority());
     peer::QuotaAnswer answer;
     answer.set_call(ask.call());
     answer.set_is_granted(grant.isGranted);
     answer.set_start_after_ms(static_cast<uint32_t>(grant.startAfter.count()));
     answer.set_closed_ms(static_cast<uint32_t>(grant.blockedFor.count()));
     answer.set_retry_after_ms(static_cast<uint32_t>(grant.retryAfter.count()));
+    answer.set_level(grant.level);
     return answer;
 }
 
@@ -330,7 +377,7 @@
         return;
     auto ask = std::move(it->second);
     m_pendingAsks.erase(it);
-    applyGrant(ask.shard, ask.account, ask.priority, { answer.is_granted(), milliseconds(answer.start_after_ms()), milliseconds(answer.closed_ms()), milliseconds(answer.retry_after_ms()) }, ask.done);
+    applyGrant(ask.shard, ask.account, ask.priority, { answer.is_granted(), milliseconds(answer.start_after_ms()), milliseconds(answer.closed_ms()), milliseconds(answer.retry_after_ms()), answer.level() }, ask.done);
 }
 
 void QuotaExchange::expireAsks(TimePoint now)
@@ -356,7 +403,7 @@
         return isDue;
     });
     for (auto& it : due)
-        it.done({ .isCounted = true });
+        begin(it.account, { .isCounted = true }, true, it.done);
 }
 
 void QuotaExchange::sweep(TimePoint now)
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -3,6 +3,7 @@
 // A host that receives reports or requests for a shard serves them even if it would choose another quota server itself.
 #pragma once
 #include "decisions/quota.h"
+#include "gateway/account_report.h"
 #include "gateway/peers.h"
 
 namespace alderward::gateway {
@@ -20,6 +21,7 @@
     std::optional<decisions::Error> refusal {}; // empty: the operation may begin
     bool isCounted { false }; // against a quota
     bool isOwnBucket { false }; // no quota server answered, and the host's own share admitted the operation
+    std::optional<double> level {}; // if refused by a quota server: the level of the account's bucket there
 };
 
 using QuotaCallback = std::function<void(const QuotaDecision& decision)>;
@@ -34,6 +36,8 @@
     void revertOperation(const std::string& account, bool isOwnBucket, TimePoint countedAt);
     // Sends reports, ends late requests and evaluates quotas. Call it periodically.
     void sweep(TimePoint now);
+    // Adds what this host has counted of each account, and the buckets of the accounts that it is the quota server of.
+    void describeAccounts(AccountReports& reports, TimePoint now) const;
 
     // On a quota server:
     peer::QuotaState handleReport(const peer::QuotaReport& report);
@@ -74,6 +78,7 @@
     // A granted operation that waits for its token.
     struct DelayedStart {
         TimePoint startAt {};
+        std::string account {};
         QuotaCallback done {};
     };
 
@@ -84,7 +89,9 @@
     void requestGrant(size_t shard, const std::string& account, int priority, QuotaCallback done);
     void decideWithoutServer(size_t shard, const std::string& account, int priority, const QuotaCallback& done);
     void applyGrant(size_t shard, const std::string& account, int priority, const decisions::QuotaGrant& grant, const QuotaCallback& done);
-    void refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, const QuotaCallback& done) const;
+    void begin(const std::string& account, const QuotaDecision& decision, bool isGranted, const QuotaCallback& done);
+    void refuse(const std::string& account, int priority, std::string_view reason, milliseconds retryAfter, std::optional<double> level, const QuotaCallback& done);
+    decisions::QuotaGrant decideGrant(const std::string& account, int priority);
     void sendLeavingReport(size_t shard, const std::string& server);
     void sendReport(size_t shard, const std::string& server, TimePoint now);
     peer::QuotaReport makeReport(size_t shard, const ServerLink& link, TimePoint now);
@@ -98,6 +105,7 @@
     std::vector<Shard> m_shards;
     std::map<uint64_t, PendingAsk> m_pendingAsks; // by number of the call
     std::vector<DelayedStart> m_delayedStarts;
+    std::map<std::string, AccountCounts> m_counts; // by account
     uint64_t m_lastCall { 0 };
     TimePoint m_lastSweepAt {};
 };
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
+#include <fmt/format.h>
 
 namespace alderward::gateway {
 
@@ -24,6 +25,7 @@
     m_context.quotas.admitOperation(shared->request.account, shared->request.priority, [this, shared, done = std::move(done)](const QuotaDecision& decision) {
         shared->isCounted = decision.isCounted;
         shared->isOwnBucket = decision.isOwnBucket;
+        shared->quotaLevel = decision.level;
         if (decision.refusal)
             refuse(shared, done, *decision.refusal);
         else
@@ -267,12 +269,13 @@
         bool isLeaving = member != m_context.view.members.end() && member->second.leavingSince;
         int64_t leavingMs = isLeaving ? std::chrono::duration_cast<milliseconds>(Clock::now() - *member->second.leavingSince).count() : -1;
         std::string_view result = outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "served";
+        auto quotaLevel = routed.quotaLevel ? fmt::format("{:.1f}", *routed.quotaLevel) : std::string();
         base::logEvent(logClass, "request",
             { { "request", std::string_view(routed.request.statement.id) }, { "session", std::string_view(routed.session) }, { "database", std::string_view(routed.route.database) },
                 { "group", std::string_view(routed.route.group) }, { "account", std::string_view(routed.request.account) }, { "kind", getName(routed.request.kind) }, { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs },
                 { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", primary }, { "need", std::string_view(requiredMark) },
                 { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
-                { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
+                { "priority", static_cast<int64_t>(routed.request.priority) }, { "outcome", result }, { "quota_level", std::string_view(quotaLevel) }, { "retry_after_ms", static_cast<int64_t>(outcome.error ? outcome.error->retryAfter.count() : 0) }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
     if (routed.isCounted && outcome.error && !outcome.wasSent && !routed.wasSent)
         m_context.quotas.revertOperation(routed.request.account, routed.isOwnBucket, routed.arrivedAt);
--- a/src/gateway/statement_router.h
+++ b/src/gateway/statement_router.h
@@ -25,6 +25,7 @@
     bool wasQueueOverloaded { false }; // refused by a member queue, or by busy members too often: fails without waiting once no other member is left
     bool isCounted { false }; // against the quota of its client account
     bool isOwnBucket { false }; // as QuotaDecision::isOwnBucket
+    std::optional<double> quotaLevel {}; // as QuotaDecision::level, for the log
     bool wasSent { false }; // some member may have received it
     bool wasMemberBusy { false }; // the last member asked answered that it is busy, so it is alive
     std::string session {}; // for the log
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -36,6 +36,18 @@
     return { static_cast<unsigned>(m_waitingJobs.size()), countRunning(), m_queue.workMs };
 }
 
+std::map<std::string, AccountPoolUse> TargetPool::getUseByAccount() const
+{
+    std::map<std::string, AccountPoolUse> uses;
+    for (auto& it : m_sessions)
+        ++uses[it->account].connections;
+    for (auto& [number, job] : m_waitingJobs)
+        ++uses[job->request.account].waiting;
+    for (auto& [job, session] : m_runningJobs)
+        uses[job->request.account].running += job->isStalled ? 0 : 1;
+    return uses;
+}
+
 void TargetPool::setLimits(const PoolLimits& limits)
 {
     m_limits = limits;
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -77,6 +77,13 @@
     friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
 };
 
+// What one client account uses of a pool.
+struct AccountPoolUse {
+    unsigned connections { 0 };
+    unsigned waiting { 0 }; // queued statements
+    unsigned running { 0 }; // statements at the target
+};
+
 class TargetPool : public std::enable_shared_from_this<TargetPool> {
 public:
     TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string hostName, PoolObserver observer);
@@ -108,6 +115,7 @@
 
     const TargetAddress& getTarget() const { return m_target; }
     PoolLoad getLoad() const;
+    std::map<std::string, AccountPoolUse> getUseByAccount() const;
     bool isIdle() const { return m_queue.entries.empty() && m_sessions.empty(); }
     size_t countOpenSessions() const { return m_sessions.size(); }
 
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -186,9 +186,11 @@
     return client.get("/-/readiness", milliseconds(500)).status == 200;
 }
 
+std::string GatewayRig::getMetricsAddress(unsigned index) const { return getHostAddress(index, 3); }
+
 std::string GatewayRig::getMetrics(unsigned index) const
 {
-    Client client(getHostAddress(index, 3));
+    Client client(getMetricsAddress(index));
     return client.getText("/metrics");
 }
 
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -44,6 +44,7 @@
     Process& getHost(unsigned index) { return *m_hosts.at(index); }
     std::string getCallerAddress(unsigned index) const;
     std::string getMetrics(unsigned index) const;
+    std::string getMetricsAddress(unsigned index) const;
     std::string getLog(unsigned index) const; // the host's output so far
     std::string getLogPath(unsigned index) const;
     std::string getSettingsPath(unsigned index) const;
