Correct the reason for a wait in the test of quotas over all hosts

Cause: the comment named the sliding window's unknown usage before a start. Change: the test waits until the buckets, which start empty, are full.

--- a/tests/gateway/accounts_test.cpp
+++ b/tests/gateway/accounts_test.cpp
@@ -199,7 +199,7 @@
         callers.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i), "db0-own", "key-mill"));
         others.push_back(std::make_unique<LineCaller>(rig.getCallerAddress(i), "db0-own", "key-shop"));
     }
-    std::this_thread::sleep_for(milliseconds(5000)); // until then, the quota may include usage before the hosts started
+    std::this_thread::sleep_for(milliseconds(5000)); // until the buckets, which start empty, are full
     auto end = std::chrono::steady_clock::now() + milliseconds(4500); // within one window
     unsigned served = 0;
     unsigned refused = 0;
