Remove the waiting statements of callers that have disconnected

Cause: a session stops reading while its statement runs, so the end of its caller's connection was noticed only when the statement ended. A forwarder also ran the waiting statements of hosts that had died.

Change: every 20 ms the session polls the socket of a running statement for the end of the connection without reading from it. If the caller has gone, the statement is removed from the retry list, the pool's queue or, by the new message CancelRequest, the forwarder's queue, and ends as not run (caller-gone). One that was sent runs on. The transaction is rolled back at once, also when its COMMIT was removed. When a connection between hosts ends, the forwarder removes its waiting requests. The deadline given to a forwarder leaves out the round trip, as it counts the remaining time from the request's arrival; the caller's host waits for the answer that much longer.

Half-closed connections look like closed ones until something is sent, and the protocol has nothing to send. An end within 40 ms of the statement is taken as a half-close, and the caller gets its answer; a later one is a caller that has gone, which is still told "not run" (docs/design/0014-callers-that-leave.md).

Ruled out: waiting for readability while reading is paused (unread messages hide the end), reading ahead (no back-pressure), treating each half-close as the end.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -22,6 +22,7 @@
     MetricFamilyInfo { MetricFamily::ConnectionsClosed, "alderward_connections_closed_total", MetricType::Counter, "member", "connections to targets that ended" },
     MetricFamilyInfo { MetricFamily::ConnectionsEvicted, "alderward_connections_given_up_total", MetricType::Counter, "member", "connections of one client account closed to make room for one of another" },
     MetricFamilyInfo { MetricFamily::QuotaRefused, "alderward_quota_refused_total", MetricType::Counter, "reason,priority", "operations of client accounts refused because of their quotas" },
+    MetricFamilyInfo { MetricFamily::Abandoned, "alderward_abandoned_total", MetricType::Counter, "stage", "statements whose caller, or whose caller's host, disconnected, by where they were" },
     MetricFamilyInfo { MetricFamily::StoreCalls, "alderward_store_calls_total", MetricType::Counter, "call,result", "calls to the platform's store" },
     MetricFamilyInfo { MetricFamily::StoreSeconds, "alderward_store_seconds", MetricType::Histogram, "call", "calls to the platform's store, watches apart" },
     MetricFamilyInfo { MetricFamily::EntriesRefused, "alderward_entries_refused_total", MetricType::Counter, "result", "entries in the store that could not be used: members, hosts, successions" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -21,6 +21,7 @@
     ConnectionsClosed,
     ConnectionsEvicted,
     QuotaRefused,
+    Abandoned,
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
--- a/src/decisions/errors.cpp
+++ b/src/decisions/errors.cpp
@@ -37,6 +37,7 @@
     ErrorRow { ErrorKind::StatementTimedOut, "statement-timed-out", 504, Ran::Unknown, false },
     ErrorRow { ErrorKind::UnknownKey, "unknown-key", 401, Ran::No, false },
     ErrorRow { ErrorKind::QuotaExceeded, "quota-exceeded", 429, Ran::No, true },
+    ErrorRow { ErrorKind::CallerGone, "caller-gone", 499, Ran::No, true },
     ErrorRow { ErrorKind::Internal, "internal", 500, Ran::Unknown, false },
 };
 
--- a/src/decisions/errors.h
+++ b/src/decisions/errors.h
@@ -48,6 +48,7 @@
     StatementTimedOut, // sent, but not answered within the route's time limit
     UnknownKey, // the API key belongs to no client account
     QuotaExceeded, // the client account's operation quota is used up; includes a retry delay
+    CallerGone, // the caller closed its connection before the statement was sent
     Internal,
 };
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -14,6 +14,9 @@
 
 static constexpr size_t kMaxPreparedStatements = 256; // in one session; limits its memory
 static constexpr size_t kMaxVariables = 256;
+// A caller that ends its sending direction within this time of its statement is taken to wait for the answer, as one that sends its last statement
+// does. Must exceed the interval of checkCaller().
+static constexpr milliseconds kHalfCloseGrace { 40 };
 
 CallerSession::CallerSession(SessionContext context, uint64_t number)
     : m_context(std::move(context))
@@ -150,6 +153,8 @@
 void CallerSession::handleStatement(const Statement& statement)
 {
     m_isRunning = true;
+    m_statementArrivedAt = Clock::now();
+    m_hasSendingEnded = false;
     m_channel->setReadingPaused(true); // one statement at a time, as the next may depend on its result
     if (m_state == SessionState::Idle)
         refreshRoute();
@@ -263,8 +268,7 @@
 
 bool CallerSession::fillRoutedStatement(RoutedStatement& routed, const Statement& statement)
 {
-    auto now = Clock::now();
-    m_statementArrivedAt = now;
+    auto now = m_statementArrivedAt;
     routed.route = m_route;
     routed.session = m_name;
     routed.arrivedAt = now;
@@ -302,7 +306,7 @@
     auto resolvedStatement = routed.request.statement;
     auto done = [self, resolvedStatement](const Outcome& outcome, const std::optional<TransactionHandle>& transaction) { self->handleOutcome(resolvedStatement, outcome, transaction); };
     if (m_transaction) {
-        m_context.router.runNext(*m_transaction, std::move(routed), done);
+        m_statement = m_context.router.runNext(*m_transaction, std::move(routed), done);
         return;
     }
     bool isFirstInTransaction = m_state == SessionState::InTransaction;
@@ -315,7 +319,7 @@
         routed.requiredMark = mark.value_or(Mark {});
     }
     routed.request.isReadOnly = isReadOnly && !routed.needsPrimary;
-    m_context.router.run(std::move(routed), done);
+    m_statement = m_context.router.run(std::move(routed), done);
 }
 
 // The error reported to the caller. An unclear outcome becomes TransactionAborted only if no commit can have reached a target.
@@ -334,6 +338,7 @@
 
 void CallerSession::handleOutcome(const Statement& statement, const Outcome& outcome, const std::optional<TransactionHandle>& transaction)
 {
+    m_statement.reset();
     bool isCommit = statement.kind == StatementKind::Commit;
     bool wasInTransaction = m_state == SessionState::InTransaction;
     auto answer = outcome;
@@ -353,7 +358,7 @@
         m_state = isCommit ? SessionState::Idle : answer.error ? SessionState::Failed
                                                                : SessionState::InTransaction;
     }
-    if (!m_channel->isOpen() && m_transaction) { // the caller disconnected while its statement was running
+    if ((m_hasCallerGone || !m_channel->isOpen()) && m_transaction) { // the caller disconnected while its statement was running
         m_context.router.end(*m_transaction);
         m_transaction.reset();
     }
@@ -381,6 +386,11 @@
     m_isRunning = false;
     m_idleSince = Clock::now();
     m_channel->send(m_context.codec.formatAnswer(outcome, m_state));
+    if (m_hasCallerGone) { // it may still receive, if it has ended only its sending direction
+        m_channel->closeAfterWrite();
+        close("the caller disconnected");
+        return;
+    }
     if (m_isDraining && m_state == SessionState::Idle) {
         m_channel->closeAfterWrite();
         close("this host is stopping");
@@ -389,6 +399,23 @@
     m_channel->setReadingPaused(false);
 }
 
+// The end of the caller's sending direction is all that is seen of a closed connection until something is sent on it. Unless it came together with
+// the statement, the caller is taken to have gone.
+void CallerSession::checkCaller(TimePoint now)
+{
+    if (!m_statement || m_hasCallerGone || !m_channel->isOpen())
+        return;
+    auto end = m_channel->checkRemoteEnd();
+    if (end == links::RemoteEnd::Open)
+        return;
+    if (end == links::RemoteEnd::SendingEnded && (m_hasSendingEnded || now - m_statementArrivedAt < kHalfCloseGrace)) {
+        m_hasSendingEnded = true;
+        return;
+    }
+    m_hasCallerGone = true;
+    m_context.router.abandon(m_statement);
+}
+
 void CallerSession::drain()
 {
     m_isDraining = true;
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -28,6 +28,9 @@
     // transaction that was idle for too long.
     void sweep(TimePoint now);
 
+    // Checks whether the caller of a running statement has disconnected. Call it every few tens of ms.
+    void checkCaller(TimePoint now);
+
     bool isBusy() const { return m_isRunning || m_state != decisions::SessionState::Idle; }
     bool isRunning() const { return m_isRunning; }
 
@@ -75,6 +78,7 @@
     bool m_hasWritten { false }; // in the transaction
     TimePoint::duration m_transactionTime {}; // spent on statements so far
     TimePoint m_statementArrivedAt {}; // of the running statement
+    std::shared_ptr<RoutedStatement> m_statement; // the running one, if it is at the router
     std::optional<TransactionHandle> m_transaction; // empty until its first statement
     Mark m_lastCommit;
     TimePoint m_idleSince {};
@@ -82,6 +86,8 @@
     bool m_isOpen { false };
     bool m_isRunning { false };
     bool m_isDraining { false };
+    bool m_hasSendingEnded { false }; // the caller has ended its sending direction and waits for the answer
+    bool m_hasCallerGone { false };
 };
 
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -518,6 +518,8 @@
 // Session timeouts are seconds long, so the interval can be coarse, except while sessions wait for the host's first configuration.
 void Gateway::sweepSessions(TimePoint now)
 {
+    for (auto& it : m_sessions) // outcomes are posted, so no session ends meanwhile
+        it->checkCaller(now);
     bool isStarting = now < m_startedAt + kInitialConfigurationWait;
     if (!isStarting && now - m_sessionsSweptAt < kSessionSweepInterval)
         return;
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -1,4 +1,5 @@
 #include "gateway/inbound_peers.h"
+#include "base/families.h"
 #include "links/http.h"
 #include <algorithm>
 
@@ -57,6 +58,8 @@
         handleStatementRequest(connection, frame.order());
     else if (frame.has_end_transaction())
         endTransaction(connection, frame.end_transaction().transaction());
+    else if (frame.has_cancel())
+        cancelRequest(connection, frame.cancel().call());
     else if (frame.has_ping())
         answerPing(connection, frame.ping());
     else if (frame.has_inquiry())
@@ -182,18 +185,35 @@
         answerUnknownMember(connection, wire.call());
         return;
     }
-    auto reply = [this, connection, call = wire.call(), pool](const Outcome& outcome) { sendAnswer(connection, call, outcome, pool.get()); };
+    auto reply = [this, connection, call = wire.call(), pool](const Outcome& outcome) {
+        connection->requests.erase(call);
+        sendAnswer(connection, call, outcome, pool.get());
+    };
     bool isInTransaction = request.kind == RequestKind::Begin || request.kind == RequestKind::Continue;
     if (isInTransaction && !resolveTransaction(connection, pool, wire.transaction(), request)) {
         reply(decisions::makeFailure(ErrorKind::TransactionAborted, "the transaction is unknown to this host"));
         return;
     }
-    pool->submit(std::move(request), reply);
+    connection->requests[wire.call()] = { pool, pool->submit(std::move(request), reply) };
 }
 
-// Ends the transactions begun on the connection: the remote host can no longer do so.
+void InboundPeers::cancelRequest(const ConnectionPtr& connection, uint64_t call)
+{
+    auto it = connection->requests.find(call);
+    if (it != connection->requests.end())
+        it->second.pool->cancel(it->second.handle);
+}
+
+// Removes the waiting requests of the connection, whose answers can no longer be delivered, and ends the transactions begun on it, as the
+// remote host can no longer do so.
 void InboundPeers::removeConnection(const ConnectionPtr& connection)
 {
+    auto requests = std::move(connection->requests);
+    connection->requests.clear();
+    for (auto& [call, request] : requests) {
+        if (request.pool->cancel(request.handle) == CancelResult::Removed)
+            base::incrementCounter(base::MetricFamily::Abandoned, { { "stage", "queue" } });
+    }
     auto transactions = std::move(connection->transactions);
     connection->transactions.clear();
     for (auto& [number, remote] : transactions)
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -55,6 +55,11 @@
             uint64_t transaction;
         };
         std::unordered_map<uint64_t, RemoteTransaction> transactions; // by the other host's number
+        struct RemoteRequest {
+            std::shared_ptr<TargetPool> pool;
+            uint64_t handle; // as returned by the pool
+        };
+        std::unordered_map<uint64_t, RemoteRequest> requests; // unanswered, by the other host's call number
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -65,6 +70,7 @@
     void answerInquiry(const ConnectionPtr& connection, const peer::Inquiry& inquiry);
     void endTransaction(const ConnectionPtr& connection, uint64_t transaction);
     void handleStatementRequest(const ConnectionPtr& connection, const peer::Order& wire);
+    void cancelRequest(const ConnectionPtr& connection, uint64_t call);
     bool resolveTransaction(const ConnectionPtr& connection, const std::shared_ptr<TargetPool>& pool, uint64_t remoteNumber, StatementRequest& request);
     void sendAnswer(const ConnectionPtr& connection, uint64_t call, const Outcome& outcome, const TargetPool* pool);
     void answerQuotaReport(const ConnectionPtr& connection, const peer::QuotaReport& report);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -14,7 +14,7 @@
 static constexpr milliseconds kConnectTimeout { 250 }; // must exceed the round trip between data centres; a host that is starting may drop the attempt
 static constexpr milliseconds kConnectGrace { 100 }; // a host that takes longer to connect to is not used until it is connected
 static constexpr milliseconds kReconnectDelay { 100 };
-static constexpr milliseconds kCallTimeoutMargin { 250 }; // after the deadline of a request, for its answer to arrive
+static constexpr milliseconds kCallTimeoutMargin { 250 }; // after the deadline of a request and a round trip, for its answer to arrive
 static constexpr milliseconds kMissingMemberRetryDelay { 1000 }; // before a host that did not know a member is used for it again
 static constexpr double kInitialRoundTripMs = 10;
 static constexpr double kRoundTripSmoothing = 0.2; // weight of the latest ping
@@ -267,19 +267,31 @@
     return it->second;
 }
 
-void Peers::sendStatementRequest(const std::string& host, const TargetAddress& target, const StatementRequest& request, RequestCallback done)
+uint64_t Peers::sendStatementRequest(const std::string& host, const TargetAddress& target, const StatementRequest& request, RequestCallback done)
 {
     auto link = acquireLink(host);
     if (!link) {
         boost::asio::post(m_context, [done = std::move(done), host] { done(decisions::makeFailure(ErrorKind::TargetUnreachable, "host " + host + " is unreachable")); });
-        return;
+        return 0;
     }
     peer::Frame frame;
     auto& wire = *frame.mutable_order();
     wire.set_call(++link->lastCall);
     encodeStatementRequest(wire, target, request, Clock::now());
-    link->calls[link->lastCall] = { std::move(done), target.member, request.deadline + kCallTimeoutMargin, Clock::now() };
+    auto roundTrip = std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(link->roundTripMs));
+    link->calls[link->lastCall] = { std::move(done), target.member, request.deadline + roundTrip + kCallTimeoutMargin, Clock::now() };
     sendFrame(*link->channel, frame);
+    return link->lastCall;
+}
+
+void Peers::cancelStatementRequest(const std::string& host, uint64_t number)
+{
+    auto it = m_links.find(host);
+    if (it == m_links.end() || !it->second->channel || !it->second->calls.contains(number))
+        return;
+    peer::Frame frame;
+    frame.mutable_cancel()->set_call(number);
+    sendFrame(*it->second->channel, frame);
 }
 
 void Peers::endTransaction(const std::string& host, uint64_t transaction)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -54,7 +54,10 @@
     void writePartnerReports(peer::Pong& wire, bool withLoads) const;
 
     // Calls `done` exactly once. Requests of one transaction carry the same number from takeTransactionNumber().
-    void sendStatementRequest(const std::string& host, const TargetAddress& target, const StatementRequest& request, RequestCallback done);
+    // Returns the number of the request for cancelStatementRequest(), or 0 if the host is unreachable.
+    uint64_t sendStatementRequest(const std::string& host, const TargetAddress& target, const StatementRequest& request, RequestCallback done);
+    // Asks the host not to run a request that is still waiting there. The request ends as usual, with CallerGone if it was removed.
+    void cancelStatementRequest(const std::string& host, uint64_t number);
     void endTransaction(const std::string& host, uint64_t transaction);
     uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
     void queryStatus(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done);
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -17,7 +17,7 @@
 static constexpr milliseconds kCallerRoundTrip { 2 }; // estimate, between caller and host
 static constexpr double kRemoteRoundTripEstimateMs = 10; // from this host to a member in another data centre
 
-void StatementRouter::run(RoutedStatement routed, RoutedCallback done)
+std::shared_ptr<RoutedStatement> StatementRouter::run(RoutedStatement routed, RoutedCallback done)
 {
     auto shared = std::make_shared<RoutedStatement>(std::move(routed));
     // Checked before queueing, so that operations beyond the quota do not delay those of other accounts.
@@ -26,9 +26,37 @@
         shared->isOwnBucket = decision.isOwnBucket;
         if (decision.refusal)
             refuse(shared, done, *decision.refusal);
+        else if (shared->isAbandoned) // while it waited for the grant
+            refuseAbandoned(shared, done);
         else
             attempt(shared, done);
     });
+    return shared;
+}
+
+void StatementRouter::refuseAbandoned(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done)
+{
+    refuse(routed, std::move(done), { ErrorKind::CallerGone, "the caller disconnected before the statement was sent" });
+}
+
+void StatementRouter::abandon(const std::shared_ptr<RoutedStatement>& routed)
+{
+    routed->isAbandoned = true;
+    routed->wasPassedOn = routed->place.number != 0;
+    auto retry = std::ranges::find(m_pendingRetries, routed, &PendingRetry::routed);
+    if (retry != m_pendingRetries.end()) {
+        auto done = std::move(retry->done);
+        m_pendingRetries.erase(retry);
+        refuseAbandoned(routed, std::move(done));
+        return;
+    }
+    auto& place = routed->place;
+    if (place.number == 0)
+        return;
+    if (place.pool)
+        place.pool->cancel(place.number);
+    else
+        m_context.peers.cancelStatementRequest(place.host, place.number);
 }
 
 void StatementRouter::refuse(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done, const decisions::Error& refusal)
@@ -119,6 +147,14 @@
     return kCallerRoundTrip + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(returnMs));
 }
 
+// A statement whose answer could only arrive after the caller's deadline is not sent. The forwarder counts the remaining time from the request's
+// arrival, so the request's own way is deducted as well as the answer's.
+TimePoint StatementRouter::getForwarderDeadline(const std::string& forwarder, TimePoint deadline) const
+{
+    auto outwardMs = forwarder == m_context.name ? 0 : m_context.peers.getRoundTripMs(forwarder) / 2;
+    return deadline - getReturnTime(forwarder) - std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(outwardMs));
+}
+
 void StatementRouter::fail(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done, ErrorKind kind)
 {
     refuse(routed, std::move(done), { kind, routed->lastReason.empty() ? "no member can serve this statement now" : routed->lastReason });
@@ -162,6 +198,7 @@
     auto request = routed->request;
     request.atLeast = routed->requiredMark;
     request.objective -= getReturnTime(forwarder);
+    request.deadline = getForwarderDeadline(forwarder, request.deadline);
     if (request.kind == RequestKind::Single && routed->needsPrimary && !request.statement.isWrite)
         request.kind = RequestKind::PrimaryRead;
     std::optional<TransactionHandle> transaction;
@@ -172,14 +209,15 @@
         request.transaction = transaction->number;
     }
     auto onOutcome = [this, routed, target = *target, forwarder, transaction, done](const Outcome& outcome) {
+        routed->place = {};
         if (outcome.error && m_context.peers.lacksMember(forwarder, target.member))
             std::erase(routed->triedMembers, target.member); // it was not asked: another forwarder can be tried at once
         handleOutcome(routed, target, transaction, outcome, done);
     };
     if (isLocal)
-        pool->submit(std::move(request), onOutcome);
+        routed->place = { pool, {}, pool->submit(std::move(request), onOutcome) };
     else
-        m_context.peers.sendStatementRequest(forwarder, *target, request, onOutcome);
+        routed->place = { nullptr, forwarder, m_context.peers.sendStatementRequest(forwarder, *target, request, onOutcome) };
 }
 
 void StatementRouter::recordReadRefusal(const TargetAddress& target, const Mark& position, TimePoint now)
@@ -216,24 +254,31 @@
     // A single write that may have been received is never sent again. Other statements have no effect until their commit.
     bool canRetry = decisions::canTryOtherTarget(kind) || (kind == ErrorKind::OutcomeUnknown && (!statement.isWrite || routed->request.kind == RequestKind::Begin));
     bool hasTime = now + kRetryDelay < routed->request.deadline;
-    if (!canRetry || !hasTime) {
+    if (!canRetry || !hasTime || routed->isAbandoned) {
         finish(*routed, outcome, std::nullopt, done, target);
         return;
     }
     attempt(routed, std::move(done));
 }
 
-void StatementRouter::runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedCallback done)
+std::shared_ptr<RoutedStatement> StatementRouter::runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedCallback done)
 {
     routed.request.kind = RequestKind::Continue;
     routed.request.transaction = transaction.number;
     routed.attempts = 1;
     auto shared = std::make_shared<RoutedStatement>(std::move(routed));
-    auto onOutcome = [this, shared, transaction, done](const Outcome& outcome) { finish(*shared, outcome, transaction, done, transaction.target); };
-    if (transaction.host.empty())
-        m_context.getPool(transaction.target)->submit(shared->request, onOutcome);
-    else
-        m_context.peers.sendStatementRequest(transaction.host, transaction.target, shared->request, onOutcome);
+    auto request = shared->request;
+    request.deadline = getForwarderDeadline(transaction.host.empty() ? m_context.name : transaction.host, request.deadline);
+    auto onOutcome = [this, shared, transaction, done](const Outcome& outcome) {
+        shared->place = {};
+        finish(*shared, outcome, transaction, done, transaction.target);
+    };
+    if (transaction.host.empty()) {
+        auto pool = m_context.getPool(transaction.target);
+        shared->place = { pool, {}, pool->submit(std::move(request), onOutcome) };
+    } else
+        shared->place = { nullptr, transaction.host, m_context.peers.sendStatementRequest(transaction.host, transaction.target, request, onOutcome) };
+    return shared;
 }
 
 void StatementRouter::end(const TransactionHandle& transaction)
@@ -250,6 +295,15 @@
     return names[static_cast<size_t>(kind)];
 }
 
+void StatementRouter::recordAbandoned(const RoutedStatement& routed, const Outcome& outcome) const
+{
+    bool wasSent = !outcome.error || outcome.wasSent;
+    std::string_view stage = wasSent ? "running" : routed.wasPassedOn ? "queue"
+                                                                      : "retry";
+    base::incrementCounter(base::MetricFamily::Abandoned, { { "stage", stage } });
+    base::logEvent(LogClass::Failure, "caller-gone", { { "request", std::string_view(routed.request.statement.id) }, { "account", std::string_view(routed.request.account) }, { "stage", stage } });
+}
+
 void StatementRouter::finish(const RoutedStatement& routed, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RoutedCallback& done, const TargetAddress& target)
 {
     std::chrono::duration<double, std::milli> took = Clock::now() - routed.arrivedAt;
@@ -274,6 +328,8 @@
                 { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
                 { "outcome", result }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
+    if (routed.isAbandoned)
+        recordAbandoned(routed, outcome);
     if (routed.isCounted && outcome.error && !outcome.wasSent && !routed.wasSent)
         m_context.quotas.revertOperation(routed.request.account, routed.isOwnBucket);
     done(outcome, transaction);
--- a/src/gateway/statement_router.h
+++ b/src/gateway/statement_router.h
@@ -13,6 +13,13 @@
     uint64_t number { 0 }; // assigned by this host, unique per forwarder
 };
 
+// Where a statement that was passed on waits or runs.
+struct StatementPlace {
+    std::shared_ptr<TargetPool> pool {}; // of this host; null: at `host`
+    std::string host {};
+    uint64_t number { 0 }; // as returned by the pool or by Peers; 0: nowhere
+};
+
 // A statement with the state of its attempts.
 struct RoutedStatement {
     decisions::DatabaseRoute route {};
@@ -27,6 +34,9 @@
     bool isOwnBucket { false }; // as QuotaDecision::isOwnBucket
     bool wasSent { false }; // some member may have received it
     bool wasMemberBusy { false }; // the last member asked answered that it is busy, so it is alive
+    StatementPlace place {};
+    bool wasPassedOn { false }; // to a pool or a forwarder, when it was abandoned
+    bool isAbandoned { false }; // its caller has gone: it is not sent any more, and its result is not needed
     std::string session {}; // for the log
     std::string lastReason {};
 };
@@ -54,10 +64,12 @@
     {
     }
 
-    // Runs a statement outside a transaction, or the first statement of one.
-    void run(RoutedStatement routed, RoutedCallback done);
+    // Runs a statement outside a transaction, or the first statement of one. `done` is called once, never from within run() or runNext().
+    std::shared_ptr<RoutedStatement> run(RoutedStatement routed, RoutedCallback done);
     // Runs the next statement of a transaction, or its commit.
-    void runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedCallback done);
+    std::shared_ptr<RoutedStatement> runNext(const TransactionHandle& transaction, RoutedStatement routed, RoutedCallback done);
+    // Called when the statement's caller has gone. A statement that was not sent to a member ends with CallerGone; one that was sent runs on.
+    void abandon(const std::shared_ptr<RoutedStatement>& routed);
     void end(const TransactionHandle& transaction);
     // Retries statements whose retry delay has passed.
     void sweep(TimePoint now);
@@ -70,6 +82,7 @@
     };
 
     TimePoint::duration getReturnTime(const std::string& forwarder) const;
+    TimePoint getForwarderDeadline(const std::string& forwarder, TimePoint deadline) const;
     void attempt(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done);
     void retryLaterOrFail(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done);
     void refuse(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done, const decisions::Error& refusal);
@@ -80,6 +93,8 @@
     std::string chooseForwarder(const MemberView& member) const;
     void recordReadRefusal(const TargetAddress& target, const Mark& position, TimePoint now);
     void handleOutcome(const std::shared_ptr<RoutedStatement>& routed, const TargetAddress& target, const std::optional<TransactionHandle>& transaction, const Outcome& outcome, RoutedCallback done);
+    void refuseAbandoned(const std::shared_ptr<RoutedStatement>& routed, RoutedCallback done);
+    void recordAbandoned(const RoutedStatement& routed, const Outcome& outcome) const;
     void finish(const RoutedStatement& routed, const Outcome& outcome, const std::optional<TransactionHandle>& transaction, const RoutedCallback& done, const TargetAddress& target);
 
     StatementRouterContext m_context;
--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -57,7 +57,7 @@
     return { job.number, getScheduling(job.request), { job.request.database, isInTransaction(job.request.kind) }, job.submittedAt };
 }
 
-void TargetPool::submit(StatementRequest request, RequestCallback done)
+uint64_t TargetPool::submit(StatementRequest request, RequestCallback done)
 {
     auto now = Clock::now();
     m_lastRequestAccount = request.account;
@@ -66,9 +66,10 @@
         if (m_openingCount == 0 && now >= m_nextOpeningAt)
             openSession(job->request.account);
         finish(job, decisions::makeFailure(ErrorKind::TargetUnreachable, "no connection to the target could be opened"));
-        return;
+        return 0;
     }
     job->number = ++m_lastQueueNumber;
+    auto handle = job->handle = job->number;
     m_waitingJobs[job->number] = job;
     refuseEntries(decisions::admit(m_queue, makeQueueEntry(*job), now), "");
     if (!m_isDispatching) {
@@ -78,6 +79,25 @@
             self->dispatch();
         });
     }
+    return handle;
+}
+
+// A hedge is removed silently while its first attempt may still be answered.
+CancelResult TargetPool::cancel(uint64_t handle)
+{
+    bool isRunning = std::ranges::any_of(m_runningJobs, [&](const auto& it) { return it.first->handle == handle && !it.first->isDone(); });
+    auto waiting = std::ranges::find_if(m_waitingJobs, [&](const auto& it) { return it.second->handle == handle && !it.second->isDone(); });
+    if (waiting == m_waitingJobs.end())
+        return isRunning ? CancelResult::Running : CancelResult::NotFound;
+    auto job = waiting->second;
+    std::erase_if(m_queue.entries, [&](const decisions::QueueEntry& it) { return it.number == job->number; });
+    m_waitingJobs.erase(waiting);
+    if (isRunning)
+        return CancelResult::Running;
+    finish(job, decisions::makeFailure(ErrorKind::CallerGone, "the caller disconnected before the statement was sent"));
+    if (job->request.kind == RequestKind::Continue)
+        endTransaction(job->request.transaction);
+    return CancelResult::Removed;
 }
 
 // Queues a job without admission control, as it has been admitted before.
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -77,14 +77,22 @@
     friend bool operator==(const PoolLoad&, const PoolLoad&) = default;
 };
 
+enum class CancelResult {
+    Removed, // the request was waiting; its callback gets CallerGone
+    Running, // it was sent or is being sent, and is answered as usual
+    NotFound, // it has ended
+};
+
 class TargetPool : public std::enable_shared_from_this<TargetPool> {
 public:
     TargetPool(boost::asio::any_io_executor executor, const links::StatementCodec& codec, TargetAddress target, std::string hostName, PoolObserver observer);
 
     void setLimits(const PoolLimits& limits);
     uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
-    // Calls `done` exactly once for each request, never from within submit().
-    void submit(StatementRequest request, RequestCallback done);
+    // Calls `done` exactly once for each request, never from within submit(). Returns the request's handle for cancel().
+    uint64_t submit(StatementRequest request, RequestCallback done);
+    // Removes a waiting request. If it belongs to an open transaction, the transaction is rolled back.
+    CancelResult cancel(uint64_t handle);
     // Rolls a transaction back and releases its connection. Unknown numbers are ignored.
     void endTransaction(uint64_t transaction);
     // Whether the transaction is open and still has its connection.
@@ -120,6 +128,7 @@
         TimePoint retryAt {}; // earliest time of the next attempt after the target was busy
         unsigned busyCount { 0 };
         uint64_t number { 0 }; // of its queue entry
+        uint64_t handle { 0 }; // returned by submit(); the hedge of a job has the same
         bool isHedge { false }; // second attempt of a read whose first answer is overdue but may still arrive
         bool isStalled { false }; // its answer is probably lost, so it no longer counts against the concurrency limit
         bool isDone() const { return !*done; }
--- a/src/links/channel.cpp
+++ b/src/links/channel.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace alderward::links {
 
@@ -290,6 +291,18 @@
     });
 }
 
+RemoteEnd Channel::checkRemoteEnd()
+{
+    if (!m_isOpen)
+        return RemoteEnd::Reset;
+    if (!m_isConnected)
+        return RemoteEnd::Open;
+    pollfd fd { m_socket.native_handle(), POLLRDHUP, 0 };
+    if (::poll(&fd, 1, 0) <= 0)
+        return RemoteEnd::Open;
+    return (fd.revents & (POLLERR | POLLHUP)) != 0 ? RemoteEnd::Reset : RemoteEnd::SendingEnded;
+}
+
 void Channel::fail(const std::string& reason)
 {
     if (!m_isOpen)
--- a/src/links/channel.h
+++ b/src/links/channel.h
@@ -45,6 +45,13 @@
     base::milliseconds unresponsiveTimeout { 3000 }; // TCP_USER_TIMEOUT and keep-alive: fails after about this long without a response from the remote host
 };
 
+// Whether the remote end can still send and receive, as far as this host has been told.
+enum class RemoteEnd {
+    Open,
+    SendingEnded, // it has closed the connection or only its sending direction; the two cannot be told apart without sending to it
+    Reset,
+};
+
 class Channel : public std::enable_shared_from_this<Channel> {
 public:
     using MessageHandler = std::function<void(std::string_view message)>;
@@ -65,6 +72,8 @@
     void close();
     // Stops or resumes reading, so that TCP flow control slows down the sender.
     void setReadingPaused(bool isPaused);
+    // Reads nothing, so it also works while reading is paused and unread messages precede the end of the connection.
+    RemoteEnd checkRemoteEnd();
 
     bool isConnected() const { return m_isConnected; }
     bool isOpen() const { return m_isOpen; }
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -259,6 +259,15 @@
     m_socket = -1;
 }
 
+void LineCaller::reset()
+{
+    linger option { 1, 0 };
+    ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    close();
+}
+
+void LineCaller::endSending() { ::shutdown(m_socket, SHUT_WR); }
+
 void LineCaller::sendRaw(const std::string& bytes)
 {
     size_t sent = 0;
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -118,6 +118,10 @@
     // Whether the remote end closes the connection within the limit.
     bool isClosed(milliseconds limit);
     void close();
+    // Closes the connection with a reset.
+    void reset();
+    // Ends the sending direction only; answers can still be received.
+    void endSending();
     // Sends bytes without framing.
     void sendRaw(const std::string& bytes);
 
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -443,6 +443,11 @@
 MemberFaults& LineGroup::getFaults(const std::string& id) { return m_impl->members.at(id).faults; }
 size_t LineGroup::getConnectionCount(const std::string& id) const { return m_impl->members.at(id).connections.size(); }
 size_t LineGroup::getPeakConnections(const std::string& id) const { return m_impl->members.at(id).peakConnections; }
+size_t LineGroup::countWritingTransactions(const std::string& id) const
+{
+    return static_cast<size_t>(std::ranges::count_if(m_impl->members.at(id).connections, [](const auto& it) { return it->isInTransaction && !it->written.empty(); }));
+}
+
 const std::vector<ExecutedStatement>& LineGroup::getExecutedStatements() const { return m_impl->executedStatements; }
 const std::map<std::string, std::string>& LineGroup::getItems() const { return m_impl->items; }
 uint64_t LineGroup::getCommitCount() const { return m_impl->commits; }
--- a/tests/standins/line_group.h
+++ b/tests/standins/line_group.h
@@ -57,6 +57,7 @@
     unsigned getStartCount(const std::string& id) const; // number of starts of the member
     size_t getConnectionCount(const std::string& id) const; // currently open
     size_t getPeakConnections(const std::string& id) const; // peak of open connections
+    size_t countWritingTransactions(const std::string& id) const; // open transactions with uncommitted writes
     const std::vector<ExecutedStatement>& getExecutedStatements() const;
     const std::map<std::string, std::string>& getItems() const; // committed data of the primary
     uint64_t getCommitCount() const;
