--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -25,6 +25,7 @@
     MetricFamilyInfo { MetricFamily::QuotaLevel, "alderward_quota_level", MetricType::Gauge, "account", "on a quota server: tokens in the account's bucket" },
     MetricFamilyInfo { MetricFamily::QuotaGrants, "alderward_quota_grants_total", MetricType::Counter, "result", "on a quota server: decisions on requests for grants" },
     MetricFamilyInfo { MetricFamily::AccountRefused, "alderward_account_refused_total", MetricType::Counter, "member,reason", "statements that a member's queue refused, where connections belong to client accounts" },
+    MetricFamilyInfo { MetricFamily::Abandoned, "alderward_abandoned_total", MetricType::Counter, "stage", "statements whose caller, or whose caller's host, disconnected, by where they were" },
     MetricFamilyInfo { MetricFamily::StoreCalls, "alderward_store_calls_total", MetricType::Counter, "call,result", "calls to the platform's store" },
     MetricFamilyInfo { MetricFamily::StoreSeconds, "alderward_store_seconds", MetricType::Histogram, "call", "calls to the platform's store, watches apart" },
     MetricFamilyInfo { MetricFamily::EntriesRefused, "alderward_entries_refused_total", MetricType::Counter, "result", "entries in the store that could not be used: members, hosts, successions" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -24,6 +24,7 @@
     QuotaLevel,
     QuotaGrants,
     AccountRefused,
+    Abandoned,
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
