A transaction of an unreachable host is not reported as rolled back

What callers saw: `transaction-unknown` with "the transaction is rolled back" from a host that could not connect to the transaction's owner, while the owner still ran and held the transaction open.

Cause: `sendToOwner` took "no connection from here" for "the owner has stopped".

Change: the message says that the request has not run and when the transaction is rolled back.

Ruled out: a commit that ran although it is answered with "no".

--- a/src/filters/chain.cpp
+++ b/src/filters/chain.cpp
@@ -185,7 +185,7 @@
     if (result.reply)
         co_return result.reply;
     if (!result.mayHaveArrived)
-        co_return makeErrorReply(services, context, { ErrorKind::TransactionUnknown, "the host of the transaction is unreachable; the transaction is rolled back" });
+        co_return makeErrorReply(services, context, { ErrorKind::TransactionUnknown, "the host of the transaction is unreachable, so this request has not run; the transaction is rolled back unless that host still runs and gets another request for it in time" });
     co_return makeErrorReply(services, context, { ErrorKind::OutcomeUnknown, "the host that holds the transaction did not answer", kRetryAfter });
 }
 
--- a/tests/process/answers_test.cpp
+++ b/tests/process/answers_test.cpp
@@ -210,4 +210,31 @@
     BOOST_TEST(getString(begun.body.at("servedBy").as_object(), "member") == "orders-a", json::serialize(begun.body));
 }
 
+// Guards against "rolled back" for a transaction whose host only cannot be reached from here: it is open and can be committed.
+BOOST_AUTO_TEST_CASE(transaction_of_an_unreachable_host_is_not_reported_as_rolled_back)
+{
+    Cluster cluster(makeSmallOptions());
+    cluster.startAll();
+    Caller caller(cluster.getCallerAddress(0));
+    auto name = getString(caller.send("/v1/transaction/begin", { { "group", "orders" } }).body, "transaction");
+    BOOST_REQUIRE(!name.empty());
+    auto written = caller.send("/v1/statement", { { "group", "orders" }, { "kind", "write" }, { "statement", "SET a 1" }, { "transaction", name } });
+    BOOST_TEST(written.status == 200u);
+    // h2 starts again with a wrong address of h1, and h1 does not correct it.
+    cluster.blockPeers(0, { "h2", "h3" });
+    cluster.registerHost("h1", { { "dataCentre", "ahmedabad" }, { "peerAddress", "127.0.0.1:1" }, { "callerAddress", cluster.getCallerAddress(0) }, { "operatorAddress", cluster.getOperatorAddress(0) } });
+    cluster.getHost(1).kill();
+    cluster.getHost(2).kill();
+    cluster.startHost(1);
+    BOOST_TEST(waitUntil(milliseconds(5000), [&] { return Client(cluster.getOperatorAddress(1)).get("/healthz").status == 200; }));
+    caller.switchHost(cluster.getCallerAddress(1));
+    auto refused = caller.send("/v1/transaction/commit", { { "group", "orders" }, { "transaction", name } });
+    BOOST_TEST(getErrorKind(refused) == "transaction-unknown", json::serialize(refused.body));
+    BOOST_TEST(getRanField(refused) == "no");
+    BOOST_TEST(json::serialize(refused.body).find("the transaction is rolled back\"") == std::string::npos, json::serialize(refused.body));
+    caller.switchHost(cluster.getCallerAddress(0));
+    auto committed = caller.send("/v1/transaction/commit", { { "group", "orders" }, { "transaction", name } });
+    BOOST_TEST(committed.status == 200u, json::serialize(committed.body));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
