A member that answers a fence request twice counts once

What callers saw: nothing known. A group's failover could end an attempt that could still succeed, or skip the wait for further grants, if a member's grant and a failed answer of the same term were both applied.

Cause: `handleFenceAnswer` added to grants or refusals without regard to the other set.

Evidence: failover_decisions/member_that_answers_a_fence_twice_counts_once failed with 5 errors on the code before. The controller sends each member one fence request per attempt, and an answer of an earlier attempt in the same term is bounded by its time-out of 300 ms, which the pause between attempts equals; so the case was not seen in a running group.

Change: a grant removes the refusal, and a refusal after a grant of the same term is ignored.

Ruled out: a promotion without a majority. Only grants are counted for it, by member.

Why it holds: the two sets are disjoint after every answer, and a grant of a term cannot be taken back by the member.

Measured: unit tests of failover and of traces pass.

--- a/src/decisions/failover.cpp
+++ b/src/decisions/failover.cpp
@@ -199,9 +199,11 @@
         && (state.phase == FailoverPhase::Fencing || state.phase == FailoverPhase::Draining);
     if (!isCurrentAttempt)
         return;
-    if (event.answer && event.answer->isGranted)
+    // A grant of a term is final, whatever later answers say. A member must not be in both sets: it would count twice.
+    if (event.answer && event.answer->isGranted) {
         state.grants[event.member] = *event.answer;
-    else
+        state.refusals.erase(event.member);
+    } else if (!state.grants.contains(event.member))
         state.refusals.insert(event.member);
     if (state.phase == FailoverPhase::Fencing)
         return evaluateGrants(step, context, now);
--- a/tests/unit/failover_test.cpp
+++ b/tests/unit/failover_test.cpp
@@ -140,6 +140,29 @@
     BOOST_TEST(step.state.term == 6u);
 }
 
+// Guards against a member that counts as granted and as refused: two members then looked like all three, and a majority that
+// could still be fenced looked lost. A promotion without a majority is impossible even so, because only grants are counted for it.
+BOOST_AUTO_TEST_CASE(member_that_answers_a_fence_twice_counts_once)
+{
+    Fixture it;
+    auto state = it.step({}, Tick {}, 600).state;
+    state = it.step(state, ClaimAnswered { 2, ClaimOutcome::Taken, 2 }, 610).state;
+    state = it.step(state, FenceAnswered { 2, 1, {} }, 620).state;
+    state = it.step(state, grant(2, 1, 10), 621).state;
+    BOOST_TEST(state.grants.size() == 1u);
+    BOOST_TEST(state.refusals.empty());
+    state = it.step(state, FenceAnswered { 2, 1, {} }, 622).state;
+    BOOST_TEST(state.grants.size() == 1u);
+    BOOST_TEST(state.refusals.empty());
+    // Member 0 has not answered yet: the grace period for further grants still applies.
+    auto step = it.step(state, grant(2, 2, 12), 623);
+    BOOST_TEST(countActions<SendPromote>(step) == 0u);
+    step = it.step(state, FenceAnswered { 2, 2, {} }, 623);
+    BOOST_TEST((step.state.phase == FailoverPhase::Fencing));
+    step = it.step(step.state, grant(2, 0, 12), 624);
+    BOOST_TEST(countActions<SendPromote>(step) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(later_ranks_start_after_their_delay)
 {
     Fixture it;
