Apply the accounts' ranks from the first refusals of an overload

Cause: admit() decided whether accounts compete before it updated the overload. At the statement with which an overload began, the queue was shortened in the order of arrival unless some statement had already waited longer than is tolerable, so that entries of accounts within their share were refused in place of those of an account above it.

Change: the shares are updated after the overload.

--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -213,11 +213,11 @@
 std::vector<QueueEntry> admit(MemberQueue& queue, const QueueEntry& entry, TimePoint now)
 {
     halveCounts(queue, now);
-    updateShares(queue, now);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].offered += 1;
     bool wasSustained = queue.overload.isSustained;
     queue.overload = updateOverload(queue.overload, getTotalWaitMs(queue), getTolerableWaitMs(queue, entry), now);
+    updateShares(queue, now); // after the overload, which lets the ranks apply
     if (!isAdmitted(queue, entry, now)) {
         queue.overload.lastRefusedAt = now;
         return { entry };
--- a/tests/unit/account_shares_test.cpp
+++ b/tests/unit/account_shares_test.cpp
@@ -505,4 +505,26 @@
     BOOST_TEST(getRetryAfterMs(queue, refused) == 2000); // the shortest deadline
 }
 
+// Guards against an overload whose first refusals ignore the shares: entries of accounts within their share were refused for those of one above it.
+BOOST_AUTO_TEST_CASE(the_refusals_at_the_start_of_an_overload_follow_the_shares)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto hot = getAccountNumber(queue.shares, "hot");
+    auto mill = getAccountNumber(queue.shares, "mill");
+    updateShares(queue, at(0));
+    chargeAccount(queue.shares, hot, 1000);
+    std::vector<uint32_t> refused;
+    for (uint64_t number = 1; number <= 40; ++number) {
+        auto now = at(static_cast<double>(number) / 10); // none has waited long when the overload begins
+        if (number == 40)
+            queue.overload.lastTolerableAt = now - milliseconds(2000);
+        for (auto& it : admit(queue, { .number = number, .scheduling = { false, 0, now + milliseconds(1000), now + milliseconds(2000) }, .arrivedAt = now, .account = number <= 30 ? hot : mill }, now))
+            refused.push_back(it.account);
+    }
+    BOOST_TEST(queue.overload.isSustained);
+    BOOST_TEST(!refused.empty());
+    BOOST_TEST(std::ranges::count(refused, mill) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
