Bound the refused operations that an account's retry time counts

Cause: each refusal added its slot time without a bound, although callers are told to retry after 2 s at most. After 10,000 refusals of 10 ms, further ones were told the maximum until the sum had decreased, for 100 s at one slot.

Change: the sum is at most what the account's share serves in 5 times the longest retry time (10 s).

--- a/src/decisions/account_shares.cpp
+++ b/src/decisions/account_shares.cpp
@@ -12,6 +12,9 @@
 // Multiple of the free places for transactions that one account may hold. A single account then leaves a fifth of the places to others, whose
 // transactions would otherwise wait until it ends its own.
 static constexpr size_t kHeldPerFreePlace = 4;
+// Bound of the refused operations that count for an account's retry time, as a multiple of the longest retry time. Without it, the times stay long
+// for minutes after an overload. A multiple of 1 is too short: callers of an account that keeps sending too much are told to retry too soon.
+static constexpr double kMaxRefusedWaits = 5;
 
 uint32_t getAccountNumber(AccountShares& shares, const std::string& name)
 {
@@ -71,12 +74,13 @@
     return shares.isCompeting ? shares.accounts[account].rank : 0;
 }
 
-double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms)
+double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms, double maxWaitMs)
 {
     auto& it = shares.accounts.at(account);
-    auto aheadMs = it.refusedMs + std::max(0.0, getLeadMs(shares, it) - shares.leadMs);
-    it.refusedMs += ms;
-    return aheadMs / (getCapacityShare(shares, account) * shares.slots);
+    auto capacity = getCapacityShare(shares, account) * shares.slots; // slot time per ms
+    auto waitMs = (it.refusedMs + std::max(0.0, getLeadMs(shares, it) - shares.leadMs)) / capacity;
+    it.refusedMs = std::min(it.refusedMs + ms, kMaxRefusedWaits * maxWaitMs * capacity);
+    return std::min(waitMs, maxWaitMs);
 }
 
 static size_t getPlaceShare(const AccountShares& shares, const AccountShare& account, size_t places)
--- a/src/decisions/account_shares.h
+++ b/src/decisions/account_shares.h
@@ -56,8 +56,8 @@
 double getCapacityShare(const AccountShares& shares, uint32_t account);
 // Returns the rank by which entries of the account are ordered; 0 while accounts do not compete.
 unsigned getShareRank(const AccountShares& shares, uint32_t account);
-// Records a refused operation that costs `ms`, and returns the time until the account's share has capacity for it, in ms.
-double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms);
+// Records a refused operation that costs `ms`, and returns the time until the account's share has capacity for it, at most `maxWaitMs`.
+double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms, double maxWaitMs);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Resources
--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -199,7 +199,7 @@
     auto waitMs = getTotalWaitMs(queue);
     if (!queue.shares.isEnabled)
         return waitMs;
-    return std::min(kMaxRetryAfterMs, std::max(waitMs, getRefusedWaitMs(queue.shares, refused.account, getEstimatedMs(queue, refused))));
+    return std::min(kMaxRetryAfterMs, std::max(waitMs, getRefusedWaitMs(queue.shares, refused.account, getEstimatedMs(queue, refused), kMaxRetryAfterMs)));
 }
 
 static bool isAdmitted(const MemberQueue& queue, const QueueEntry& entry, TimePoint now)
--- a/tests/unit/account_shares_test.cpp
+++ b/tests/unit/account_shares_test.cpp
@@ -527,4 +527,18 @@
     BOOST_TEST(std::ranges::count(refused, mill) == 0);
 }
 
+// Guards against refusals in an overload that lengthen the retry time for minutes after it.
+BOOST_AUTO_TEST_CASE(refused_operations_count_for_a_bounded_time)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto mill = getAccountNumber(queue.shares, "mill");
+    QueueEntry refused { .account = mill };
+    updateShares(queue, at(0));
+    for (unsigned i = 0; i < 10000; ++i)
+        getRetryAfterMs(queue, refused);
+    updateShares(queue, at(10001));
+    BOOST_TEST(getRetryAfterMs(queue, refused) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
