Give back only the slot time that an account was charged

Cause: the lead of an account is bounded, so a statement dequeued at the bound is charged less than its typical time or nothing. Settling its charge subtracted the whole typical time: statements that were not sent, or that the member refused as busy, reduced the account's lead.

Change: chargeAccount returns the time that it added, and the entry keeps it.

--- a/src/decisions/account_shares.cpp
+++ b/src/decisions/account_shares.cpp
@@ -55,12 +55,14 @@
     }
 }
 
-void chargeAccount(AccountShares& shares, uint32_t account, double ms)
+double chargeAccount(AccountShares& shares, uint32_t account, double ms)
 {
     auto& it = shares.accounts.at(account);
     // Bounded, so that an account that used idle capacity for long is not held back for as long.
     auto maxFinish = shares.virtualTime + (kMaxShareRank + 1) * shares.leadMs / it.weight;
+    auto before = it.finish;
     it.finish = std::clamp(it.finish + ms / it.weight, shares.virtualTime, std::max(shares.virtualTime, maxFinish));
+    return (it.finish - before) * it.weight;
 }
 
 double getCapacityShare(const AccountShares& shares, uint32_t account)
--- a/src/decisions/account_shares.h
+++ b/src/decisions/account_shares.h
@@ -50,8 +50,8 @@
 uint32_t getAccountNumber(AccountShares& shares, const std::string& name);
 // Advances the clock and recomputes the ranks from the counts of queued statements. `workMs` is the typical time of one statement.
 void advanceShares(AccountShares& shares, unsigned slots, double workMs, TimePoint now);
-// Adds slot time used by the account; negative if an estimate was too high.
-void chargeAccount(AccountShares& shares, uint32_t account, double ms);
+// Adds slot time used by the account; negative if an estimate was too high. Returns the time added, which is less where the lead reaches its bound.
+double chargeAccount(AccountShares& shares, uint32_t account, double ms);
 // Returns the part of the member's capacity that the account may use while all active accounts compete, in [0, 1].
 double getCapacityShare(const AccountShares& shares, uint32_t account);
 // Returns the rank by which entries of the account are ordered; 0 while accounts do not compete.
--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -256,10 +256,8 @@
     queue.entries.erase(best);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].served += 1;
-    if (queue.shares.isEnabled) {
-        entry.chargedMs = queue.workMs;
-        chargeAccount(queue.shares, entry.account, entry.chargedMs);
-    }
+    if (queue.shares.isEnabled)
+        entry.chargedMs = std::max(0.0, chargeAccount(queue.shares, entry.account, queue.workMs)); // a lower bound of the lead cuts it, which is no refund
     return entry;
 }
 
--- a/tests/unit/account_shares_test.cpp
+++ b/tests/unit/account_shares_test.cpp
@@ -541,4 +541,20 @@
     BOOST_TEST(getRetryAfterMs(queue, refused) == 0);
 }
 
+// Guards against an account at the bound of its lead that reduces the lead by statements that are not sent: the estimate was not charged, but given back.
+BOOST_AUTO_TEST_CASE(a_statement_that_is_not_sent_does_not_reduce_the_lead_of_its_account)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto hot = getAccountNumber(queue.shares, "hot");
+    updateShares(queue, at(0));
+    chargeAccount(queue.shares, hot, 1e6);
+    auto finish = queue.shares.accounts[hot].finish;
+    queue.entries.push_back({ .number = 1, .account = hot });
+    auto entry = popNextRunnable(queue, at(0), [](const QueueEntry&) { return true; });
+    BOOST_REQUIRE(entry.has_value());
+    settleCharge(queue, hot, entry->chargedMs, 0);
+    BOOST_TEST(queue.shares.accounts[hot].finish == finish);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
