--- a/src/decisions/account_shares.cpp
+++ b/src/decisions/account_shares.cpp
@@ -12,6 +12,9 @@
 // Multiple of the free places for transactions that one account may hold. A single account then leaves a fifth of the places to others, whose
 // transactions would otherwise wait until it ends its own.
 static constexpr size_t kHeldPerFreePlace = 4;
+// Bound of the refused operations that count for an account's retry time, as a multiple of the longest retry time. Without it, the times stay long
+// for minutes after an overload. A multiple of 1 is too short: callers of an account that keeps sending too much are told to retry too soon.
+static constexpr double kMaxRefusedWaits = 5;
 
 uint32_t getAccountNumber(AccountShares& shares, const std::string& name)
 {
@@ -52,12 +55,14 @@
     }
 }
 
-void chargeAccount(AccountShares& shares, uint32_t account, double ms)
+double chargeAccount(AccountShares& shares, uint32_t account, double ms)
 {
     auto& it = shares.accounts.at(account);
     // Bounded, so that an account that used idle capacity for long is not held back for as long.
     auto maxFinish = shares.virtualTime + (kMaxShareRank + 1) * shares.leadMs / it.weight;
+    auto before = it.finish;
     it.finish = std::clamp(it.finish + ms / it.weight, shares.virtualTime, std::max(shares.virtualTime, maxFinish));
+    return (it.finish - before) * it.weight;
 }
 
 double getCapacityShare(const AccountShares& shares, uint32_t account)
@@ -71,12 +76,13 @@
     return shares.isCompeting ? shares.accounts[account].rank : 0;
 }
 
-double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms)
+double getRefusedWaitMs(AccountShares& shares, uint32_t account, double ms, double maxWaitMs)
 {
     auto& it = shares.accounts.at(account);
-    auto aheadMs = it.refusedMs + std::max(0.0, getLeadMs(shares, it) - shares.leadMs);
-    it.refusedMs += ms;
-    return aheadMs / (getCapacityShare(shares, account) * shares.slots);
+    auto capacity = getCapacityShare(shares, account) * shares.slots; // slot time per ms
+    auto waitMs = (it.refusedMs + std::max(0.0, getLeadMs(shares, it) - shares.leadMs)) / capacity;
+    it.refusedMs = std::min(it.refusedMs + ms, kMaxRefusedWaits * maxWaitMs * capacity);
+    return std::min(waitMs, maxWaitMs);
 }
 
 static size_t getPlaceShare(const AccountShares& shares, const AccountShare& account, size_t places)
--- a/src/decisions/member_queue.cpp
+++ b/src/decisions/member_queue.cpp
@@ -199,7 +199,7 @@
     auto waitMs = getTotalWaitMs(queue);
     if (!queue.shares.isEnabled)
         return waitMs;
-    return std::min(kMaxRetryAfterMs, std::max(waitMs, getRefusedWaitMs(queue.shares, refused.account, getEstimatedMs(queue, refused))));
+    return std::min(kMaxRetryAfterMs, std::max(waitMs, getRefusedWaitMs(queue.shares, refused.account, getEstimatedMs(queue, refused), kMaxRetryAfterMs)));
 }
 
 static bool isAdmitted(const MemberQueue& queue, const QueueEntry& entry, TimePoint now)
@@ -213,11 +213,11 @@
 std::vector<QueueEntry> admit(MemberQueue& queue, const QueueEntry& entry, TimePoint now)
 {
     halveCounts(queue, now);
-    updateShares(queue, now);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].offered += 1;
     bool wasSustained = queue.overload.isSustained;
     queue.overload = updateOverload(queue.overload, getTotalWaitMs(queue), getTolerableWaitMs(queue, entry), now);
+    updateShares(queue, now); // after the overload, which lets the ranks apply
     if (!isAdmitted(queue, entry, now)) {
         queue.overload.lastRefusedAt = now;
         return { entry };
@@ -256,10 +256,8 @@
     queue.entries.erase(best);
     if (!entry.scheduling.isContinuation)
         queue.costs[entry.kind].served += 1;
-    if (queue.shares.isEnabled) {
-        entry.chargedMs = queue.workMs;
-        chargeAccount(queue.shares, entry.account, entry.chargedMs);
-    }
+    if (queue.shares.isEnabled)
+        entry.chargedMs = std::max(0.0, chargeAccount(queue.shares, entry.account, queue.workMs)); // a lower bound of the lead cuts it, which is no refund
     return entry;
 }
 
--- a/tests/unit/account_shares_test.cpp
+++ b/tests/unit/account_shares_test.cpp
@@ -505,4 +505,56 @@
     BOOST_TEST(getRetryAfterMs(queue, refused) == 2000); // the shortest deadline
 }
 
+// Guards against an overload whose first refusals ignore the shares: entries of accounts within their share were refused for those of one above it.
+BOOST_AUTO_TEST_CASE(the_refusals_at_the_start_of_an_overload_follow_the_shares)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto hot = getAccountNumber(queue.shares, "hot");
+    auto mill = getAccountNumber(queue.shares, "mill");
+    updateShares(queue, at(0));
+    chargeAccount(queue.shares, hot, 1000);
+    std::vector<uint32_t> refused;
+    for (uint64_t number = 1; number <= 40; ++number) {
+        auto now = at(static_cast<double>(number) / 10); // none has waited long when the overload begins
+        if (number == 40)
+            queue.overload.lastTolerableAt = now - milliseconds(2000);
+        for (auto& it : admit(queue, { .number = number, .scheduling = { false, 0, now + milliseconds(1000), now + milliseconds(2000) }, .arrivedAt = now, .account = number <= 30 ? hot : mill }, now))
+            refused.push_back(it.account);
+    }
+    BOOST_TEST(queue.overload.isSustained);
+    BOOST_TEST(!refused.empty());
+    BOOST_TEST(std::ranges::count(refused, mill) == 0);
+}
+
+// Guards against refusals in an overload that lengthen the retry time for minutes after it.
+BOOST_AUTO_TEST_CASE(refused_operations_count_for_a_bounded_time)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto mill = getAccountNumber(queue.shares, "mill");
+    QueueEntry refused { .account = mill };
+    updateShares(queue, at(0));
+    for (unsigned i = 0; i < 10000; ++i)
+        getRetryAfterMs(queue, refused);
+    updateShares(queue, at(10001));
+    BOOST_TEST(getRetryAfterMs(queue, refused) == 0);
+}
+
+// Guards against an account at the bound of its lead that reduces the lead by statements that are not sent: the estimate was not charged, but given back.
+BOOST_AUTO_TEST_CASE(a_statement_that_is_not_sent_does_not_reduce_the_lead_of_its_account)
+{
+    MemberQueue queue;
+    queue.shares.isEnabled = true;
+    auto hot = getAccountNumber(queue.shares, "hot");
+    updateShares(queue, at(0));
+    chargeAccount(queue.shares, hot, 1e6);
+    auto finish = queue.shares.accounts[hot].finish;
+    queue.entries.push_back({ .number = 1, .account = hot });
+    auto entry = popNextRunnable(queue, at(0), [](const QueueEntry&) { return true; });
+    BOOST_REQUIRE(entry.has_value());
+    settleCharge(queue, hot, entry->chargedMs, 0);
+    BOOST_TEST(queue.shares.accounts[hot].finish == finish);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
