Charge no operations of another quota server's lease to a new bucket

Cause: the next quota server starts empty and charged the operations that hosts had not had acknowledged. The first token was more than 100 ms away, so the account was refused and contended.

Change: the first report of a host sets what is charged and charges nothing. Those operations began under a lease while the bucket of the other quota server was at least half full (at most 0.35 of the capacity may be unreported), and what was left in it is lost.

Ruled out: a longer delay of grants (callers' objectives are 250 ms).

--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -153,10 +153,13 @@
     return hasChanged;
 }
 
-// Charges what the report adds to the operations charged so far, and refunds what it returns.
-static void chargeUsage(TrackedAccount& tracked, const std::string& host, const ReportedUsage& reported, TimePoint now)
+// Charges what the report adds to the operations charged so far, and refunds what it returns. The first report of a host adds nothing: its operations began
+// under a lease of another quota server, whose bucket had room for them and is lost. Charged to the new, empty bucket they would refuse accounts below their quota.
+static void chargeUsage(TrackedAccount& tracked, const std::string& host, const ReportedUsage& reported, bool isFirst, TimePoint now)
 {
     auto& charged = tracked.chargedByHost[host];
+    if (isFirst)
+        charged = reported.counts;
     charged = { std::max(charged.begun, reported.charged.begun), std::max(charged.returned, reported.charged.returned) };
     auto begun = static_cast<double>(std::max(charged.begun, reported.counts.begun) - charged.begun);
     auto returned = static_cast<double>(std::max(charged.returned, reported.counts.returned) - charged.returned);
@@ -191,7 +194,7 @@
             continue;
         auto limits = scaleLimits(getQuotaLimits(*quota, configuration.rule), server.share);
         refillAccount(tracked->second, limits.pace, limits.capacity, now);
-        chargeUsage(tracked->second, report.host, it, now);
+        chargeUsage(tracked->second, report.host, it, !isSameProcess, now);
         result.hasStrictChanged = updateStrict(tracked->second, limits) || result.hasStrictChanged;
     }
     return result;
