--- a/src/gateway/quota_exchange.cpp
+++ b/src/gateway/quota_exchange.cpp
@@ -12,7 +12,6 @@
 using base::Clock;
 using base::LogClass;
 using decisions::ErrorKind;
-using std::chrono::duration_cast;
 
 static constexpr size_t kShards = 2; // each with its own quota server
 static constexpr milliseconds kServerAnswerTimeout { 600 }; // a quota server with reports unanswered for longer is not used
