Read refusals of a member's queue as steps

Names the reason of an account's refusal in a function of its own and builds the message once; corrects a comment on stalled statements.

--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -131,6 +131,18 @@
     m_queue.entries.push_back(makeQueueEntry(*job));
 }
 
+void TargetPool::countAccountRefusal(bool isAboveShare, bool wasQueued) const
+{
+    std::string_view reason = "deadline";
+    if (isAboveShare)
+        reason = "above-share";
+    else if (wasQueued)
+        reason = "waited";
+    else if (m_queue.overload.isSustained)
+        reason = "overload";
+    base::incrementCounter(base::MetricFamily::AccountRefused, { { "member", m_target.member }, { "reason", reason } });
+}
+
 // Fails the jobs of entries that the queue refused on arrival or removed. None of them was sent.
 void TargetPool::refuseEntries(const std::vector<decisions::QueueEntry>& entries, bool wasQueued)
 {
@@ -138,20 +150,19 @@
         auto job = m_waitingJobs.at(it.number);
         m_waitingJobs.erase(it.number);
         bool isAboveShare = decisions::getShareRank(m_queue.shares, it.account) > 0;
-        if (m_limits.isPerAccount) {
-            std::string_view reason = isAboveShare ? "above-share" : wasQueued ? "waited"
-                : m_queue.overload.isSustained                                 ? "overload"
-                                                                               : "deadline";
-            base::incrementCounter(base::MetricFamily::AccountRefused, { { "member", m_target.member }, { "reason", reason } });
-        }
-        if (wasQueued && !m_limits.isPerAccount) {
-            finish(job, decisions::makeFailure(ErrorKind::Overloaded, "not sent before its deadline or the queue's wait limit"));
-            continue;
+        std::string reason = "not sent before its deadline or the queue's wait limit";
+        if (!wasQueued)
+            reason = fmt::format("overloaded: {} statements queued at {:.0f} ms each{}", m_waitingJobs.size(), m_queue.workMs, m_queue.overload.isSustained ? " for a sustained time" : "");
+        if (isAboveShare)
+            reason += "; the client account uses more than its share of the member";
+        if (m_limits.isPerAccount)
+            countAccountRefusal(isAboveShare, wasQueued);
+        if (!wasQueued || m_limits.isPerAccount) {
+            auto wait = milliseconds(static_cast<int64_t>(decisions::getRetryAfterMs(m_queue, it)));
+            auto retryAfter = decisions::jitterRetryAfter(std::max(wait, kMinRetryAfter), base::getRandom());
+            reason += fmt::format("; retry after {} ms", retryAfter.count());
         }
-        auto wait = milliseconds(static_cast<int64_t>(decisions::getRetryAfterMs(m_queue, it)));
-        auto retryAfter = decisions::jitterRetryAfter(std::max(wait, kMinRetryAfter), base::getRandom());
-        auto reason = wasQueued ? "not sent before its deadline or the queue's wait limit" : fmt::format("overloaded: {} statements queued at {:.0f} ms each{}", m_waitingJobs.size(), m_queue.workMs, m_queue.overload.isSustained ? " for a sustained time" : "");
-        finish(job, decisions::makeFailure(ErrorKind::Overloaded, fmt::format("{}{}; retry after {} ms", reason, isAboveShare ? "; the client account uses more than its share of the member" : "", retryAfter.count())));
+        finish(job, decisions::makeFailure(ErrorKind::Overloaded, reason));
     }
 }
 
@@ -555,7 +566,7 @@
     if (it != m_runningJobs.end()) {
         m_runningJobs.erase(it);
         std::chrono::duration<double, std::milli> used = Clock::now() - job->startedAt;
-        // A stalled statement occupies no slot as far as the pool knows; the account is not charged for a lost answer.
+        // A stalled statement occupies no slot as far as the pool knows, so its account keeps the typical charge.
         decisions::settleCharge(m_queue, job->account, job->chargedMs, job->isStalled ? job->chargedMs : used.count());
     }
     if (session->isOpen()) {
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -156,6 +156,7 @@
 
     static decisions::QueueEntry makeQueueEntry(const Job& job);
     void enqueue(const JobPtr& job);
+    void countAccountRefusal(bool isAboveShare, bool wasQueued) const;
     void refuseEntries(const std::vector<decisions::QueueEntry>& entries, bool wasQueued);
     uint32_t identifyAccount(const std::string& account);
     size_t getTransactionPlaces() const;
