--- a/src/decisions/quota.cpp
+++ b/src/decisions/quota.cpp
@@ -357,7 +357,7 @@
         return Admission::Refuse;
     if (!hasLease(host, now) || host.strictAccounts.contains(account))
         return Admission::RequestGrant;
-    // The quota server may have failed since the lease was renewed, so the unreported operations of all hosts together must fit into the reserve.
+    // The quota server may have failed since the lease was renewed. Its successor does not count the unreported operations, so those of all hosts are limited.
     auto maxUnreported = std::max(1.0, kMaxUnreportedRatio * getQuotaLimits(quota, rule).capacity / static_cast<double>(std::max<size_t>(1, hostCount)));
     auto unreported = it == host.accounts.end() ? 0 : it->second.counts.begun - std::min(it->second.counts.begun, it->second.charged.begun);
     return static_cast<double>(unreported) < maxUnreported ? Admission::Begin : Admission::RequestGrant;
--- a/src/decisions/quota.h
+++ b/src/decisions/quota.h
@@ -1,7 +1,8 @@
-// Distributed rate limiting: bounds the operations of a client account that begin on all hosts together within any time window.
+// Distributed rate limiting: bounds the operations of a client account that begin on all hosts together within any time window. Answers an account that sends
+// several times its usual load through all hosts, also while hosts restart or cannot reach each other, without refusing accounts below their quotas for longer than a moment.
 //
 // A few hosts act as quota servers. Each keeps a token bucket for each account. Its refill rate and capacity scale with the share of the hosts that report to
-// it, so the buckets of all quota servers together never exceed the account's quota. Each host reports the operations it has begun to one quota server and holds a
+// it, so the buckets of all quota servers add up to one bucket of the whole quota. Each host reports the operations it has begun to one quota server and holds a
 // lease while its reports are answered. Under a lease, operations begin without a request unless the account is strict, that is, its bucket is low: then each
 // operation needs a grant. A host without a lease has a bucket of its own with its equal share of the quota.
 //
