--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 out=build/review
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -DBOOST_ASIO_NO_DEPRECATED -DALDERWARD_VERSION='"review"' -Isrc -I. -Itests)
-shared=(tests/harness/harness.cpp tests/harness/gateway_rig.cpp tests/standins/line_group.cpp tests/standins/kv_store.cpp tests/standins/fault_proxy.cpp)
+shared=(tests/harness/harness.cpp tests/harness/gateway_rig.cpp tests/standins/line_group.cpp tests/standins/kv_store.cpp tests/standins/fault_proxy.cpp review/*.cpp)
 own=(review/[123]/*.cpp)
 for it in "${shared[@]}" "${own[@]}"; do
     g++ "${flags[@]}" -c "$it" -o "$out/$(basename "$it" .cpp).o" &
--- a/review/2/sync_group.cpp
+++ b/review/member_group.cpp
@@ -1,4 +1,4 @@
-#include "review/2/sync_group.h"
+#include "review/member_group.h"
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -13,7 +13,7 @@
 static constexpr milliseconds kStatementTime { 4 }; // of a read, write or commit in a slot
 static constexpr size_t kMaxConnections = 16; // of one member
 
-struct SyncGroup::Connection {
+struct MemberGroup::Connection {
     std::shared_ptr<Channel> channel;
     Member* member { nullptr };
     std::deque<std::string> lines; // not handled yet
@@ -36,28 +36,27 @@
     return words;
 }
 
-SyncGroup::SyncGroup(asio::io_context& context, std::string name, const std::vector<SyncMemberOptions>& members, Log log)
+MemberGroup::MemberGroup(asio::io_context& context, std::string name, const std::vector<MemberOptions>& members, unsigned synchronousReplicas, Log log)
     : m_context(context)
     , m_name(std::move(name))
     , m_primary(members.front().id)
+    , m_synchronousReplicas(synchronousReplicas)
     , m_write(std::move(log))
 {
     for (auto& it : members) {
-        auto& member = m_members[it.id];
-        member.options = it;
-        member.acceptor = std::make_unique<tcp::acceptor>(context, tcp::endpoint(asio::ip::address_v4::loopback(), it.port));
-        accept(member);
+        m_members[it.id].options = it;
+        listen(m_members[it.id]);
     }
 }
 
-SyncGroup::~SyncGroup() = default;
+MemberGroup::~MemberGroup() = default;
 
-std::string SyncGroup::getAddress(const std::string& id) const
+std::string MemberGroup::getAddress(const std::string& id) const
 {
     return fmt::format("127.0.0.1:{}", m_members.at(id).options.port);
 }
 
-void SyncGroup::after(milliseconds time, std::function<void()> task)
+void MemberGroup::after(milliseconds time, std::function<void()> task)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_context, time);
     timer->async_wait([timer, task = std::move(task)](boost::system::error_code ec) {
@@ -66,10 +65,36 @@
     });
 }
 
-void SyncGroup::accept(Member& member)
+void MemberGroup::listen(Member& member)
+{
+    member.acceptor = std::make_unique<tcp::acceptor>(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), member.options.port));
+    accept(member);
+}
+
+void MemberGroup::crash(const std::string& id)
+{
+    auto& member = m_members.at(id);
+    member.acceptor = nullptr;
+    member.log.clear();
+    auto connections = member.connections;
+    for (auto& it : connections)
+        close(it);
+}
+
+void MemberGroup::startAgain(const std::string& id)
+{
+    auto& member = m_members.at(id);
+    ++member.startCount;
+    listen(member);
+    auto& primary = m_members.at(m_primary);
+    if (&primary != &member)
+        replicate(primary, member, primary.log.size());
+}
+
+void MemberGroup::accept(Member& member)
 {
     member.acceptor->async_accept([this, &member](boost::system::error_code ec, tcp::socket socket) {
-        if (ec)
+        if (ec || !member.acceptor)
             return;
         auto connection = std::make_shared<Connection>();
         connection->member = &member;
@@ -85,14 +110,14 @@
 }
 
 // A connection that is closed rolls back.
-void SyncGroup::close(const ConnectionPtr& connection)
+void MemberGroup::close(const ConnectionPtr& connection)
 {
     connection->isOpen = false;
     connection->channel->close();
     connection->member->connections.erase(connection);
 }
 
-void SyncGroup::handleNext(const ConnectionPtr& connection)
+void MemberGroup::handleNext(const ConnectionPtr& connection)
 {
     while (connection->isOpen && !connection->isBusy && !connection->lines.empty()) {
         auto line = std::move(connection->lines.front());
@@ -101,12 +126,13 @@
     }
 }
 
-std::string SyncGroup::getPosition(const Member& member) const
+// "TERM.NUMBER of the member's log, or `-`": an empty log has no position.
+std::string MemberGroup::getPosition(const Member& member) const
 {
-    return fmt::format("{}.{}", m_term, member.received);
+    return member.log.empty() ? "-" : fmt::format("{}.{}", m_term, member.log.size());
 }
 
-void SyncGroup::answer(const ConnectionPtr& connection, const std::string& body)
+void MemberGroup::answer(const ConnectionPtr& connection, const std::string& body)
 {
     if (!connection->isOpen)
         return;
@@ -115,7 +141,7 @@
     connection->channel->send(fmt::format("{}\r\nREADY {} {}\r\n", body, state, getPosition(*connection->member)));
 }
 
-void SyncGroup::handleLine(const ConnectionPtr& connection, const std::string& line)
+void MemberGroup::handleLine(const ConnectionPtr& connection, const std::string& line)
 {
     auto words = split(line);
     if (words.size() >= 3 && words[0] == "CONNECT" && !connection->isGreeted)
@@ -126,7 +152,7 @@
         close(connection);
 }
 
-void SyncGroup::handleConnect(const ConnectionPtr& connection, const std::vector<std::string>& words)
+void MemberGroup::handleConnect(const ConnectionPtr& connection, const std::vector<std::string>& words)
 {
     auto& member = *connection->member;
     bool isWrong = words[1] != m_name || (words.size() > 3 && words[3] != member.options.id);
@@ -140,7 +166,7 @@
     connection->channel->send(fmt::format("READY I {}\r\n", getPosition(member)));
 }
 
-void SyncGroup::handleQuery(const ConnectionPtr& connection, const std::string& id, std::string text)
+void MemberGroup::handleQuery(const ConnectionPtr& connection, const std::string& id, std::string text)
 {
     auto& member = *connection->member;
     bool isPrimary = m_primary == member.options.id;
@@ -149,7 +175,7 @@
         auto mark = text.substr(6, end - 6);
         text = text.substr(end + 1);
         auto dot = mark.find('.');
-        if (std::stoull(mark.substr(0, dot)) > m_term || std::stoull(mark.substr(dot + 1)) > member.received) {
+        if (std::stoull(mark.substr(0, dot)) > m_term || std::stoull(mark.substr(dot + 1)) > member.log.size()) {
             answer(connection, "ERROR LAGGING " + member.options.id);
             return;
         }
@@ -185,17 +211,18 @@
         answer(connection, "ERROR MALFORMED " + word);
 }
 
-std::string SyncGroup::read(const Member& member, const std::string& item) const
+std::string MemberGroup::read(const Member& member, const std::string& item) const
 {
-    for (size_t i = member.received; i > 0; --i) {
-        auto found = m_log[i - 1].items.find(item);
-        if (found != m_log[i - 1].items.end())
+    for (size_t i = member.log.size(); i > 0; --i) {
+        auto& items = member.log[i - 1]->items;
+        auto found = items.find(item);
+        if (found != items.end())
             return found->second;
     }
     return "";
 }
 
-void SyncGroup::run(const ConnectionPtr& connection, const std::string& id, const std::string& text)
+void MemberGroup::run(const ConnectionPtr& connection, const std::string& id, const std::string& text)
 {
     auto& member = *connection->member;
     auto words = split(text);
@@ -243,45 +270,54 @@
     });
 }
 
-void SyncGroup::commit(Member& member, const std::string& id, std::map<std::string, std::string> items, std::function<void()> acknowledge)
+void MemberGroup::commit(Member& member, const std::string& id, std::map<std::string, std::string> items, std::function<void()> acknowledge)
 {
-    m_log.push_back({ id, std::move(items), {}, std::move(acknowledge) });
-    member.received = m_log.size();
+    auto entry = std::make_shared<Entry>(Entry { id, std::move(items), {}, std::move(acknowledge) });
+    member.log.push_back(entry);
+    if (m_synchronousReplicas == 0)
+        std::exchange(entry->acknowledge, nullptr)();
     for (auto& [other, replica] : m_members) {
         if (&replica != &member)
-            after(replica.options.lag, [this, &replica, count = m_log.size(), term = m_term] { receive(replica, count, term); });
+            replicate(member, replica, member.log.size());
     }
 }
 
-void SyncGroup::receive(Member& replica, size_t count, uint64_t term)
+// Sends the first `count` entries of the log. What was sent arrives, also if the sender crashes meanwhile.
+void MemberGroup::replicate(const Member& from, Member& replica, size_t count)
 {
-    if (term != m_term || count > m_log.size())
-        return;
-    for (size_t i = replica.received; i < count; ++i) {
-        auto& entry = m_log[i];
-        entry.receivedBy.push_back(replica.options.id);
-        if (auto acknowledge = std::exchange(entry.acknowledge, nullptr))
-            acknowledge();
-    }
-    replica.received = std::max(replica.received, count);
+    std::vector<std::shared_ptr<Entry>> entries(from.log.begin() + static_cast<std::ptrdiff_t>(std::min(replica.log.size(), count)), from.log.begin() + static_cast<std::ptrdiff_t>(count));
+    auto first = count - entries.size();
+    after(replica.options.lag, [this, &replica, entries = std::move(entries), first, term = m_term, start = replica.startCount] {
+        if (term != m_term || start != replica.startCount || !replica.acceptor)
+            return;
+        for (size_t i = 0; i < entries.size(); ++i) {
+            if (first + i != replica.log.size()) // received before
+                continue;
+            replica.log.push_back(entries[i]);
+            entries[i]->receivedBy.push_back(replica.options.id);
+            if (auto acknowledge = std::exchange(entries[i]->acknowledge, nullptr))
+                acknowledge();
+        }
+    });
 }
 
-void SyncGroup::promote(const std::string& id)
+void MemberGroup::promote(const std::string& id)
 {
     auto& member = m_members.at(id);
-    m_write(fmt::format("{} leads term {} with {} of {} commits", id, m_term + 1, member.received, m_log.size()));
-    for (size_t i = member.received; i < m_log.size(); ++i) {
-        auto& entry = m_log[i];
+    auto& before = m_members.at(m_primary);
+    m_write(fmt::format("{} leads term {} with {} commits; {} has {}", id, m_term + 1, member.log.size(), m_primary, before.log.size()));
+    for (size_t i = member.log.size(); i < before.log.size(); ++i) {
+        auto& entry = *before.log[i];
         m_lost.push_back({ entry.statement, id, entry.receivedBy, m_acknowledged.contains(entry.statement) });
         m_write(fmt::format("the log of {} lacks the commit of {}: received by [{}], {}", id, entry.statement, fmt::join(entry.receivedBy, " "), m_lost.back().wasAcknowledged ? "acknowledged  <-- LOST" : "not acknowledged"));
     }
-    m_log.resize(member.received);
     m_primary = id;
     ++m_term;
     for (auto& [other, it] : m_members) {
-        it.received = std::min(it.received, m_log.size());
-        if (&it != &member)
-            after(it.options.lag, [this, &it, count = m_log.size(), term = m_term] { receive(it, count, term); });
+        if (&it == &member)
+            continue;
+        it.log.resize(std::min(it.log.size(), member.log.size()));
+        replicate(member, it, member.log.size());
     }
 }
 
--- a/review/2/sync_group.h
+++ b/review/member_group.h
@@ -1,5 +1,5 @@
-// A database group with one synchronous replica: a commit is acknowledged once one replica has received it. Speaks the line protocol of members, as far
-// as hosts use it here: sessions, transactions, reads, writes, positions, STATUS and promotion. Used on one thread.
+// Stand-in for a database group. Speaks the line protocol of members, as far as hosts use it here: sessions, transactions, reads, writes, positions,
+// STATUS and promotion. With a synchronous replica, a commit is acknowledged once one replica has received it. Used on one thread.
 #pragma once
 #include "links/channel.h"
 #include <boost/asio/io_context.hpp>
@@ -16,7 +16,7 @@
 
 using std::chrono::milliseconds;
 
-struct SyncMemberOptions {
+struct MemberOptions {
     std::string id;
     unsigned short port { 0 };
     milliseconds lag { 0 }; // until this member, as a replica, receives a commit
@@ -30,39 +30,45 @@
     bool wasAcknowledged { false }; // the member had sent its answer
 };
 
-class SyncGroup {
+class MemberGroup {
 public:
     using Log = std::function<void(const std::string& line)>;
 
-    SyncGroup(boost::asio::io_context& context, std::string name, const std::vector<SyncMemberOptions>& members, Log log);
-    ~SyncGroup();
+    MemberGroup(boost::asio::io_context& context, std::string name, const std::vector<MemberOptions>& members, unsigned synchronousReplicas, Log log);
+    ~MemberGroup();
 
     const std::string& getName() const { return m_name; }
     const std::string& getPrimary() const { return m_primary; }
     uint64_t getTerm() const { return m_term; }
     std::string getAddress(const std::string& id) const;
-    bool has(const std::string& id) const { return m_members.contains(id); }
+    bool isRunning(const std::string& id) const { return m_members.contains(id) && m_members.at(id).acceptor != nullptr; }
+    unsigned getStartCount(const std::string& id) const { return m_members.at(id).startCount; }
+    // Ends the member's process: its connections are closed, and new ones are refused.
+    void crash(const std::string& id);
+    // Starts it again under the same id. It holds nothing of before; nobody has told it that it does not lead any more, unless another one was promoted.
+    void startAgain(const std::string& id);
     // The member leads the next term with what it has received, and nothing more.
     void promote(const std::string& id);
     const std::vector<LostCommit>& getLostCommits() const { return m_lost; }
-    size_t countAcknowledged() const { return m_acknowledged.size(); }
 
 private:
     struct Connection;
     using ConnectionPtr = std::shared_ptr<Connection>;
-    struct Member {
-        SyncMemberOptions options;
-        std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
-        size_t received { 0 }; // entries of the log
-        std::set<ConnectionPtr> connections;
-    };
     struct Entry {
         std::string statement; // id of the write or COMMIT
         std::map<std::string, std::string> items;
         std::vector<std::string> receivedBy; // replicas
         std::function<void()> acknowledge; // empty once called
     };
+    struct Member {
+        MemberOptions options;
+        std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor; // null while it is down
+        unsigned startCount { 1 };
+        std::vector<std::shared_ptr<Entry>> log;
+        std::set<ConnectionPtr> connections;
+    };
 
+    void listen(Member& member);
     void accept(Member& member);
     void handleNext(const ConnectionPtr& connection);
     void handleLine(const ConnectionPtr& connection, const std::string& line);
@@ -70,7 +76,7 @@
     void handleQuery(const ConnectionPtr& connection, const std::string& id, std::string text);
     void run(const ConnectionPtr& connection, const std::string& id, const std::string& text);
     void commit(Member& member, const std::string& id, std::map<std::string, std::string> items, std::function<void()> acknowledge);
-    void receive(Member& replica, size_t count, uint64_t term);
+    void replicate(const Member& from, Member& replica, size_t count);
     void answer(const ConnectionPtr& connection, const std::string& body);
     std::string getPosition(const Member& member) const;
     std::string read(const Member& member, const std::string& item) const;
@@ -82,7 +88,7 @@
     std::map<std::string, Member> m_members;
     std::string m_primary;
     uint64_t m_term { 1 };
-    std::vector<Entry> m_log;
+    unsigned m_synchronousReplicas;
     std::set<std::string> m_acknowledged; // ids of statements
     std::vector<LostCommit> m_lost;
     Log m_write;
