--- a/review/build.sh
+++ b/review/build.sh
@@ -6,22 +6,21 @@
 out=build/review
 mkdir -p "$out"
 flags=(-std=c++20 -O1 -DBOOST_ASIO_NO_DEPRECATED -DALDERWARD_VERSION='"review"' -Isrc -I. -Itests)
-shared=(tests/harness/harness.cpp tests/harness/gateway_rig.cpp tests/standins/line_group.cpp tests/standins/kv_store.cpp tests/standins/fault_proxy.cpp review/*.cpp)
-own=(review/[123]/*.cpp)
-for it in "${shared[@]}" "${own[@]}"; do
+cases=(stale_handle late_promotion empty_log)
+shared=(tests/harness/harness.cpp tests/harness/gateway_rig.cpp tests/standins/line_group.cpp tests/standins/kv_store.cpp tests/standins/fault_proxy.cpp
+    review/member_group.cpp review/deployment.cpp)
+for it in "${shared[@]}" "${cases[@]/%/.cpp}"; do
+    [ -f "$it" ] || it=review/$it
     g++ "${flags[@]}" -c "$it" -o "$out/$(basename "$it" .cpp).o" &
 done
 for job in $(jobs -p); do
     wait "$job"
 done
+objects=()
+for it in "${shared[@]}"; do
+    objects+=("$out/$(basename "$it" .cpp).o")
+done
 read -ra libraries <<<"$(pkg-config --libs grpc++ protobuf libxxhash)"
-for folder in review/[123]; do
-    case=''
-    objects=()
-    for it in "${shared[@]}" "$folder"/*.cpp; do
-        objects+=("$out/$(basename "$it" .cpp).o")
-        grep -q '^int main(' "$it" && case=$(basename "$it" .cpp)
-    done
-    [ -n "$case" ] || continue # a day only
-    g++ "${objects[@]}" target/libalderwardcore.a target/libgenerated.a "${libraries[@]}" -lboost_json -lfmt -lcrypto -labsl_synchronization -lpthread -o "$out/$case"
+for it in "${cases[@]}"; do
+    g++ "$out/$it.o" "${objects[@]}" target/libalderwardcore.a target/libgenerated.a "${libraries[@]}" -lboost_json -lfmt -lcrypto -labsl_synchronization -lpthread -o "$out/$it"
 done
--- a/review/member_group.cpp
+++ b/review/member_group.cpp
@@ -7,8 +7,8 @@
 namespace review {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using alderward::links::Channel;
+using asio::ip::tcp;
 
 static constexpr milliseconds kStatementTime { 4 }; // of a read, write or commit in a slot
 static constexpr size_t kMaxConnections = 16; // of one member
@@ -137,7 +137,7 @@
     if (!connection->isOpen)
         return;
     auto state = connection->hasFailed ? "E" : connection->isInTransaction ? "T"
-                                                                            : "I";
+                                                                           : "I";
     connection->channel->send(fmt::format("{}\r\nREADY {} {}\r\n", body, state, getPosition(*connection->member)));
 }
 
