--- a/review/stale_handle.cpp
+++ b/review/stale_handle.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned kCallersPerHost = 1; // of each kind
 constexpr int kReadsPerHost = 30; // before the crash
 constexpr milliseconds kStatementTime { 14 }; // at the members
+constexpr milliseconds kPromotionTime { 300 }; // "some hundred ms": from an order until its member leads
 constexpr milliseconds kDownTime { 600 }; // of the member
 constexpr milliseconds kNoticeTime { 1000 }; // until the hosts know that the member runs again
 
@@ -36,6 +37,7 @@
         m_rig.call([&] {
             for (auto& id : m_rig.getGroup().getIds())
                 m_rig.getGroup().getFaults(id).statementTime = kStatementTime;
+            m_rig.getStore().faults.promotionDelay = kPromotionTime;
         });
         if (!fillDatabase())
             return review::NotRun;
