Log: a request names its transaction

Cause: the log of a host showed which member a statement of a transaction went to, but not which transaction it was taken for.

Change: `request` has `transaction`, the number at the pool of this host, or among those that this host has open at others.

Ruled out: the connection's number instead. A caller's host does not know it if the forwarder is another one.

--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -326,8 +326,8 @@
         auto quotaLevel = routed.quotaLevel ? fmt::format("{:.1f}", *routed.quotaLevel) : std::string();
         base::logEvent(logClass, "request",
             { { "request", std::string_view(routed.request.statement.id) }, { "session", std::string_view(routed.session) }, { "database", std::string_view(routed.route.database) },
-                { "group", std::string_view(routed.route.group) }, { "account", std::string_view(routed.request.account) }, { "kind", getName(routed.request.kind) }, { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs },
-                { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", primary }, { "need", std::string_view(requiredMark) },
+                { "group", std::string_view(routed.route.group) }, { "account", std::string_view(routed.request.account) }, { "kind", getName(routed.request.kind) }, { "transaction", static_cast<int64_t>(transaction ? transaction->number : 0) },
+                { "target", std::string_view(target.member) }, { "target_leaving_ms", leavingMs }, { "carrier", transaction ? std::string_view(transaction->host) : std::string_view() }, { "leader", primary }, { "need", std::string_view(requiredMark) },
                 { "configuration", static_cast<int64_t>(m_context.view.configuration.version) }, { "attempts", static_cast<int64_t>(routed.attempts) },
                 { "priority", static_cast<int64_t>(routed.request.priority) }, { "outcome", result }, { "quota_level", std::string_view(quotaLevel) }, { "retry_after_ms", static_cast<int64_t>(outcome.error ? outcome.error->retryAfter.count() : 0) }, { "reason", outcome.error ? std::string_view(outcome.error->message) : std::string_view() }, { "sent", outcome.wasSent }, { "ms", took.count() } });
     }
