A transaction keeps its pool, not only its member: no statement runs in that of another caller

ROLLBACK, a disconnection and the idle limit of the earlier transaction rolled back that of the other one.

Cause: TransactionHandle held the member's id and a number that is unique in one TargetPool only. StatementRouter looked up whatever pool the id had by then. Evidence: with the number in the log line, h0 shows session 4 and session 5 with transaction 1 at g0-a, before and after member-restarted.

Ruled out: a connection that is given away while a transaction is open on it (the two sessions would have numbers of their own). Weighed: numbers unique in the process; they do not do where a forwarder looks up numbers of another process, which keeps them for each connection.

Change: the handle holds the pool. A pool that was shut down has no transactions: statements are aborted, ends have no effect. A COMMIT for a replaced pool no longer leaves its entry at the forwarder.

--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -169,12 +169,13 @@
         return true;
     }
     auto it = connection->transactions.find(remoteNumber);
-    if (it == connection->transactions.end() || it->second.pool != pool)
+    if (it == connection->transactions.end())
         return false;
-    request.transaction = it->second.transaction;
-    if (request.statement.kind == decisions::StatementKind::Commit)
+    auto known = it->second;
+    if (request.statement.kind == decisions::StatementKind::Commit) // no end of the transaction follows
         connection->transactions.erase(it);
-    return true;
+    request.transaction = known.transaction;
+    return known.pool == pool;
 }
 
 void InboundPeers::handleStatementRequest(const ConnectionPtr& connection, const peer::Order& wire)
--- a/src/gateway/statement_router.cpp
+++ b/src/gateway/statement_router.cpp
@@ -207,7 +207,7 @@
     bool isLocal = forwarder == m_context.name;
     auto pool = isLocal ? m_context.getPool(*target) : nullptr;
     if (request.kind == RequestKind::Begin) {
-        transaction = TransactionHandle { *target, isLocal ? "" : forwarder, isLocal ? pool->takeTransactionNumber() : m_context.peers.takeTransactionNumber() };
+        transaction = TransactionHandle { *target, pool, isLocal ? "" : forwarder, isLocal ? pool->takeTransactionNumber() : m_context.peers.takeTransactionNumber() };
         request.transaction = transaction->number;
     }
     auto onOutcome = [this, routed, target = *target, forwarder, transaction, done](const Outcome& outcome) {
@@ -270,23 +270,22 @@
     routed.attempts = 1;
     auto shared = std::make_shared<RoutedStatement>(std::move(routed));
     auto request = shared->request;
-    request.deadline = getForwarderDeadline(transaction.host.empty() ? m_context.name : transaction.host, request.deadline);
+    request.deadline = getForwarderDeadline(transaction.pool ? m_context.name : transaction.host, request.deadline);
     auto onOutcome = [this, shared, transaction, done](const Outcome& outcome) {
         shared->place = {};
         finish(*shared, outcome, transaction, done, transaction.target);
     };
-    if (transaction.host.empty()) {
-        auto pool = m_context.getPool(transaction.target);
-        shared->place = { pool, {}, pool->submit(std::move(request), onOutcome) };
-    } else
+    if (transaction.pool)
+        shared->place = { transaction.pool, {}, transaction.pool->submit(std::move(request), onOutcome) };
+    else
         shared->place = { nullptr, transaction.host, m_context.peers.sendStatementRequest(transaction.host, transaction.target, request, onOutcome) };
     return shared;
 }
 
 void StatementRouter::end(const TransactionHandle& transaction)
 {
-    if (transaction.host.empty())
-        m_context.getPool(transaction.target)->endTransaction(transaction.number);
+    if (transaction.pool)
+        transaction.pool->endTransaction(transaction.number);
     else
         m_context.peers.endTransaction(transaction.host, transaction.number);
 }
--- a/src/gateway/statement_router.h
+++ b/src/gateway/statement_router.h
@@ -6,11 +6,13 @@
 
 namespace alderward::gateway {
 
-// An open transaction of a caller.
+// An open transaction of a caller. Names the pool itself and not only its target: a pool is replaced when its member restarts, and the next one
+// numbers its transactions from 1 again.
 struct TransactionHandle {
     TargetAddress target {};
-    std::string host {}; // the forwarder; empty: this host
-    uint64_t number { 0 }; // assigned by this host, unique per forwarder
+    std::shared_ptr<TargetPool> pool {}; // of this host; null: at `host`
+    std::string host {}; // the forwarder
+    uint64_t number { 0 }; // unique in the pool, or among the transactions of this process at other hosts
 };
 
 // Where a statement that was passed on waits or runs.
