A pool that was shut down keeps no connection that it was still opening

What a member saw: a connection that a host was opening while the member's restart became known stayed open for good, unused, and counted against the member's limit.

Cause: shutDown() closed the connections of that moment only.

Change: a pool that was shut down closes it, and refuses requests at once: transactions as aborted, others as not sent. Connections that are closed unused are counted in connections_closed, also after a lost log.

Before: restarted_members/a_connection_that_is_being_opened_at_a_restart_is_closed failed 3 of 3 (2 connections at the member, 1 in the pool). After: 3 of 3 passed.

--- a/src/gateway/target_pool.cpp
+++ b/src/gateway/target_pool.cpp
@@ -84,6 +84,11 @@
     auto now = Clock::now();
     m_lastRequestAccount = request.account;
     auto job = std::make_shared<Job>(Job { std::move(request), std::make_shared<RequestCallback>(std::move(done)), now });
+    if (isShutDown()) {
+        bool isContinuation = job->request.kind == RequestKind::Continue;
+        finish(job, decisions::makeFailure(isContinuation ? ErrorKind::TransactionAborted : ErrorKind::TargetUnreachable, m_shutDownReason));
+        return 0;
+    }
     if (m_hasOpenFailed && m_sessions.empty()) { // the target is probably down: fail fast and let a new attempt run in the background
         if (m_openingCount == 0 && now >= m_nextOpeningAt)
             openSession(job->request.account);
@@ -318,12 +323,18 @@
 // Closes an idle connection to make room for another account.
 void TargetPool::evictSession(const SessionPtr& session)
 {
-    base::incrementCounter(base::MetricFamily::ConnectionsClosed, { { "member", m_target.member } });
     base::incrementCounter(base::MetricFamily::ConnectionsEvicted, { { "member", m_target.member } });
-    session->close();
+    closeUnused(session);
     std::erase(m_sessions, SessionPtr(session));
 }
 
+// Closes a connection on which no job runs.
+void TargetPool::closeUnused(const SessionPtr& session)
+{
+    base::incrementCounter(base::MetricFamily::ConnectionsClosed, { { "member", m_target.member } });
+    session->close();
+}
+
 std::vector<decisions::PooledConnection> TargetPool::getPooledConnections() const
 {
     std::vector<decisions::PooledConnection> pooled;
@@ -396,6 +407,11 @@
     if (--m_openingByAccount[session->account] == 0)
         m_openingByAccount.erase(session->account);
     base::incrementCounter(base::MetricFamily::ConnectionsOpened, { { "member", m_target.member }, { "result", outcome.error ? decisions::getErrorRow(outcome.error->kind).name : "opened" } });
+    if (isShutDown()) { // nobody would use or close the connection
+        if (!outcome.error)
+            closeUnused(session);
+        return;
+    }
     m_hasOpenFailed = outcome.error.has_value();
     if (outcome.error) {
         bool isRefused = outcome.error->kind == ErrorKind::TooManyConnections;
@@ -413,7 +429,7 @@
     // A primary that lost its log would accept a single write without an error, so the position in the handshake is checked before statements are sent.
     if (m_observer.isKnownPrimary(m_target) && decisions::hasLostLog(knownMark, outcome.position)) {
         m_observer.onLostLog(m_target, outcome.position);
-        session->close();
+        closeUnused(session);
         failWaiting({ ErrorKind::NotPrimary, "the member has lost its log" });
         return;
     }
@@ -671,6 +687,8 @@
 
 void TargetPool::shutDown(const std::string& reason)
 {
+    m_shutDownReason = reason;
+    failWaitingIf([](const Job& it) { return it.request.kind == RequestKind::Continue; }, { ErrorKind::TransactionAborted, reason });
     failWaiting({ ErrorKind::TargetUnreachable, reason });
     auto sessions = m_sessions;
     for (auto& it : sessions)
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -118,7 +118,8 @@
     // Whether the target accepts new operations. If it does not, queued ones fail without being sent, and open transactions continue.
     void setAcceptsNewOperations(bool acceptsNew) { m_acceptsNewOperations = acceptsNew; }
     void setLogComparison(LogComparison comparison) { m_logComparison = comparison; }
-    // Closes all connections. Requests that were sent fail with OutcomeUnknown, queued ones with TargetUnreachable.
+    // Closes all connections for good. Requests that were sent fail with OutcomeUnknown, queued and later ones with TargetUnreachable, or with
+    // TransactionAborted if they belong to a transaction.
     void shutDown(const std::string& reason);
     // Keeps writes waiting until the given time, during a handover.
     void holdWrites(TimePoint until) { m_writesHeldUntil = until; }
@@ -174,6 +175,7 @@
     unsigned countIdleSessions() const;
     void openSessionsByAccount(TimePoint now);
     void evictSession(const SessionPtr& session);
+    void closeUnused(const SessionPtr& session);
     std::vector<decisions::AccountDemand> getDemands(TimePoint now) const;
     std::vector<decisions::PooledConnection> getPooledConnections() const;
     void openSession(const std::string& account);
@@ -187,6 +189,7 @@
     void completeJob(const JobPtr& job, const SessionPtr& session, const Outcome& outcome);
     void finish(const JobPtr& job, Outcome outcome);
     void failWaiting(const decisions::Error& error);
+    bool isShutDown() const { return !m_shutDownReason.empty(); }
     void releaseSession(const SessionPtr& session);
     bool applyPrimaryProof(const Mark& position, TimePoint sentAt, const Mark& knownMark);
     void recordWorkTime(const Job& job);
@@ -232,6 +235,7 @@
     milliseconds m_positionInterval { 0 };
     TimePoint m_positionQueriedAt {};
     TimePoint m_lastAnswerAt {}; // time of the last answer to a statement or a proof
+    std::string m_shutDownReason {}; // empty: in use
     bool m_isDispatching { false };
     bool m_isForwarder { true };
     bool m_acceptsNewOperations { true };
--- a/tests/gateway/restarted_member_test.cpp
+++ b/tests/gateway/restarted_member_test.cpp
@@ -11,8 +11,15 @@
 namespace {
 
 constexpr milliseconds kNoticeTime { 3000 }; // until all hosts know of a restart
+constexpr milliseconds kOpeningTime { 240 }; // of a connection over a slow link; below the timeout of status queries
 constexpr const char* kDatabase = "db0-bounded"; // its reads run on replicas
 
+long readMetric(const std::string& metrics, const std::string& name)
+{
+    auto at = metrics.find("\n" + name + " ");
+    return at == std::string::npos ? 0 : std::stol(metrics.substr(at + name.size() + 2));
+}
+
 struct OpenTransaction {
     std::unique_ptr<LineCaller> caller;
     std::string firstId; // of its first statement
@@ -205,4 +212,29 @@
     member.checkUntouched(other);
 }
 
+// A connection that an earlier pool still opens would stay open for good, and count against the limit of the member.
+BOOST_AUTO_TEST_CASE(a_connection_that_is_being_opened_at_a_restart_is_closed)
+{
+    GatewayRig rig(RigOptions { .hosts = 1, .hasProxies = true });
+    rig.startHosts();
+    BOOST_REQUIRE(LineCaller(rig.getCallerAddress(0), "db0-primary").ask("WRITE x 1").isOk());
+    auto& proxies = rig.getProxies();
+    auto& primary = *proxies[proxies.size() - 3]; // the proxies of the members are the last ones
+    rig.call([&] {
+        rig.getGroup().kill("g0-a"); // restarts with its log
+        rig.getGroup().start("g0-a");
+        primary.faults.delay = kOpeningTime / 2;
+    });
+    BOOST_REQUIRE(waitUntil(kNoticeTime, [&] { return rig.call([&] { return rig.getGroup().getConnectionCount("g0-a"); }) > 0; })); // for the next proof of the primary
+    rig.call([&] { rig.getStore().registerMembers(); });
+    BOOST_REQUIRE(waitUntil(kNoticeTime, [&] { return rig.countEvents("member-restarted") == 1; }));
+    std::this_thread::sleep_for(4 * kOpeningTime);
+    auto open = [&] { return static_cast<long>(rig.call([&] { return rig.getGroup().getConnectionCount("g0-a"); })); };
+    BOOST_TEST(waitUntil(kNoticeTime, [&] { return open() == readMetric(rig.getMetrics(0), R"(alderward_pool_connections{member="g0-a"})"); }), open() << " connections are open at the member");
+    auto metrics = rig.getMetrics(0);
+    auto opened = readMetric(metrics, R"(alderward_connections_opened_total{member="g0-a",result="opened"})");
+    auto closed = readMetric(metrics, R"(alderward_connections_closed_total{member="g0-a"})");
+    BOOST_TEST(opened - closed == readMetric(metrics, R"(alderward_pool_connections{member="g0-a"})"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
