--- a/src/base/families.h
+++ b/src/base/families.h
@@ -29,6 +29,7 @@
     StoreSeconds,
     EntriesRefused,
     PromotionOrders,
+    ReplicationChanges,
     HostChanges,
     PoolConnections,
     PoolWaiting,
--- a/src/decisions/promotion.h
+++ b/src/decisions/promotion.h
@@ -121,6 +121,7 @@
     uint64_t term { 0 };
     Mark received {}; // position of the newest entry in its log
     bool isPromotable { true }; // listed and not leaving
+    uint64_t suspendedFor { 0 }; // term for which it receives no log entries; 0: it receives them
 };
 
 // The newest term reported by members, if above `known`: a primary unknown to this host was promoted and may be alive.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
     , m_quotas({ m_view, m_peers, m_settings.name, m_self.incarnation, getQuotaRule(), m_isDraining })
     , m_router({ context, m_view, m_peers, m_settings.name, m_settings.dataCentre, [this](const TargetAddress& it) { return getPool(it); }, [this](const TargetAddress& it) { return isUnreachable(it); }, [this](const std::string& group) { raiseAlarm(group, "no primary is known"); }, [this] { return !decisions::canJudgePrimary(m_peers.getReachability()); }, getDrainTime(), m_quotas })
     , m_directory(context, *m_platform, m_self, { milliseconds(m_settings.storeCallTimeoutMs), milliseconds(m_settings.watchWaitMs), milliseconds(m_settings.longWatchWaitMs), milliseconds(m_settings.leaseMs) }, makeDirectoryEvents())
-    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, std::function<void(const StatusReport&)> done) { queryStatus(it, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, [this](const std::string& group, const decisions::KnownPrimary& before, std::string_view source) { notifyPrimaryChange(group, before, source); }, m_isDraining })
+    , m_promoter({ context, m_view, m_peers, *m_platform, { m_self.name, m_self.incarnation }, [this](const TargetAddress& it, const links::StatusQuery& query, std::function<void(const StatusReport&)> done) { queryStatus(it, query, std::move(done)); }, [this](const std::string&, const std::string& member, milliseconds time) { holdWrites(member, time); }, [this] { return m_directory.isReachable(); }, [this](const std::string& group, const decisions::KnownPrimary& before, std::string_view source) { notifyPrimaryChange(group, before, source); }, m_isDraining })
     , m_acceptor(context)
     , m_timers(timers)
 {
@@ -191,6 +191,8 @@
         auto member = m_view.members.find(target.member);
         pool->setAcceptsNewOperations(member != m_view.members.end() && acceptsNewOperations(member->second, getDrainTime(), Clock::now()));
         pool->setLogComparison(ensureComparison(target));
+        if (auto held = m_writesHeldUntil.find(target.member); held != m_writesHeldUntil.end())
+            pool->holdWrites(held->second);
     }
     return pool;
 }
@@ -284,8 +286,12 @@
 
 void Gateway::holdWrites(const std::string& member, milliseconds time)
 {
+    auto now = Clock::now();
+    std::erase_if(m_writesHeldUntil, [&](const auto& it) { return it.second < now; });
+    auto until = time.count() == 0 ? now : std::max(m_writesHeldUntil[member], now + time);
+    m_writesHeldUntil[member] = until;
     if (auto it = m_pools.find(member); it != m_pools.end())
-        it->second->holdWrites(Clock::now() + time);
+        it->second->holdWrites(until);
 }
 
 bool Gateway::isUnreachable(const TargetAddress& target) const
@@ -337,7 +343,7 @@
         return member == m_view.members.end() ? nullptr : getPool(member->second.getTarget());
     };
     callbacks.isUnreachable = [this](const TargetAddress& target) { return isUnreachable(target); };
-    callbacks.queryStatus = [this](const TargetAddress& target, std::function<void(const StatusReport&)> done) { queryStatus(target, std::move(done)); };
+    callbacks.queryStatus = [this](const TargetAddress& target, const links::StatusQuery& query, std::function<void(const StatusReport&)> done) { queryStatus(target, query, std::move(done)); };
     callbacks.onAlarm = [this](const std::string& group, const std::string& member, const std::string& reason) {
         if (m_view.groups[group].primary.member == member || member.empty())
             m_promoter.raiseAlarm(group, reason);
@@ -349,6 +355,7 @@
             return;
         handlePromotionOrder(group, member, term);
     };
+    callbacks.onPendingPromotion = [this](const std::string& host, const peer::PendingPromotion& pending) { m_promoter.onPendingPromotion(host, pending); };
     callbacks.fillPing = [this](peer::Ping& ping) {
         ping.set_configuration(m_view.configuration.version);
         ping.set_change(m_directory.getNewestChange());
@@ -481,7 +488,7 @@
 }
 
 // Queries a member's status on a separate connection. An answer to any statement in the meantime counts as a reachable member, too.
-void Gateway::queryStatus(const TargetAddress& target, std::function<void(const StatusReport&)> done)
+void Gateway::queryStatus(const TargetAddress& target, const links::StatusQuery& query, std::function<void(const StatusReport&)> done)
 {
     auto session = std::make_shared<TargetSession>(m_context.get_executor(), m_platform->getCodec());
     auto startedAt = Clock::now();
@@ -505,7 +512,7 @@
             finish({});
     });
     session->open(
-        target, m_settings.name, kStatusQueryTimeout, [this, session, finish](const Outcome& outcome) {
+        target, m_settings.name, kStatusQueryTimeout, [this, session, finish, query](const Outcome& outcome) {
             if (outcome.error) {
                 // A refusal for lack of capacity shows that the member is alive. Other errors, such as another member at the address, do not.
                 StatusReport report;
@@ -513,9 +520,10 @@
                 finish(report);
                 return;
             }
-            session->sendStatement(m_platform->getCodec().formatStatusQuery(), [this, finish](const Outcome& answer) {
+            session->sendStatement(m_platform->getCodec().formatStatusQuery(query), [this, finish](const Outcome& answer) {
                 StatusReport report;
                 report.wasReached = !answer.error || answer.error->kind == ErrorKind::Overloaded;
+                report.isRefused = answer.error && answer.error->kind != ErrorKind::Overloaded && answer.error->kind != ErrorKind::OutcomeUnknown;
                 if (!answer.error && !answer.rows.empty()) {
                     if (auto status = m_platform->getCodec().parseStatus(answer.rows.front()))
                         report.status = *status;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -47,7 +47,8 @@
     PeerCallbacks makePeerCallbacks();
     DirectoryEvents makeDirectoryEvents();
     // Calls `done` once, after kStatusQueryTimeout at the latest. A report without a status means that none was received.
-    void queryStatus(const TargetAddress& target, std::function<void(const StatusReport&)> done);
+    void queryStatus(const TargetAddress& target, const links::StatusQuery& query, std::function<void(const StatusReport&)> done);
+    // Lets writes to a member wait for this long, or for as long as asked before if that is longer; 0: lets them go on.
     void holdWrites(const std::string& member, milliseconds time);
     void setKnownPrimary(const std::string& group, const decisions::KnownPrimary& primary, std::string_view source);
     void handlePrimaryProof(const std::string& group, const std::string& member, uint64_t term, TimePoint askedAt, ProofRecipient recipient);
@@ -89,6 +90,7 @@
     Directory m_directory;
     Promoter m_promoter;
     std::map<std::string, std::shared_ptr<TargetPool>> m_pools; // by member
+    std::map<std::string, TimePoint> m_writesHeldUntil; // by member; also applies to pools made meanwhile
     std::map<std::string, TimePoint> m_hostsRemovedAt; // by host: when its entry was removed from the store
     TimePoint m_membersRequestedAt {}; // when members were last requested from another host
     TimePoint m_partnersChosenAt {};
--- a/src/gateway/gateway_members.cpp
+++ b/src/gateway/gateway_members.cpp
@@ -39,6 +39,7 @@
 {
     base::logEvent(LogClass::State, "member-restarted", { { "member", std::string_view(member.id) }, { "group", std::string_view(member.group) }, { "born", static_cast<int64_t>(member.incarnation.startedAtMs) }, { "sequence", static_cast<int64_t>(member.incarnation.sequence) } });
     m_promoter.onPrimaryChanged(member.group);
+    m_promoter.onMemberRestarted(member.group, member.id);
     if (auto it = m_pools.find(member.id); it != m_pools.end()) {
         auto pool = it->second;
         m_pools.erase(it);
--- a/src/gateway/gateway_primaries.cpp
+++ b/src/gateway/gateway_primaries.cpp
@@ -57,7 +57,7 @@
     if (targets.empty())
         finishComparison(*round);
     for (size_t i = 0; i < targets.size(); ++i) {
-        queryStatus(targets[i], [this, round, i](const StatusReport& report) {
+        queryStatus(targets[i], {}, [this, round, i](const StatusReport& report) {
             auto& group = m_view.groups[round->group];
             round->replicas[i].hasAnswered = report.status.term != 0;
             if (report.status.term != 0)
@@ -94,7 +94,7 @@
         return;
     member.primaryQueriedAt = Clock::now();
     auto known = getNewestKnownMark(m_view.groups[member.registration.group]);
-    queryStatus(member.getTarget(), [this, id = member.registration.id, name = member.registration.group, known, askedAt = member.primaryQueriedAt](const StatusReport& report) {
+    queryStatus(member.getTarget(), {}, [this, id = member.registration.id, name = member.registration.group, known, askedAt = member.primaryQueriedAt](const StatusReport& report) {
         if (report.status.isPrimary && !decisions::hasLostLog(known, report.status.received))
             handlePrimaryProof(name, id, report.status.term, askedAt, ProofRecipient::ThisHost);
     });
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -68,6 +68,8 @@
         m_callbacks.onAlarm(frame.alarm().group(), frame.alarm().member(), "host " + connection->host + ": " + frame.alarm().reason());
     else if (frame.has_lead())
         m_callbacks.onPrimaryAnnounced(connection->host, frame.lead().group(), frame.lead().member(), frame.lead().term());
+    else if (frame.has_pending_promotion())
+        m_callbacks.onPendingPromotion(connection->host, frame.pending_promotion());
     else if (frame.has_members_question())
         answerMembersQuestion(connection, frame.members_question());
     else if (frame.has_quota_report())
@@ -122,7 +124,8 @@
 
 void InboundPeers::answerInquiry(const ConnectionPtr& connection, const peer::Inquiry& inquiry)
 {
-    m_callbacks.queryStatus({ inquiry.member(), inquiry.group(), inquiry.address() }, [connection, call = inquiry.call()](const StatusReport& report) {
+    links::StatusQuery query { static_cast<links::ReplicationChange>(inquiry.change()), inquiry.term() };
+    m_callbacks.queryStatus({ inquiry.member(), inquiry.group(), inquiry.address() }, query, [connection, call = inquiry.call()](const StatusReport& report) {
         peer::Frame reply;
         reply.mutable_finding()->set_call(call);
         encodeStatus(*reply.mutable_finding(), report);
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -12,10 +12,11 @@
 struct PeerCallbacks {
     std::function<std::shared_ptr<TargetPool>(const std::string& member)> findPool; // null if the member is unknown
     std::function<bool(const TargetAddress&)> isUnreachable; // from this host
-    std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> queryStatus; // asks a member from this host
+    std::function<void(const TargetAddress&, const links::StatusQuery&, std::function<void(const StatusReport&)>)> queryStatus; // asks a member from this host
     std::function<void(const std::string& group, const std::string& member, const std::string& reason)> onAlarm;
     std::function<void(const std::string& group, const std::string& member, milliseconds time)> onHoldWrites;
     std::function<void(const std::string& host, const std::string& group, const std::string& member, uint64_t term)> onPrimaryAnnounced; // `host` ordered the promotion
+    std::function<void(const std::string& host, const peer::PendingPromotion&)> onPendingPromotion;
     // Add the state that this host shares with each ping and each answer to one.
     std::function<void(peer::Ping&)> fillPing;
     std::function<void(const peer::Ping&, peer::Pong&)> fillPong;
--- a/src/gateway/peer_codec.cpp
+++ b/src/gateway/peer_codec.cpp
@@ -121,11 +121,13 @@
     wire.set_term(report.status.term);
     encodeMark(*wire.mutable_received(), report.status.received);
     wire.set_lag_ms(static_cast<uint64_t>(report.status.lag.count()));
+    wire.set_suspended_for(report.status.suspendedFor);
+    wire.set_refused(report.isRefused);
 }
 
 StatusReport decodeStatus(const peer::Finding& wire)
 {
-    return { wire.reached(), { wire.is_primary(), wire.term(), decodeMark(wire.received()), milliseconds(wire.lag_ms()) } };
+    return { wire.reached(), { wire.is_primary(), wire.term(), decodeMark(wire.received()), milliseconds(wire.lag_ms()), wire.suspended_for() }, wire.refused() };
 }
 
 }
--- a/src/gateway/peer_codec.h
+++ b/src/gateway/peer_codec.h
@@ -9,6 +9,7 @@
 struct StatusReport {
     bool wasReached { false };
     links::TargetStatus status {};
+    bool isRefused { false }; // the member answered with an error, and not because it was busy
 };
 
 void sendFrame(links::Channel& channel, const peer::Frame& frame);
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -304,7 +304,7 @@
     sendFrame(*link->channel, frame);
 }
 
-void Peers::queryStatus(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done)
+void Peers::queryStatus(const std::string& host, const TargetAddress& target, const links::StatusQuery& query, std::function<void(const StatusReport&)> done)
 {
     auto link = acquireLink(host);
     if (!link) {
@@ -317,6 +317,8 @@
     wire.set_member(target.member);
     wire.set_group(target.group);
     wire.set_address(target.address);
+    wire.set_change(static_cast<uint32_t>(query.change));
+    wire.set_term(query.term);
     link->statusQueries[link->lastCall] = std::move(done);
     sendFrame(*link->channel, frame);
 }
@@ -371,6 +373,13 @@
     broadcast(frame);
 }
 
+void Peers::announcePendingPromotion(const peer::PendingPromotion& pending)
+{
+    peer::Frame frame;
+    *frame.mutable_pending_promotion() = pending;
+    broadcast(frame);
+}
+
 void Peers::broadcast(const peer::Frame& frame)
 {
     for (auto& [name, link] : m_links) {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -60,7 +60,7 @@
     void cancelStatementRequest(const std::string& host, uint64_t number);
     void endTransaction(const std::string& host, uint64_t transaction);
     uint64_t takeTransactionNumber() { return ++m_lastTransaction; }
-    void queryStatus(const std::string& host, const TargetAddress& target, std::function<void(const StatusReport&)> done);
+    void queryStatus(const std::string& host, const TargetAddress& target, const links::StatusQuery& query, std::function<void(const StatusReport&)> done);
     // Requests the members changed since a revision of the store. An answer, if any, is passed to PeerCallbacks::onMembersAnswer.
     void requestMembers(const std::string& host, uint64_t since);
     // Returns false if there is no connection to the host and none is being opened.
@@ -70,6 +70,8 @@
     void sendHoldWrites(const std::string& group, const std::string& member, milliseconds time);
     // Tells all connected hosts that a member was promoted to primary.
     void announcePrimary(const std::string& group, const std::string& member, uint64_t term);
+    // Tells all connected hosts of a promotion order that may be carried out, or that was refused.
+    void announcePendingPromotion(const peer::PendingPromotion& pending);
     // Pings hosts, reconnects, and closes connections that no longer answer. Call it periodically.
     void sweep(TimePoint now);
     void stop();
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <fmt/format.h>
 #include <set>
 
 namespace alderward::gateway {
@@ -15,18 +14,12 @@
 namespace asio = boost::asio;
 using base::Clock;
 using base::LogClass;
-using decisions::MemberFinding;
-using links::PromotionResult;
 
 static constexpr milliseconds kRecordCheckInterval { 100 };
 static constexpr milliseconds kStoreTimeout { 600 }; // of a write of the coordinator record
-static constexpr milliseconds kOrderTimeout { 800 }; // then the member itself is asked whether it is primary; the platform usually answers within tens of ms
-static constexpr milliseconds kOrderRetryDelay { 150 };
-static constexpr milliseconds kAttemptCooldown { 400 }; // after an attempt without a promotion, and after a failed write of the record
 static constexpr milliseconds kNoPrimaryDelay { 600 }; // how long no primary may be known before an attempt to find or promote one
 static constexpr milliseconds kRelistingTime { 2500 }; // members whose entries expired during a store outage register again within this time
 static constexpr milliseconds kStandbyDelay { 300 }; // added for each rank before a reported primary is checked
-static constexpr int kMaxOrderAttempts = 8; // with one fencing token, while the result is unknown or busy
 static constexpr milliseconds kOrderRejectionCooldown { 10000 }; // how long a host whose order was rejected leaves orders to other coordinators
 
 bool Promoter::isLive(const std::string& host) const
@@ -242,6 +235,9 @@
         state.handoverDueAt = {};
     else if (state.handoverDueAt == TimePoint {})
         state.handoverDueAt = now;
+    // Whoever is primary now, only a promotion of the member that an earlier order names ends the uncertainty.
+    if (state.pending && state.pending->isInForce)
+        return DueTask { decisions::PromotionTask::HandOver, state.pending->since, "an earlier order may still be carried out" };
     // A leaving primary is replaced even if it is alive, so an alarm must not turn the handover into a check that finds it alive.
     if (state.handoverDueAt != TimePoint {})
         return DueTask { decisions::PromotionTask::HandOver, state.handoverDueAt, "the primary is leaving" };
@@ -274,8 +270,9 @@
             state.startedAt = now;
         maintainCoordinatorRecord(group, state, now);
         logActingCoordinator(group, state);
+        maintainSuspensions(group, groupView, state, now);
         auto due = findDueTask(groupView, state, now);
-        if (!due || state.isPromoting || now < state.nextAttemptAt || !mustActNow(state, *due, now))
+        if (!due || state.isPromoting || state.isResuming || now < state.nextAttemptAt || !mustActNow(state, *due, now))
             continue;
         state.isPromoting = true;
         asio::co_spawn(m_context.context, replacePrimary(group, due->task == decisions::PromotionTask::HandOver, due->cause), asio::detached);
@@ -317,149 +314,4 @@
     state.isWritingRecord = false;
 }
 
-// Logs the status of each member, one line each.
-static void logEvidence(const std::string& group, const std::vector<MemberFinding>& findings)
-{
-    for (auto& it : findings) {
-        auto received = fmt::format("{}.{}", it.received.term, it.received.position);
-        base::logEvent(LogClass::State, "promotion-evidence", { { "group", std::string_view(group) }, { "member", std::string_view(it.member) }, { "reached", it.wasReached }, { "primary", it.saysPrimary }, { "term", static_cast<int64_t>(it.term) }, { "received", std::string_view(received) }, { "may_lead", it.isPromotable } });
-    }
-}
-
-asio::awaitable<void> Promoter::replacePrimary(std::string group, bool isPlanned, std::string cause)
-{
-    auto knownPrimary = m_context.view.groups[group].primary;
-    auto startedAt = Clock::now();
-    base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(knownPrimary.member) }, { "term", static_cast<int64_t>(knownPrimary.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
-    bool isDue = true;
-    bool wasOrdered = false;
-    auto member = m_context.view.members.find(knownPrimary.member);
-    if (isPlanned)
-        co_await waitForReplicaCatchUp(group, knownPrimary.member);
-    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
-    queryReplicas(group, knownPrimary.member, isPlanned, replicas);
-    if (member != m_context.view.members.end() && !isPlanned)
-        isDue = co_await isPrimaryDead(group, member->second.getTarget());
-    // Counted after the examination: a network partition shows up in the connections to other hosts only after their timeouts.
-    auto reachability = m_context.peers.getReachability();
-    if (isDue && !isPlanned && !decisions::canJudgePrimary(reachability)) {
-        isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("most other hosts are unreachable") }, { "hosts_answering", static_cast<int64_t>(reachability.answering) }, { "hosts_lost", static_cast<int64_t>(reachability.lost) } });
-    }
-    if (isDue)
-        co_await replicas->latch.wait();
-    auto& groupView = m_context.view.groups[group];
-    PromotionAttempt attempt { knownPrimary, isPlanned, startedAt };
-    auto holdBackReason = isDue ? findHoldBackReason(group, attempt) : std::string_view();
-    if (!holdBackReason.empty()) {
-        isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(groupView.primary.member) }, { "term", static_cast<int64_t>(groupView.primary.term) } });
-    }
-    if (isDue) {
-        auto& findings = replicas->findings;
-        logEvidence(group, findings);
-        auto newestSeen = std::max(groupView.provenTerm, decisions::findNewerTerm(findings, 0).value_or(0));
-        auto confirmedPrimary = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= newestSeen && it.member != knownPrimary.member; });
-        auto limits = m_context.view.configuration.groups[group];
-        auto successor = decisions::chooseSuccessor(findings, limits.synchronousReplicas, countListedMembers(group));
-        auto before = groupView.primary;
-        m_context.view.isForwardingUpdateDue = true;
-        auto newerTerm = decisions::findNewerTerm(findings, knownPrimary.term);
-        if (confirmedPrimary != findings.end() && confirmedPrimary->term < getMinTerm(groupView, startedAt))
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("a member reports that it is primary while an earlier promotion may still take effect") }, { "member", std::string_view(confirmedPrimary->member) }, { "term", static_cast<int64_t>(confirmedPrimary->term) } });
-        else if (confirmedPrimary != findings.end()) {
-            applyProvenPrimary(groupView, confirmedPrimary->member, confirmedPrimary->term, startedAt, ProofRecipient::ThisHost);
-            m_context.notifyPrimaryChange(group, before, "proof");
-        } else if (newerTerm) {
-            applyProvenTerm(groupView, *newerTerm);
-            m_context.notifyPrimaryChange(group, before, "members");
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("members report a newer term") }, { "term", static_cast<int64_t>(*newerTerm) }, { "known", static_cast<int64_t>(knownPrimary.term) } });
-        } else if (successor) {
-            uint64_t term = knownPrimary.term; // even if assumed: hosts that believe it must accept the next term
-            for (auto& it : findings)
-                term = std::max(term, std::max(it.term, it.received.term));
-            wasOrdered = co_await orderPromotion(group, *successor, term, attempt);
-        } else
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be promoted safely") }, { "members_asked", static_cast<int64_t>(findings.size()) } });
-    }
-    auto& state = m_groups[group];
-    std::chrono::duration<double, std::milli> took = Clock::now() - startedAt;
-    base::logEvent(LogClass::State, "promotion-ended", { { "group", std::string_view(group) }, { "ms", took.count() } });
-    state.isPromoting = false;
-    state.alarmedAt = {};
-    state.nextAttemptAt = Clock::now() + (wasOrdered ? kPromotionGracePeriod : kAttemptCooldown);
-}
-
-// Rechecked after each wait. A primary that is no longer leaving, or has confirmed its role since the attempt began, must stay:
-// replacing it would lose writes that it acknowledged meanwhile and that replicas lack.
-std::string_view Promoter::findHoldBackReason(const std::string& group, const PromotionAttempt& attempt) const
-{
-    auto& groupView = m_context.view.groups[group];
-    if (decisions::isSuperseded(attempt.primary, groupView.primary))
-        return "another primary became known during the attempt";
-    if (attempt.isPlanned) {
-        bool isSamePrimary = groupView.primary.member == attempt.primary.member; // otherwise no primary is known any more, and a promotion is still due
-        return !isSamePrimary || mustHandOver(groupView) ? "" : "the primary is no longer leaving";
-    }
-    auto& floors = groupView.floors.floors;
-    bool isConfirmed = !floors.empty() && floors.back().coveredUntil > attempt.startedAt && floors.back().mark.term == groupView.primary.term;
-    return isConfirmed && !groupView.primary.member.empty() ? "the primary confirmed its role during the attempt" : "";
-}
-
-// Uses one fencing token for one member. An unanswered order may still be carried out, so it is repeated unchanged.
-asio::awaitable<bool> Promoter::orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt)
-{
-    auto& state = m_groups[group];
-    auto rank = decisions::findRank(state.record, m_context.self);
-    auto token = rank ? decisions::getFencingToken(state.record, *rank, state.orderCount) : std::nullopt;
-    if (!token)
-        co_return false;
-    ++state.orderCount;
-    base::checkInvariant(*token > state.lastFencingToken, "a fencing token was not above the previous one", group);
-    state.lastFencingToken = *token;
-    for (int i = 0; i < kMaxOrderAttempts; ++i) {
-        auto askedAt = Clock::now();
-        // A named variable, as g++ 12 destroys aggregates created within a co_await expression twice.
-        links::PromotionOrder request { group, member, m_context.self.host, *token };
-        auto result = co_await m_context.platform.promote(request, askedAt + kOrderTimeout);
-        static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
-        std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
-        base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
-        base::incrementCounter(base::MetricFamily::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
-        // Set for rejected orders only: an unanswered one may still be carried out, unless a standby uses a higher token first.
-        m_orderRejectedAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
-        bool isPromoted = result == PromotionResult::Done;
-        auto newTerm = previousTerm + 1;
-        auto chosen = m_context.view.members.find(member);
-        if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
-            auto target = chosen->second.getTarget();
-            auto finding = co_await queryStatus(m_context.self.host, target);
-            isPromoted = finding.wasReached && finding.status.isPrimary && finding.status.term > previousTerm;
-            newTerm = std::max(newTerm, finding.status.term);
-        }
-        if (isPromoted) {
-            auto& groupView = m_context.view.groups[group];
-            auto before = groupView.primary;
-            applyOrderedPrimary(groupView, member, newTerm, Clock::now());
-            m_context.notifyPrimaryChange(group, before, "ordered");
-            m_context.peers.announcePrimary(group, member, newTerm);
-            co_return true;
-        }
-        if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
-            if (result == PromotionResult::Outranked) // a higher token was used: renew the record
-                state.firstUsableRank = std::max(state.firstUsableRank, *rank + 1);
-            co_return false;
-        }
-        co_await base::sleepFor(kOrderRetryDelay);
-        // Another coordinator may have taken over, in particular if this process was suspended.
-        if (Clock::now() - askedAt > kOrderTimeout + kOrderRetryDelay + kAttemptCooldown || *rank < state.firstUsableRank || m_context.isDraining)
-            co_return false;
-        if (auto holdBackReason = findHoldBackReason(group, attempt); !holdBackReason.empty()) {
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) } });
-            co_return false;
-        }
-    }
-    co_return false;
-}
-
 }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -1,5 +1,11 @@
 // Failover and planned handover: maintains each group's coordinator record, gathers evidence when a primary looks dead or is
-// leaving, and orders the promotion of another member. The rules that keep this safe are in decisions/promotion.h.
+// leaving, and orders the promotion of another member. The rules that keep this safe are in decisions/promotion.h and decisions/suspension.h.
+//
+// [SECTION] by source file
+//   promoter.cpp            which host acts, and when
+//   promoter_attempts.cpp   one attempt to replace a primary, and its order
+//   promoter_evidence.cpp   status queries to members and witnesses
+//   promoter_suspension.cpp orders that may be carried out late, in groups with synchronous replicas
 #pragma once
 #include "decisions/promotion.h"
 #include "gateway/partners.h"
@@ -14,7 +20,7 @@
     Peers& peers;
     links::PlatformAdapter& platform;
     decisions::Coordinator self;
-    std::function<void(const TargetAddress&, std::function<void(const StatusReport&)>)> queryLocalStatus; // asks a member for its status from this host
+    std::function<void(const TargetAddress&, const links::StatusQuery&, std::function<void(const StatusReport&)>)> queryLocalStatus; // asks a member for its status from this host
     std::function<void(const std::string& group, const std::string& member, milliseconds)> holdWrites; // on this host only
     std::function<bool()> hasStore; // this host receives changes from the platform's store
     std::function<void(const std::string& group, const decisions::KnownPrimary& before, std::string_view source)> notifyPrimaryChange; // after the promoter changed the group's known primary
@@ -41,12 +47,26 @@
     void onPrimaryChanged(const std::string& group);
     // Another host ordered a promotion. Coordinators ranked before it can no longer order: the platform refuses their lower tokens.
     void onPromotionOrdered(const std::string& group, const std::string& host);
+    // Another host has sent an order that may be carried out, or reports that its order was refused.
+    void onPendingPromotion(const std::string& host, const peer::PendingPromotion& wire);
+    // The member has lost its log.
+    void onMemberRestarted(const std::string& group, const std::string& member);
     // Reported to other coordinators, which act instead of this host if it cannot perform a task.
     decisions::HostCapabilities getCapabilities() const;
     // Starts due tasks. Call every few tens of ms.
     void sweep(TimePoint now);
 
 private:
+    // A promotion order that the platform may still carry out. Until it is settled, all orders name the same member. Only in groups with
+    // synchronous replicas.
+    struct PendingPromotion {
+        std::string member {}; // empty: it is gone or has restarted, so that another one can be chosen
+        uint64_t previousTerm { 0 }; // newest term that a member had shown before the order: it is settled once one proves a newer term
+        std::string host {}; // that sent it; empty: this host, or unknown
+        bool isInForce { false }; // it was sent, and the platform has not refused it
+        TimePoint since {};
+    };
+
     struct GroupState {
         decisions::CoordinatorRecord record {};
         uint64_t revision { 0 }; // of the record in the store; 0: no record
@@ -64,6 +84,21 @@
         TimePoint noPrimarySince {};
         std::string alarmReason {};
         std::string loggedCoordinator {}; // acting coordinator in the last log line
+        std::optional<PendingPromotion> pending {};
+        std::set<std::string> resumable {}; // members that this host has suspended, for orders that were not sent or were refused
+        bool wasActing { false }; // this host was the acting coordinator at the last sweep
+        bool mustCheckSuspensions { false }; // replicas may be suspended that nobody resumes
+        bool isCheckingSuspensions { false };
+        bool isResuming { false }; // no attempt may begin: it could suspend a replica that is then resumed
+        TimePoint suspensionsCheckedAt {};
+    };
+
+    // How commits that the primary acknowledges are kept from being lost by an order that is carried out late.
+    enum class CommitGuard {
+        NotNeeded, // commits are acknowledged before replicas have received them
+        ReplicasSuspended, // the successor receives every commit that is acknowledged
+        WritesHeld, // members cannot be suspended: writes wait at all hosts that this one reaches
+        Failed, // no order may be sent
     };
 
     struct DueTask;
@@ -72,6 +107,8 @@
         decisions::KnownPrimary primary {}; // the known primary when the attempt began
         bool isPlanned { false };
         TimePoint startedAt {}; // all evidence is newer
+        uint64_t shownTerm { 0 }; // newest term that a member has shown; an assumed one can be higher
+        CommitGuard guard { CommitGuard::NotNeeded };
     };
 
     bool isLive(const std::string& host) const;
@@ -83,6 +120,7 @@
     // Number of usable coordinators that act before this host; empty: this host does not act.
     std::optional<size_t> findActingRank(const GroupState& state, decisions::PromotionTask task) const;
     void logActingCoordinator(const std::string& group, GroupState& state);
+    bool isActing(const GroupState& state) const;
     std::optional<DueTask> findDueTask(const GroupView& groupView, GroupState& state, TimePoint now) const;
     bool mustActNow(const GroupState& state, const DueTask& due, TimePoint now) const;
     bool mustHandOver(const GroupView& groupView) const;
@@ -97,10 +135,45 @@
     struct PrimaryExamination;
     boost::asio::awaitable<void> examinePrimary(std::string witness, TargetAddress primary, std::shared_ptr<PrimaryExamination> examination);
     boost::asio::awaitable<void> waitForReplicaCatchUp(std::string group, std::string primary);
+    void holdWritesEverywhere(const std::string& group, const std::string& primary, milliseconds time);
     // The reason not to order the promotion any more; empty: it is still due.
     std::string_view findHoldBackReason(const std::string& group, const PromotionAttempt& attempt) const;
+    void logHoldBack(const std::string& group, std::string_view reason, std::string_view member, uint64_t term) const;
+    boost::asio::awaitable<bool> actOnEvidence(std::string group, std::vector<decisions::MemberFinding> findings, PromotionAttempt attempt);
+    std::optional<std::string> chooseSuccessor(const std::string& group, const std::vector<decisions::MemberFinding>& findings, uint64_t newestTerm) const;
+    boost::asio::awaitable<bool> promoteSuccessor(std::string group, std::string successor, std::vector<decisions::MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt);
     boost::asio::awaitable<bool> orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt);
-    boost::asio::awaitable<StatusReport> queryStatus(std::string host, TargetAddress target);
+    void applyPromotion(const std::string& group, const std::string& member, uint64_t term);
+    // No default arguments: g++ 12 destroys them twice within a co_await expression.
+    boost::asio::awaitable<StatusReport> queryStatus(std::string host, TargetAddress target, links::StatusQuery query);
+    boost::asio::awaitable<StatusReport> queryStatus(const std::string& host, const TargetAddress& target) { return queryStatus(host, target, links::StatusQuery()); }
+    // Asks from this host, or from a witness if this host does not reach the member.
+    boost::asio::awaitable<StatusReport> queryStatusFromAnyHost(TargetAddress target, links::StatusQuery query);
+    boost::asio::awaitable<StatusReport> queryStatusFromAnyHost(const TargetAddress& target) { return queryStatusFromAnyHost(target, links::StatusQuery()); }
+
+    // ---- orders that may be carried out late ----
+
+    unsigned getSynchronousReplicas(const std::string& group) const;
+    bool hasOrderInForce(const std::string& group) const;
+    void setPending(const std::string& group, PendingPromotion pending, std::string_view source);
+    void settlePending(const std::string& group, std::string_view reason);
+    // Settles the pending order if its member says that it is primary: an order for the present primary changes nothing.
+    bool settleIfPromoted(const std::string& group, const std::vector<decisions::MemberFinding>& findings, uint64_t newestTerm);
+    void announcePending(const std::string& group, const std::string& member, uint64_t previousTerm, bool isRefused);
+    void maintainSuspensions(const std::string& group, const GroupView& groupView, GroupState& state, TimePoint now);
+    void releaseSuspensions(const std::string& group);
+    static std::optional<std::string> findEarlierSuccessor(const GroupState& state, std::vector<decisions::MemberFinding> replicas, uint64_t newestTerm);
+    boost::asio::awaitable<void> checkSuspensions(std::string group);
+    // Returns whether all that were suspended have confirmed it.
+    boost::asio::awaitable<bool> resumeReplicas(std::string group, std::vector<decisions::MemberFinding> findings);
+    struct SuspensionRound;
+    boost::asio::awaitable<StatusReport> changeReplication(TargetAddress target, links::StatusQuery query);
+    boost::asio::awaitable<void> suspendReplica(TargetAddress target, uint64_t term, std::shared_ptr<SuspensionRound> round);
+    boost::asio::awaitable<std::shared_ptr<SuspensionRound>> suspendReplicas(std::string group, std::vector<std::string> members, uint64_t term);
+    boost::asio::awaitable<CommitGuard> guardCommits(std::string group, std::string primary, std::string successor, std::vector<decisions::MemberFinding> findings, uint64_t previousTerm);
+    boost::asio::awaitable<bool> waitUntilSuccessorHolds(std::string primary, std::string successor, std::vector<decisions::MemberFinding> suspended);
+    boost::asio::awaitable<bool> holdWritesForOrder(std::string group, std::string primary, std::string successor);
+    boost::asio::awaitable<void> renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm);
     std::vector<std::string> chooseWitnesses() const;
     size_t countListedMembers(const std::string& group) const;
 
--- /dev/null
+++ b/src/gateway/promoter_attempts.cpp
@@ -0,0 +1,221 @@
+// One attempt to replace a primary: evidence, choice of the successor, and the order to the platform.
+#include "base/event_log.h"
+#include "base/families.h"
+#include "base/metrics.h"
+#include "decisions/suspension.h"
+#include "gateway/promoter_evidence.h"
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace alderward::gateway {
+
+namespace asio = boost::asio;
+using base::Clock;
+using base::LogClass;
+using decisions::MemberFinding;
+using links::PromotionResult;
+
+static constexpr milliseconds kOrderTimeout { 800 }; // then the member itself is asked whether it is primary; the platform usually answers within tens of ms
+static constexpr milliseconds kOrderRetryDelay { 150 };
+static constexpr int kMaxOrderAttempts = 8; // with one fencing token, while the result is unknown or busy
+
+// Logs the status of each member, one line each.
+static void logEvidence(const std::string& group, const std::vector<MemberFinding>& findings)
+{
+    for (auto& it : findings) {
+        auto received = fmt::format("{}.{}", it.received.term, it.received.position);
+        base::logEvent(LogClass::State, "promotion-evidence", { { "group", std::string_view(group) }, { "member", std::string_view(it.member) }, { "reached", it.wasReached }, { "primary", it.saysPrimary }, { "term", static_cast<int64_t>(it.term) }, { "received", std::string_view(received) }, { "may_lead", it.isPromotable } });
+    }
+}
+
+asio::awaitable<void> Promoter::replacePrimary(std::string group, bool isPlanned, std::string cause)
+{
+    auto knownPrimary = m_context.view.groups[group].primary;
+    auto startedAt = Clock::now();
+    base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(knownPrimary.member) }, { "term", static_cast<int64_t>(knownPrimary.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
+    bool isDue = true;
+    bool wasOrdered = false;
+    auto member = m_context.view.members.find(knownPrimary.member);
+    if (isPlanned && !hasOrderInForce(group)) // otherwise the successor receives all that is acknowledged
+        co_await waitForReplicaCatchUp(group, knownPrimary.member);
+    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
+    queryReplicas(group, knownPrimary.member, isPlanned, replicas);
+    if (member != m_context.view.members.end() && !isPlanned)
+        isDue = co_await isPrimaryDead(group, member->second.getTarget());
+    // Counted after the examination: a network partition shows up in the connections to other hosts only after their timeouts.
+    auto reachability = m_context.peers.getReachability();
+    if (isDue && !isPlanned && !decisions::canJudgePrimary(reachability)) {
+        isDue = false;
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("most other hosts are unreachable") }, { "hosts_answering", static_cast<int64_t>(reachability.answering) }, { "hosts_lost", static_cast<int64_t>(reachability.lost) } });
+    }
+    if (isDue)
+        co_await replicas->latch.wait();
+    auto& groupView = m_context.view.groups[group];
+    PromotionAttempt attempt { knownPrimary, isPlanned, startedAt };
+    auto holdBackReason = isDue ? findHoldBackReason(group, attempt) : std::string_view();
+    if (!holdBackReason.empty()) {
+        isDue = false;
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(groupView.primary.member) }, { "term", static_cast<int64_t>(groupView.primary.term) } });
+    }
+    if (isDue)
+        wasOrdered = co_await actOnEvidence(group, replicas->findings, attempt);
+    auto& state = m_groups[group];
+    std::chrono::duration<double, std::milli> took = Clock::now() - startedAt;
+    base::logEvent(LogClass::State, "promotion-ended", { { "group", std::string_view(group) }, { "ms", took.count() } });
+    releaseSuspensions(group);
+    state.isPromoting = false;
+    state.alarmedAt = {};
+    state.nextAttemptAt = Clock::now() + (wasOrdered ? kPromotionGracePeriod : kAttemptCooldown);
+}
+
+void Promoter::logHoldBack(const std::string& group, std::string_view reason, std::string_view member, uint64_t term) const
+{
+    base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", reason }, { "member", member }, { "term", static_cast<int64_t>(term) } });
+}
+
+// Applies a primary or a term that the members report, or has a successor promoted. Returns whether one was.
+asio::awaitable<bool> Promoter::actOnEvidence(std::string group, std::vector<MemberFinding> findings, PromotionAttempt attempt)
+{
+    auto& groupView = m_context.view.groups[group];
+    logEvidence(group, findings);
+    m_context.view.isForwardingUpdateDue = true;
+    auto before = groupView.primary;
+    auto newestSeen = std::max(groupView.provenTerm, decisions::findNewerTerm(findings, 0).value_or(0));
+    if (settleIfPromoted(group, findings, newestSeen)) {
+        logHoldBack(group, "the member of an earlier order is primary", {}, newestSeen);
+        co_return false;
+    }
+    auto confirmed = std::ranges::find_if(findings, [&](const MemberFinding& it) { return it.wasReached && it.saysPrimary && it.term >= newestSeen && it.member != attempt.primary.member; });
+    if (confirmed != findings.end() && confirmed->term < getMinTerm(groupView, attempt.startedAt)) {
+        logHoldBack(group, "a member reports that it is primary while an earlier promotion may still take effect", confirmed->member, confirmed->term);
+        co_return false;
+    }
+    if (confirmed != findings.end()) {
+        applyProvenPrimary(groupView, confirmed->member, confirmed->term, attempt.startedAt, ProofRecipient::ThisHost);
+        m_context.notifyPrimaryChange(group, before, "proof");
+        co_return false;
+    }
+    if (auto newerTerm = decisions::findNewerTerm(findings, attempt.primary.term)) {
+        applyProvenTerm(groupView, *newerTerm);
+        m_context.notifyPrimaryChange(group, before, "members");
+        logHoldBack(group, "members report a newer term", attempt.primary.member, *newerTerm);
+        co_return false;
+    }
+    uint64_t term = attempt.primary.term; // even if assumed: hosts that believe it must accept the next term
+    for (auto& it : findings)
+        term = std::max({ term, it.term, it.received.term });
+    auto successor = chooseSuccessor(group, findings, newestSeen);
+    if (!successor) {
+        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be promoted safely") }, { "members_asked", static_cast<int64_t>(findings.size()) } });
+        co_return false;
+    }
+    attempt.shownTerm = newestSeen;
+    co_return co_await promoteSuccessor(group, *successor, std::move(findings), term, attempt);
+}
+
+// Rechecked after each wait. A primary that is no longer leaving, or has confirmed its role since the attempt began, must stay:
+// replacing it would lose writes that it acknowledged meanwhile and that replicas lack.
+std::string_view Promoter::findHoldBackReason(const std::string& group, const PromotionAttempt& attempt) const
+{
+    auto& groupView = m_context.view.groups[group];
+    if (decisions::isSuperseded(attempt.primary, groupView.primary))
+        return "another primary became known during the attempt";
+    if (hasOrderInForce(group)) // it may be carried out in any case
+        return "";
+    if (attempt.isPlanned) {
+        bool isSamePrimary = groupView.primary.member == attempt.primary.member; // otherwise no primary is known any more, and a promotion is still due
+        return !isSamePrimary || mustHandOver(groupView) ? "" : "the primary is no longer leaving";
+    }
+    auto& floors = groupView.floors.floors;
+    bool isConfirmed = !floors.empty() && floors.back().coveredUntil > attempt.startedAt && floors.back().mark.term == groupView.primary.term;
+    return isConfirmed && !groupView.primary.member.empty() ? "the primary confirmed its role during the attempt" : "";
+}
+
+void Promoter::applyPromotion(const std::string& group, const std::string& member, uint64_t term)
+{
+    auto& groupView = m_context.view.groups[group];
+    auto before = groupView.primary;
+    applyOrderedPrimary(groupView, member, term, Clock::now());
+    m_context.notifyPrimaryChange(group, before, "ordered");
+    m_context.peers.announcePrimary(group, member, term);
+}
+
+// With synchronous replicas, only if no order can lose an acknowledged commit.
+asio::awaitable<bool> Promoter::promoteSuccessor(std::string group, std::string successor, std::vector<MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt)
+{
+    if (getSynchronousReplicas(group) > 0) {
+        attempt.guard = co_await guardCommits(group, attempt.primary.member, successor, std::move(findings), attempt.shownTerm);
+        std::string_view reason = attempt.guard == CommitGuard::Failed ? "the successor may lack commits that are acknowledged" : findHoldBackReason(group, attempt);
+        if (!reason.empty()) {
+            logHoldBack(group, reason, successor, attempt.shownTerm);
+            co_return false;
+        }
+        PendingPromotion pending { successor, attempt.shownTerm, {}, hasOrderInForce(group), Clock::now() };
+        setPending(group, pending, "sent");
+        announcePending(group, successor, attempt.shownTerm, false);
+    }
+    bool isPromoted = co_await orderPromotion(group, successor, previousTerm, attempt);
+    if (!isPromoted && !hasOrderInForce(group))
+        settlePending(group, "refused");
+    co_return isPromoted;
+}
+
+// Uses one fencing token for one member. An unanswered order may still be carried out, so it is repeated unchanged.
+asio::awaitable<bool> Promoter::orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt)
+{
+    auto& state = m_groups[group];
+    auto rank = decisions::findRank(state.record, m_context.self);
+    auto token = rank ? decisions::getFencingToken(state.record, *rank, state.orderCount) : std::nullopt;
+    if (!token)
+        co_return false;
+    ++state.orderCount;
+    base::checkInvariant(*token > state.lastFencingToken, "a fencing token was not above the previous one", group);
+    state.lastFencingToken = *token;
+    for (int i = 0; i < kMaxOrderAttempts; ++i) {
+        auto askedAt = Clock::now();
+        // A named variable, as g++ 12 destroys aggregates created within a co_await expression twice.
+        links::PromotionOrder request { group, member, m_context.self.host, *token };
+        auto result = co_await m_context.platform.promote(request, askedAt + kOrderTimeout);
+        static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
+        std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
+        base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
+        base::incrementCounter(base::MetricFamily::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
+        // Set for rejected orders only: an unanswered one may still be carried out, unless a standby uses a higher token first.
+        m_orderRejectedAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
+        bool isPromoted = result == PromotionResult::Done;
+        auto newTerm = previousTerm + 1;
+        auto chosen = m_context.view.members.find(member);
+        if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
+            auto target = chosen->second.getTarget();
+            auto finding = co_await queryStatus(m_context.self.host, target);
+            isPromoted = finding.wasReached && finding.status.isPrimary && finding.status.term > previousTerm;
+            newTerm = std::max(newTerm, finding.status.term);
+        }
+        if (state.pending && (isPromoted || result == PromotionResult::Unknown)) {
+            state.pending->isInForce = true;
+            state.resumable.clear();
+        }
+        if (isPromoted) {
+            applyPromotion(group, member, newTerm);
+            co_return true;
+        }
+        if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
+            if (result == PromotionResult::Outranked) // a higher token was used: renew the record
+                state.firstUsableRank = std::max(state.firstUsableRank, *rank + 1);
+            co_return false;
+        }
+        co_await base::sleepFor(kOrderRetryDelay);
+        // Another coordinator may have taken over, in particular if this process was suspended.
+        if (Clock::now() - askedAt > kOrderTimeout + kOrderRetryDelay + kAttemptCooldown || *rank < state.firstUsableRank || m_context.isDraining)
+            co_return false;
+        if (auto holdBackReason = findHoldBackReason(group, attempt); !holdBackReason.empty()) {
+            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) } });
+            co_return false;
+        }
+        if (attempt.guard != CommitGuard::NotNeeded)
+            co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
+    }
+    co_return false;
+}
+
+}
--- a/src/gateway/promoter_evidence.cpp
+++ b/src/gateway/promoter_evidence.cpp
@@ -12,9 +12,6 @@
 using base::Clock;
 using base::LogClass;
 
-static constexpr milliseconds kCatchUpTimeout { 800 }; // how long a handover waits for a replica to catch up
-static constexpr milliseconds kHoldPropagationTime { 60 }; // until all hosts hold their writes and the writes already sent have run; one way between hosts takes 20 ms at most
-static constexpr milliseconds kCatchUpPollInterval { 30 }; // replicas are usually 50 ms behind
 static constexpr milliseconds kWriteHoldTime { 1800 }; // the longest that a handover holds writes
 static constexpr size_t kMaxWitnesses = 6; // besides this host; a primary that is cut off from two thirds of the hosts is declared dead once in twenty times
 static constexpr milliseconds kStatusQueryTimeout { 1000 }; // guards against a frozen host: others end the query earlier themselves
@@ -30,7 +27,7 @@
     StatusReport finding {};
 };
 
-asio::awaitable<StatusReport> Promoter::queryStatus(std::string host, TargetAddress target)
+asio::awaitable<StatusReport> Promoter::queryStatus(std::string host, TargetAddress target, links::StatusQuery statusQuery)
 {
     auto query = std::make_shared<PendingStatusQuery>(m_context.context.get_executor());
     auto done = [query](const StatusReport& finding) {
@@ -38,13 +35,23 @@
         query->latch.countDown();
     };
     if (host == m_context.self.host)
-        m_context.queryLocalStatus(target, done);
+        m_context.queryLocalStatus(target, statusQuery, done);
     else
-        m_context.peers.queryStatus(host, target, done);
+        m_context.peers.queryStatus(host, target, statusQuery, done);
     co_await query->latch.waitFor(kStatusQueryTimeout);
     co_return query->finding;
 }
 
+asio::awaitable<StatusReport> Promoter::queryStatusFromAnyHost(TargetAddress target, links::StatusQuery query)
+{
+    auto finding = co_await queryStatus(m_context.self.host, target, query);
+    auto witnesses = chooseWitnesses(); // the member may be unreachable from this host only
+    if (finding.status.term != 0 || finding.isRefused || witnesses.empty())
+        co_return finding;
+    auto second = co_await queryStatus(witnesses.front(), target, query);
+    co_return second.status.term != 0 || !finding.wasReached ? second : finding;
+}
+
 // Reachable hosts besides this one, from different data centres where possible.
 std::vector<std::string> Promoter::chooseWitnesses() const
 {
@@ -134,18 +141,12 @@
     bool isPromotable = isCandidate && !member.registration.isLeaving && !member.unlistedAt;
     auto target = member.getTarget();
     auto known = getNewestKnownMark(m_context.view.groups[target.group]);
-    auto finding = co_await queryStatus(m_context.self.host, target);
-    auto witnesses = chooseWitnesses(); // the member may be unreachable from this host only
-    if (finding.status.term == 0 && !witnesses.empty()) {
-        auto second = co_await queryStatus(witnesses.front(), target);
-        if (second.status.term != 0 || !finding.wasReached)
-            finding = second;
-    }
+    auto finding = co_await queryStatusFromAnyHost(target);
     bool hasLost = decisions::hasLostLog(known, finding.status.received);
     // A primary that has lost its log must not be its own successor: the platform answers such an order with "done" without starting a
     // new term, so the order would be repeated forever and callers would have no primary.
     isPromotable = isPromotable && !(finding.status.isPrimary && hasLost);
-    replicas->findings.push_back({ member.registration.id, finding.wasReached, finding.status.isPrimary && !hasLost, finding.status.term, finding.status.received, isPromotable });
+    replicas->findings.push_back({ member.registration.id, finding.wasReached, finding.status.isPrimary && !hasLost, finding.status.term, finding.status.received, isPromotable, finding.status.suspendedFor });
     replicas->latch.countDown();
 }
 
@@ -161,11 +162,16 @@
     replicas->latch.countDown();
 }
 
+void Promoter::holdWritesEverywhere(const std::string& group, const std::string& primary, milliseconds time)
+{
+    m_context.holdWrites(group, primary, time);
+    m_context.peers.sendHoldWrites(group, primary, time);
+}
+
 // Holds writes on all hosts until a replica holds the primary's whole log, so that the handover loses no acknowledged write.
 asio::awaitable<void> Promoter::waitForReplicaCatchUp(std::string group, std::string primary)
 {
-    m_context.holdWrites(group, primary, kWriteHoldTime);
-    m_context.peers.sendHoldWrites(group, primary, kWriteHoldTime);
+    holdWritesEverywhere(group, primary, kWriteHoldTime);
     auto until = Clock::now() + kCatchUpTimeout;
     auto member = m_context.view.members.find(primary);
     if (member == m_context.view.members.end())
--- /dev/null
+++ b/src/gateway/promoter_suspension.cpp
@@ -0,0 +1,387 @@
+// Orders that the platform may carry out late, in groups with synchronous replicas: replicas are suspended while one is pending, so that its member
+// receives every commit that is acknowledged (docs/design/0015-synchronous-promotion.md). The suspensions are state of the members. They outlive the
+// host that asked for them, and tell the next coordinator that an order may be pending.
+#include "base/event_log.h"
+#include "base/families.h"
+#include "base/metrics.h"
+#include "decisions/suspension.h"
+#include "gateway/promoter_evidence.h"
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+namespace alderward::gateway {
+
+namespace asio = boost::asio;
+using base::Clock;
+using base::LogClass;
+using decisions::MemberFinding;
+using links::ReplicationChange;
+using links::StatusQuery;
+
+static constexpr int kReplicationAttempts = 4; // of one change at a member, which may be busy
+static constexpr milliseconds kReplicationRetryDelay { 30 }; // about the time of a few statements
+static constexpr milliseconds kSuspensionCheckInterval { 2000 }; // until all replicas have answered
+// How long writes wait for an order at members that cannot be suspended; renewed with each attempt. Must exceed the time in which a standby
+// coordinator takes over (decisions::getTakeoverDelay()) and has gathered its evidence.
+static constexpr milliseconds kOrderHoldTime { 6000 };
+
+unsigned Promoter::getSynchronousReplicas(const std::string& group) const
+{
+    auto it = m_context.view.configuration.groups.find(group);
+    return it == m_context.view.configuration.groups.end() ? 0 : it->second.synchronousReplicas;
+}
+
+bool Promoter::hasOrderInForce(const std::string& group) const
+{
+    auto it = m_groups.find(group);
+    return it != m_groups.end() && it->second.pending && it->second.pending->isInForce;
+}
+
+static void logPending(const std::string& group, const std::string& member, uint64_t previousTerm, std::string_view state, const std::string& host)
+{
+    base::logEvent(LogClass::State, "promotion-pending", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "previous_term", static_cast<int64_t>(previousTerm) }, { "state", state }, { "holder", std::string_view(host) } });
+}
+
+void Promoter::setPending(const std::string& group, PendingPromotion pending, std::string_view source)
+{
+    auto& known = m_groups[group].pending;
+    bool isSame = known && known->member == pending.member && known->previousTerm == pending.previousTerm;
+    if (isSame) {
+        known->isInForce = known->isInForce || pending.isInForce;
+        return;
+    }
+    logPending(group, pending.member, pending.previousTerm, source, pending.host);
+    known = std::move(pending);
+}
+
+void Promoter::settlePending(const std::string& group, std::string_view reason)
+{
+    auto& state = m_groups[group];
+    if (!state.pending)
+        return;
+    auto pending = std::move(*state.pending);
+    state.pending.reset();
+    state.mustCheckSuspensions = true;
+    logPending(group, pending.member, pending.previousTerm, reason, pending.host);
+    if (reason != "refused" || !pending.host.empty())
+        return;
+    announcePending(group, pending.member, pending.previousTerm, true);
+    holdWritesEverywhere(group, m_context.view.groups[group].primary.member, milliseconds(0));
+}
+
+bool Promoter::settleIfPromoted(const std::string& group, const std::vector<MemberFinding>& findings, uint64_t newestTerm)
+{
+    auto& pending = m_groups[group].pending;
+    if (!pending)
+        return false;
+    bool isPrimary = std::ranges::any_of(findings, [&](const MemberFinding& it) { return it.member == pending->member && it.saysPrimary && it.term >= newestTerm; });
+    if (isPrimary)
+        settlePending(group, "promoted");
+    return isPrimary;
+}
+
+void Promoter::announcePending(const std::string& group, const std::string& member, uint64_t previousTerm, bool isRefused)
+{
+    peer::PendingPromotion wire;
+    wire.set_group(group);
+    wire.set_member(member);
+    wire.set_previous_term(previousTerm);
+    wire.set_is_refused(isRefused);
+    m_context.peers.announcePendingPromotion(wire);
+}
+
+void Promoter::onPendingPromotion(const std::string& host, const peer::PendingPromotion& wire)
+{
+    if (getSynchronousReplicas(wire.group()) == 0)
+        return;
+    auto& known = m_groups[wire.group()].pending;
+    if (wire.is_refused()) {
+        if (known && known->host == host)
+            settlePending(wire.group(), "refused");
+        return;
+    }
+    bool isOutdated = known && known->isInForce && known->previousTerm >= wire.previous_term();
+    bool isOver = m_context.view.groups[wire.group()].provenTerm > wire.previous_term();
+    if (!isOutdated && !isOver)
+        setPending(wire.group(), { wire.member(), wire.previous_term(), host, true, Clock::now() }, "told");
+}
+
+void Promoter::onMemberRestarted(const std::string& group, const std::string& member)
+{
+    auto it = m_groups.find(group);
+    if (it == m_groups.end() || !it->second.pending || it->second.pending->member != member)
+        return;
+    logPending(group, member, it->second.pending->previousTerm, "restarted", it->second.pending->host);
+    it->second.pending->member.clear();
+}
+
+bool Promoter::isActing(const GroupState& state) const
+{
+    return findActingRank(state, decisions::PromotionTask::HandOver) == std::optional<size_t>(0);
+}
+
+// Whoever begins to act for a group looks for suspended replicas once: the host that suspended them may be gone.
+void Promoter::maintainSuspensions(const std::string& group, const GroupView& groupView, GroupState& state, TimePoint now)
+{
+    if (getSynchronousReplicas(group) == 0) {
+        state.pending.reset();
+        return;
+    }
+    if (state.pending && groupView.provenTerm > state.pending->previousTerm)
+        settlePending(group, "promoted");
+    bool isActingNow = isActing(state);
+    state.mustCheckSuspensions = state.mustCheckSuspensions || (isActingNow && !state.wasActing);
+    state.wasActing = isActingNow;
+    bool isBusy = state.pending || state.isPromoting || state.isCheckingSuspensions || now - state.suspensionsCheckedAt < kSuspensionCheckInterval;
+    bool isDue = state.mustCheckSuspensions && (isActingNow || !state.resumable.empty());
+    if (isBusy || !isDue || m_context.isDraining)
+        return;
+    state.isCheckingSuspensions = true;
+    asio::co_spawn(m_context.context, checkSuspensions(group), asio::detached);
+}
+
+// After an attempt: without an order that may be carried out, nothing is to stay suspended.
+void Promoter::releaseSuspensions(const std::string& group)
+{
+    auto& state = m_groups[group];
+    if (state.resumable.empty())
+        return;
+    state.mustCheckSuspensions = true;
+    state.suspensionsCheckedAt = {};
+}
+
+asio::awaitable<bool> Promoter::resumeReplicas(std::string group, std::vector<MemberFinding> findings)
+{
+    auto& state = m_groups[group];
+    state.isResuming = true;
+    bool haveAllAnswered = true;
+    for (auto& it : findings) {
+        auto member = m_context.view.members.find(it.member);
+        if (it.suspendedFor == 0 || member == m_context.view.members.end())
+            continue;
+        StatusQuery query { ReplicationChange::Resume };
+        auto report = co_await changeReplication(member->second.getTarget(), query);
+        haveAllAnswered = haveAllAnswered && report.status.term != 0;
+    }
+    state.isResuming = false;
+    co_return haveAllAnswered;
+}
+
+// The member of an earlier order, as the suspended replicas show it. Those that this host suspended for an order that was not sent say nothing.
+std::optional<std::string> Promoter::findEarlierSuccessor(const GroupState& state, std::vector<MemberFinding> replicas, uint64_t newestTerm)
+{
+    for (auto& it : replicas) {
+        if (state.resumable.contains(it.member))
+            it.suspendedFor = 0;
+    }
+    return decisions::findEarlierSuccessor(replicas, newestTerm);
+}
+
+// Resumes replicas that no order needs, or finds that an order may be pending.
+asio::awaitable<void> Promoter::checkSuspensions(std::string group)
+{
+    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
+    queryReplicas(group, m_context.view.groups[group].primary.member, false, replicas);
+    co_await replicas->latch.wait();
+    auto findings = replicas->findings;
+    auto& state = m_groups[group];
+    auto newestTerm = std::max(m_context.view.groups[group].provenTerm, decisions::findNewerTerm(findings, 0).value_or(0));
+    auto earlier = findEarlierSuccessor(state, findings, newestTerm);
+    bool haveAllAnswered = std::ranges::all_of(findings, [](const MemberFinding& it) { return it.term != 0; });
+    bool isUndisturbed = !state.pending && !state.isPromoting;
+    if (isUndisturbed && earlier) {
+        PendingPromotion pending { *earlier, newestTerm, {}, true, Clock::now() };
+        setPending(group, pending, "found");
+    }
+    bool isDone = isUndisturbed && !earlier && haveAllAnswered;
+    if (isDone)
+        isDone = co_await resumeReplicas(group, findings);
+    if (isDone)
+        state.resumable.clear();
+    state.mustCheckSuspensions = !isDone;
+    state.suspensionsCheckedAt = Clock::now();
+    state.isCheckingSuspensions = false;
+}
+
+// ---- before an order ----
+
+// An order that may be pending binds the next ones to its member: a second member that led in between could acknowledge commits that the first lacks.
+std::optional<std::string> Promoter::chooseSuccessor(const std::string& group, const std::vector<MemberFinding>& findings, uint64_t newestTerm) const
+{
+    auto synchronousReplicas = getSynchronousReplicas(group);
+    auto listed = countListedMembers(group);
+    if (synchronousReplicas == 0)
+        return decisions::chooseSuccessor(findings, 0, listed);
+    auto replicas = findings;
+    auto& primary = m_context.view.groups[group].primary.member;
+    std::erase_if(replicas, [&](const MemberFinding& it) { return it.member == primary && it.term == 0; }); // a primary that is gone need not answer
+    auto& state = m_groups.at(group);
+    auto earlier = state.pending ? std::optional(state.pending->member) : findEarlierSuccessor(state, replicas, newestTerm);
+    bool isKnown = earlier && m_context.view.members.contains(*earlier);
+    if (!isKnown)
+        return decisions::chooseSuccessor(replicas, synchronousReplicas, listed);
+    auto it = std::ranges::find(replicas, *earlier, &MemberFinding::member);
+    return it != replicas.end() && it->term != 0 ? earlier : std::nullopt;
+}
+
+// Changes whether a member receives log entries, and repeats that while the member is busy. Returns its last report.
+asio::awaitable<StatusReport> Promoter::changeReplication(TargetAddress target, StatusQuery query)
+{
+    bool isSuspension = query.change == ReplicationChange::Suspend;
+    StatusReport report;
+    bool isDone = false;
+    for (int i = 0; i < kReplicationAttempts && !isDone; ++i) {
+        if (i > 0)
+            co_await base::sleepFor(kReplicationRetryDelay);
+        report = co_await queryStatusFromAnyHost(target, query);
+        bool isRefused = report.isRefused;
+        if (isRefused) { // also if an earlier attempt was carried out and its answer was lost
+            StatusQuery plainQuery;
+            report = co_await queryStatusFromAnyHost(target, plainQuery);
+        }
+        bool hasStatus = report.status.term != 0;
+        isDone = hasStatus && (isSuspension ? report.status.suspendedFor >= query.term : report.status.suspendedFor == 0);
+        report.isRefused = isRefused && hasStatus && !isDone;
+        if (report.isRefused)
+            break;
+    }
+    std::string_view result = isDone ? "done" : report.isRefused ? "refused"
+                                                                 : "unanswered";
+    std::string_view change = isSuspension ? "suspend" : "resume";
+    auto received = fmt::format("{}.{}", report.status.received.term, report.status.received.position);
+    base::incrementCounter(base::MetricFamily::ReplicationChanges, { { "group", target.group }, { "change", change }, { "result", result } });
+    base::logEvent(LogClass::State, "replication", { { "group", std::string_view(target.group) }, { "member", std::string_view(target.member) }, { "change", change }, { "term", static_cast<int64_t>(query.term) }, { "result", result }, { "received", std::string_view(received) } });
+    if (!isDone)
+        report.status = {};
+    co_return report;
+}
+
+// Suspensions of several replicas at a time.
+struct Promoter::SuspensionRound {
+    explicit SuspensionRound(const asio::any_io_executor& executor)
+        : latch(executor, 1)
+    {
+    }
+    base::Latch latch;
+    std::vector<MemberFinding> suspended {};
+    bool isRefused { false }; // by a member that does not know the command
+    bool isIncomplete { false }; // some member did not confirm its suspension
+};
+
+asio::awaitable<void> Promoter::suspendReplica(TargetAddress target, uint64_t term, std::shared_ptr<SuspensionRound> round)
+{
+    StatusQuery query { ReplicationChange::Suspend, term };
+    auto report = co_await changeReplication(target, query);
+    auto& status = report.status;
+    round->isRefused = round->isRefused || report.isRefused;
+    round->isIncomplete = round->isIncomplete || status.term == 0;
+    if (status.term != 0)
+        round->suspended.push_back({ target.member, true, status.isPrimary, status.term, status.received, true, status.suspendedFor });
+    round->latch.countDown();
+}
+
+asio::awaitable<std::shared_ptr<Promoter::SuspensionRound>> Promoter::suspendReplicas(std::string group, std::vector<std::string> members, uint64_t term)
+{
+    auto round = std::make_shared<SuspensionRound>(m_context.context.get_executor());
+    for (auto& it : members) {
+        auto member = m_context.view.members.find(it);
+        if (member == m_context.view.members.end()) // gone meanwhile
+            continue;
+        if (!hasOrderInForce(group))
+            m_groups[group].resumable.insert(it);
+        round->latch.add();
+        asio::co_spawn(m_context.context, suspendReplica(member->second.getTarget(), term, round), asio::detached);
+    }
+    round->latch.countDown();
+    co_await round->latch.wait();
+    co_return round;
+}
+
+asio::awaitable<Promoter::CommitGuard> Promoter::guardCommits(std::string group, std::string primary, std::string successor, std::vector<MemberFinding> findings, uint64_t previousTerm)
+{
+    auto found = std::ranges::find(findings, successor, &MemberFinding::member);
+    auto primaryFound = std::ranges::find(findings, primary, &MemberFinding::member);
+    bool mustResume = found != findings.end() && found->suspendedFor != 0;
+    bool isPrimaryAlive = primaryFound != findings.end() && primaryFound->saysPrimary;
+    std::erase_if(findings, [&](const MemberFinding& it) { return it.member == primary; });
+    auto others = decisions::chooseReplicasToSuspend(findings, successor, getSynchronousReplicas(group));
+    auto round = co_await suspendReplicas(group, others, previousTerm + 1);
+    if (round->isRefused) {
+        bool areHeld = co_await holdWritesForOrder(group, primary, successor);
+        co_return areHeld ? CommitGuard::WritesHeld : CommitGuard::Failed;
+    }
+    auto member = m_context.view.members.find(successor);
+    if (round->isIncomplete || member == m_context.view.members.end())
+        co_return CommitGuard::Failed;
+    if (mustResume) { // suspended for an earlier order of another member, which has restarted or is gone
+        StatusQuery query { ReplicationChange::Resume };
+        co_await changeReplication(member->second.getTarget(), query);
+    }
+    // While an order is pending, writes are not held, and the successor has received what was acknowledged since.
+    bool mustReachPrimary = isPrimaryAlive && (mustResume || !hasOrderInForce(group));
+    if (!mustReachPrimary)
+        primary.clear();
+    bool isHeld = co_await waitUntilSuccessorHolds(primary, successor, round->suspended);
+    co_return isHeld ? CommitGuard::ReplicasSuspended : CommitGuard::Failed;
+}
+
+// Waits until the successor has received what the suspended replicas have, and what the primary had when it was asked, unless `primary` is empty.
+asio::awaitable<bool> Promoter::waitUntilSuccessorHolds(std::string primary, std::string successor, std::vector<MemberFinding> suspended)
+{
+    auto until = Clock::now() + kCatchUpTimeout;
+    auto required = std::move(suspended);
+    if (auto it = m_context.view.members.find(primary); it != m_context.view.members.end()) {
+        auto report = co_await queryStatusFromAnyHost(it->second.getTarget());
+        if (report.status.isPrimary)
+            required.push_back({ primary, true, true, report.status.term, report.status.received });
+    }
+    for (;;) {
+        auto member = m_context.view.members.find(successor);
+        if (member == m_context.view.members.end())
+            co_return false;
+        auto report = co_await queryStatusFromAnyHost(member->second.getTarget());
+        MemberFinding finding { successor, report.wasReached, report.status.isPrimary, report.status.term, report.status.received };
+        if (report.status.term != 0 && decisions::holdsAllOf(finding, required))
+            co_return true;
+        if (Clock::now() >= until)
+            co_return false;
+        co_await base::sleepFor(kCatchUpPollInterval);
+    }
+}
+
+// For members that do not know how to suspend: compares logs while no host lets writes through, and keeps it so until the order is settled.
+asio::awaitable<bool> Promoter::holdWritesForOrder(std::string group, std::string primary, std::string successor)
+{
+    holdWritesEverywhere(group, primary, kOrderHoldTime);
+    co_await base::sleepFor(kHoldPropagationTime);
+    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
+    queryReplicas(group, primary, false, replicas);
+    co_await replicas->latch.wait();
+    auto it = std::ranges::find(replicas->findings, successor, &MemberFinding::member);
+    bool isHeld = it != replicas->findings.end() && it->term != 0 && decisions::holdsAllOf(*it, replicas->findings);
+    if (!isHeld && !hasOrderInForce(group))
+        holdWritesEverywhere(group, primary, milliseconds(0));
+    co_return isHeld;
+}
+
+// Before an order is repeated: replicas that have restarted or are new receive commits again.
+asio::awaitable<void> Promoter::renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm)
+{
+    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
+    queryReplicas(group, primary, false, replicas);
+    co_await replicas->latch.wait();
+    auto others = decisions::chooseReplicasToSuspend(replicas->findings, successor, getSynchronousReplicas(group));
+    std::erase_if(others, [&](const std::string& name) {
+        auto it = std::ranges::find(replicas->findings, name, &MemberFinding::member);
+        return it != replicas->findings.end() && decisions::isSuspended(*it, previousTerm);
+    });
+    if (others.empty())
+        co_return;
+    auto round = co_await suspendReplicas(group, others, previousTerm + 1);
+    if (round->isRefused)
+        holdWritesEverywhere(group, primary, kOrderHoldTime);
+}
+
+}
--- a/src/links/statement_codec.h
+++ b/src/links/statement_codec.h
@@ -45,9 +45,24 @@
     uint64_t term { 0 };
     decisions::Mark received {}; // latest entry of its log, applied or not
     decisions::milliseconds lag { 0 };
+    uint64_t suspendedFor { 0 }; // term for which it receives no log entries; 0: it receives them
     friend bool operator==(const TargetStatus&, const TargetStatus&) = default;
 };
 
+// A change to whether a replica receives log entries.
+enum class ReplicationChange {
+    None,
+    Suspend, // until it is resumed, a member is promoted, or it restarts
+    Resume,
+};
+
+// A status query, with a change that the target makes before it answers.
+struct StatusQuery {
+    ReplicationChange change { ReplicationChange::None };
+    uint64_t term { 0 }; // Suspend: above the newest term of the group
+    friend bool operator==(const StatusQuery&, const StatusQuery&) = default;
+};
+
 class StatementCodec {
 public:
     virtual ~StatementCodec() = default;
@@ -68,7 +83,7 @@
     virtual std::string formatReset() const = 0;
     virtual std::string formatSetVariable(const std::string& name, const std::string& value) const = 0;
     virtual std::string formatPrepare(const std::string& name, const decisions::PreparedShape& shape) const = 0;
-    virtual std::string formatStatusQuery() const = 0;
+    virtual std::string formatStatusQuery(const StatusQuery& query) const = 0;
     virtual TargetMessage parseTargetMessage(std::string_view message) const = 0;
     virtual std::optional<TargetStatus> parseStatus(std::string_view row) const = 0;
 };
--- /dev/null
+++ b/tests/gateway/synchronous_test.cpp
@@ -0,0 +1,293 @@
+// Groups with a synchronous replica. Guards against the promotion of a member that lacks an acknowledged commit: the platform can carry out an order
+// seconds after it was sent, and a primary can acknowledge commits to hosts that the coordinator does not reach.
+#include "harness/gateway_rig.h"
+#include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace harness;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr unsigned kHosts = 3;
+constexpr unsigned kWritersPerHost = 2;
+constexpr milliseconds kWriterPause { 5 }; // between two writes of a writer
+constexpr milliseconds kOrderDelay { 3000 }; // until an unanswered order is carried out
+constexpr milliseconds kPromotionTime { 300 }; // from the execution of an order until the member leads
+constexpr milliseconds kRecoveryLimit { 12000 }; // a change of primary is over within this
+constexpr milliseconds kObservedTime { 1500 }; // in which an order is unanswered and writes are no longer held
+
+RigOptions makeOptions(bool hasProxies = false)
+{
+    RigOptions options;
+    options.hosts = kHosts;
+    options.hasProxies = hasProxies;
+    options.hasDirectOrders = true;
+    options.synchronousReplicas = { 1 };
+    return options;
+}
+
+class SynchronousGroup {
+public:
+    explicit SynchronousGroup(bool hasProxies = false)
+        : rig(makeOptions(hasProxies))
+    {
+        rig.startHosts();
+        rig.call([&] {
+            rig.getGroup().getFaults("g0-b").lag = milliseconds(30);
+            rig.getGroup().getFaults("g0-c").lag = milliseconds(10);
+            rig.getStore().faults.promotionDelay = kPromotionTime;
+        });
+        for (unsigned i = 0; i < kHosts; ++i)
+            BOOST_REQUIRE(waitUntil(milliseconds(5000), [&] { return canWrite(i); }));
+    }
+
+    bool canWrite(unsigned host) { return LineCaller(rig.getCallerAddress(host), "db0-primary").ask("WRITE x 1").isOk(); }
+
+    void startWriters()
+    {
+        for (unsigned i = 0; i < kHosts * kWritersPerHost; ++i)
+            m_writers.emplace_back([this, i](std::stop_token stop) { write(i, stop); });
+    }
+
+    // Writes to a member itself, as a host does that the others do not reach.
+    void startDirectWriter(const std::string& member)
+    {
+        m_writers.emplace_back([this, member](std::stop_token stop) {
+            LineCaller caller(rig.call([&] { return rig.getGroup().getAddress(member); }), "g0");
+            for (int n = 0; !stop.stop_requested(); ++n) {
+                acknowledged += caller.ask(fmt::format("WRITE direct-{} 1", n), milliseconds(2000)).isOk() ? 1 : 0;
+                std::this_thread::sleep_for(kWriterPause);
+            }
+        });
+    }
+
+    void stopWriters() { m_writers.clear(); }
+
+    std::string getPrimary()
+    {
+        return rig.call([&] { return rig.getGroup().getPrimary(); });
+    }
+
+    size_t countSuspended()
+    {
+        return rig.call([&] { return static_cast<size_t>(std::ranges::count_if(rig.getGroup().getIds(), [&](auto& id) { return rig.getGroup().getSuspendedFor(id) != 0; })); });
+    }
+
+    // The promoted member holds what was acknowledged, all hosts are served, and no replica stays suspended.
+    void checkRecovered(const std::string& previous)
+    {
+        BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return getPrimary() != previous; }));
+        for (unsigned i = 0; i < kHosts; ++i)
+            BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return rig.getHost(i).isRunning() && canWrite(i); }), "host " << i << " does not serve writes");
+        BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return countSuspended() == 0; }));
+        checkNothingLost();
+    }
+
+    void checkNothingLost()
+    {
+        for (auto& it : rig.call([&] { return rig.getGroup().getLostCommits(); }))
+            BOOST_ERROR(it.statement << " was acknowledged, and the log of the promoted " << it.promoted << " lacks it");
+        BOOST_TEST(acknowledged > 5);
+    }
+
+    void setOrdersLate(bool areLate)
+    {
+        rig.call([&] { rig.getStore().faults.unansweredOrderDelay = areLate ? kOrderDelay : milliseconds(0); });
+    }
+
+    void setLeaving(const std::string& member, bool isLeaving)
+    {
+        rig.call([&] { rig.getStore().setLeaving(member, isLeaving); });
+    }
+
+    bool waitForEvent(const std::string& event, milliseconds limit = milliseconds(6000))
+    {
+        return waitUntil(limit, [&] { return rig.countEvents(event) > 0; });
+    }
+
+    // Number of writes acknowledged within the time.
+    int countAcknowledgedWithin(milliseconds time)
+    {
+        int before = acknowledged;
+        std::this_thread::sleep_for(time);
+        return acknowledged - before;
+    }
+
+    GatewayRig rig;
+    std::atomic<int> acknowledged { 0 };
+
+private:
+    void write(unsigned i, const std::stop_token& stop)
+    {
+        std::unique_ptr<LineCaller> caller;
+        for (int n = 0; !stop.stop_requested(); ++n) {
+            if (!caller)
+                caller = std::make_unique<LineCaller>(rig.getCallerAddress(i % kHosts), "db0-primary");
+            auto answer = caller->ask(fmt::format("WRITE item-{}-{} 1", i, n), milliseconds(2000));
+            acknowledged += answer.isOk() ? 1 : 0;
+            if (answer.state != "I")
+                caller.reset();
+            std::this_thread::sleep_for(kWriterPause);
+        }
+    }
+
+    std::vector<std::jthread> m_writers;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(synchronous_replicas)
+
+// Writes are served while the order is unanswered, as only the successor receives them.
+BOOST_AUTO_TEST_CASE(a_handover_order_carried_out_late_loses_no_acknowledged_commit)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.setOrdersLate(true);
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    std::this_thread::sleep_for(milliseconds(1200)); // writes are held for the usual handover
+    BOOST_TEST(group.countAcknowledgedWithin(milliseconds(500)) > 5);
+    std::this_thread::sleep_for(kObservedTime);
+    group.setOrdersLate(false);
+    std::this_thread::sleep_for(kObservedTime);
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
+// Members that do not know the command: writes wait until the order has been carried out.
+BOOST_AUTO_TEST_CASE(a_late_order_loses_no_acknowledged_commit_if_members_cannot_be_suspended)
+{
+    SynchronousGroup group;
+    group.rig.call([&] {
+        for (auto& id : group.rig.getGroup().getIds())
+            group.rig.getGroup().getFaults(id).refusesSuspension = true;
+    });
+    group.startWriters();
+    group.setOrdersLate(true);
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    std::this_thread::sleep_for(kOrderDelay);
+    group.setOrdersLate(false);
+    std::this_thread::sleep_for(kObservedTime);
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
+// The next coordinator does not know how many orders were sent. It promotes the same member.
+BOOST_AUTO_TEST_CASE(a_late_order_of_a_coordinator_that_died_loses_no_acknowledged_commit)
+{
+    for (bool canSuspend : { true, false }) {
+        SynchronousGroup group;
+        group.rig.call([&] {
+            for (auto& id : group.rig.getGroup().getIds())
+                group.rig.getGroup().getFaults(id).refusesSuspension = !canSuspend;
+        });
+        auto coordinator = group.rig.findFirstCoordinator();
+        group.startWriters();
+        group.setOrdersLate(true);
+        group.setLeaving("g0-a", true);
+        BOOST_TEST(group.waitForEvent("promotion-ordered"));
+        group.rig.getHost(coordinator).kill();
+        std::this_thread::sleep_for(kObservedTime);
+        group.rig.startHost(coordinator);
+        std::this_thread::sleep_for(kOrderDelay);
+        group.setOrdersLate(false);
+        std::this_thread::sleep_for(kObservedTime);
+        group.stopWriters();
+        group.checkRecovered("g0-a");
+    }
+}
+
+// No host remembers the order. The suspended replica shows that there may be one, and for which member.
+BOOST_AUTO_TEST_CASE(a_late_order_loses_no_acknowledged_commit_after_all_hosts_were_killed)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.setOrdersLate(true);
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    for (unsigned i = 0; i < kHosts; ++i)
+        group.rig.getHost(i).kill();
+    group.setLeaving("g0-a", false);
+    for (unsigned i = 0; i < kHosts; ++i)
+        group.rig.startHost(i);
+    std::this_thread::sleep_for(kOrderDelay + kObservedTime);
+    group.setOrdersLate(false);
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
+// The order cannot be taken back, so the handover is completed.
+BOOST_AUTO_TEST_CASE(a_late_order_loses_no_acknowledged_commit_if_the_primary_stops_leaving)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.setOrdersLate(true);
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    group.setLeaving("g0-a", false);
+    std::this_thread::sleep_for(kOrderDelay + kObservedTime);
+    group.setOrdersLate(false);
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
+// A refused order is not carried out later, so the replicas receive commits again.
+BOOST_AUTO_TEST_CASE(replicas_are_resumed_after_a_refused_order)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.refusesPromotions = true; });
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    group.setLeaving("g0-a", false);
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.countSuspended() == 0; }));
+    group.rig.call([&] { group.rig.getStore().faults.refusesPromotions = false; });
+    std::this_thread::sleep_for(kObservedTime);
+    group.stopWriters();
+    BOOST_TEST(group.getPrimary() == "g0-a");
+    BOOST_TEST(group.countSuspended() == 0u);
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(group.canWrite(i));
+    group.checkNothingLost();
+}
+
+// No host of the rig reaches the primary, which still acknowledges commits to another one until the promoted member leads. Both replicas hold the
+// same when they are compared; the one that is not promoted is the first to receive later commits.
+BOOST_AUTO_TEST_CASE(a_failover_loses_no_commit_that_a_live_primary_acknowledges)
+{
+    for (bool areOrdersLate : { false, true }) {
+        SynchronousGroup group(true);
+        group.setOrdersLate(areOrdersLate);
+        auto& proxies = group.rig.getProxies();
+        auto& primary = *proxies[proxies.size() - 3]; // the proxies of the members are the last ones
+        group.rig.call([&] {
+            primary.faults.dropsUpstream = primary.faults.dropsDownstream = true;
+            primary.resetAll();
+        });
+        BOOST_TEST(group.waitForEvent("promotion-evidence", kRecoveryLimit));
+        group.startDirectWriter("g0-a");
+        if (areOrdersLate)
+            std::this_thread::sleep_for(kOrderDelay + kObservedTime);
+        group.setOrdersLate(false);
+        group.checkRecovered("g0-a");
+        group.stopWriters();
+        group.checkNothingLost();
+    }
+}
+
+// Groups without synchronous replicas are served as before.
+BOOST_AUTO_TEST_CASE(replicas_of_an_asynchronous_group_are_never_suspended)
+{
+    GatewayRig rig;
+    rig.startHosts();
+    rig.call([&] { rig.getStore().setLeaving("g0-a", true); });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return rig.call([&] { return rig.getGroup().getPrimary(); }) != "g0-a"; }));
+    BOOST_TEST(rig.countEvents("replication") == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -37,6 +37,7 @@
         std::vector<unsigned short> ports { m_ports[next], m_ports[next + 1], m_ports[next + 2] };
         next += 3;
         m_groups.push_back(std::make_unique<standins::LineGroup>(m_context, fmt::format("g{}", i), ids, ports, m_options.slots, m_options.connections));
+        m_groups.back()->setSynchronousReplicas(getSynchronousReplicas(i));
         groups.push_back(m_groups.back().get());
     }
     m_store = std::make_unique<standins::KvStore>(m_context, m_ports[0], groups);
@@ -78,6 +79,11 @@
     return fmt::format("127.0.0.1:{}", m_ports[1 + 3 * m_options.groups + 4 * index + service]);
 }
 
+unsigned GatewayRig::getSynchronousReplicas(unsigned group) const
+{
+    return group < m_options.synchronousReplicas.size() ? m_options.synchronousReplicas[group] : 0;
+}
+
 GatewayRig::~GatewayRig()
 {
     m_hosts.clear();
@@ -106,7 +112,7 @@
         add(fmt::format("db{}-own", i), "read_your_writes", 2500);
         if (!extraDatabase.empty())
             add(extraDatabase, "primary", 0);
-        services.push_back({ { "Name", group }, { "MaxConns", m_options.connections }, { "SyncReplicas", 0 } });
+        services.push_back({ { "Name", group }, { "MaxConns", m_options.connections }, { "SyncReplicas", getSynchronousReplicas(i) } });
     }
     boost::json::object config { { "Version", version }, { "Routes", routes }, { "Services", services }, { "Limits", { { "TxIdleMs", 3000 } } } };
     if (!m_options.accounts.empty()) {
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -29,6 +29,7 @@
     bool hasProxies { false }; // all connections pass through proxies that can inject faults
     std::vector<RigAccount> accounts {}; // empty: the configuration has no accounts
     std::string publicDatabase {}; // name of a database that callers may use without an API key
+    std::vector<unsigned> synchronousReplicas {}; // by group: replicas that must receive a commit before it is acknowledged; 0 if missing
     bool hasDirectOrders { false }; // orders to the platform bypass the store's proxies
 };
 
@@ -80,6 +81,7 @@
 
 private:
     std::string getHostAddress(unsigned index, unsigned service) const;
+    unsigned getSynchronousReplicas(unsigned group) const;
     std::string addProxy(unsigned short port, const std::string& address);
     void addProxies(size_t firstPort);
     std::string getSessionKey() const; // API key for the rig's own sessions
--- a/tests/standins/kv_store.cpp
+++ b/tests/standins/kv_store.cpp
@@ -248,6 +248,15 @@
     return makeResponse(promotion.status, json::object { { "Error", promotion.status == 409 ? "refused" : "" } });
 }
 
+void KvStore::promoteLater(const links::HttpRequest& request, milliseconds delay)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, timer, request](boost::system::error_code ec) {
+        if (!ec)
+            promote(request);
+    });
+}
+
 asio::awaitable<HttpResponse> KvStore::serve(links::HttpRequest request)
 {
     ++m_calls;
@@ -260,6 +269,10 @@
             co_return makeResponse(503, json::object {});
         if (faults.ignoredHosts.contains(getOrderingHost(request)))
             co_return dropped;
+        if (faults.unansweredOrderDelay.count() > 0) {
+            promoteLater(request, faults.unansweredOrderDelay);
+            co_return dropped;
+        }
         auto answer = promote(request);
         co_return faults.losesPromotionReplies ? dropped : answer;
     }
--- a/tests/standins/kv_store.h
+++ b/tests/standins/kv_store.h
@@ -19,6 +19,7 @@
     bool losesPromotionReplies { false }; // promotions are executed but not answered
     milliseconds promotionDelay { 0 }; // from the reply to a promotion order until its execution
     bool refusesPromotions { false }; // promotion orders fail with 503
+    milliseconds unansweredOrderDelay { 0 }; // above 0: promotion orders get no answer, and are executed this much later unless a higher token was used by then
     std::set<std::string> ignoredHosts {}; // promotion orders from these hosts are neither executed nor answered
 };
 
@@ -66,6 +67,7 @@
     boost::asio::awaitable<links::HttpResponse> watch(std::string prefix, uint64_t after, int waitMs);
     links::HttpResponse executeTransaction(const std::string& body);
     links::HttpResponse promote(const links::HttpRequest& request);
+    void promoteLater(const links::HttpRequest& request, milliseconds delay);
     bool executePromotion(LineGroup& group, const std::string& member);
     links::HttpResponse list(const std::string& prefix) const;
     void expire();
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -18,13 +18,18 @@
 using asio::ip::tcp;
 using Variables = std::map<std::string, std::string>;
 
+struct Connection;
+
 struct LogEntry {
     uint64_t term;
     Variables items;
+    std::string statement {}; // id of the write or the COMMIT
+    std::shared_ptr<Connection> waiting {}; // whose caller waits for the acknowledgement; null once it was sent
+    std::function<void()> acknowledge {};
+    bool isAcknowledged { false };
+    bool wasLostByRestarts { false }; // no replica holds it any more
 };
 
-struct Connection;
-
 struct Member {
     std::string id;
     unsigned short port { 0 };
@@ -38,6 +43,9 @@
     unsigned busySlots { 0 };
     std::deque<std::function<void()>> queue;
     bool isRunning { false };
+    uint64_t suspendedFor { 0 }; // term; above 0: receives no log entries
+
+    bool receivesEntries() const { return isRunning && !faults.isReplicationStopped && suspendedFor == 0; }
 };
 
 struct Connection : std::enable_shared_from_this<Connection> {
@@ -52,6 +60,9 @@
     void handleNextLine();
     void handleLine(const std::string& line);
     void handleStatement(const std::string& id, std::string text);
+    void changeReplication(const std::string& command, uint64_t term);
+    void sendStatus();
+    void answerStatement(const std::string& id, const std::string& rows);
     void runStatement(const std::string& id, const std::string& text, bool isRead);
     void sendAnswer(const std::string& body);
     void sendReady();
@@ -92,9 +103,15 @@
     Variables items;
     uint64_t commits { 0 };
     uint64_t laggingRefusals { 0 };
+    unsigned synchronousReplicas { 0 };
+    std::vector<LostCommit> lostCommits;
 
     void accept(Member& member);
-    void commit(Member& member, const Variables& written);
+    // Calls `acknowledge` once enough replicas have received the commit.
+    void commit(Member& member, const Variables& written, const std::string& statement, const std::shared_ptr<Connection>& connection, std::function<void()> acknowledge);
+    void acknowledgeReceived();
+    size_t countHolders(size_t index, const std::string& except) const; // replicas that hold an entry of the log
+    void truncate(size_t size, const std::string& promoted);
     void replicate();
     void acquireSlot(Member& member, std::function<void()> task);
     void releaseSlot(Member& member);
@@ -226,7 +243,11 @@
     if (hasFailed && word != "ROLLBACK" && word != "COMMIT") {
         sendAnswer("ERROR MALFORMED failed");
     } else if (word == "STATUS") {
-        sendAnswer(fmt::format("ROW {} {} {}.{} 0 0 {} {}\r\nCOMPLETE -", isPrimary ? "primary" : "replica", group.term, group.term, member.receivedEntries, member.busySlots, member.connections.size()));
+        sendStatus();
+    } else if (word == "SUSPEND" || word == "RESUME") {
+        uint64_t term = 0;
+        stream >> term;
+        changeReplication(word, term);
     } else if (word == "RESET") {
         variables.clear();
         preparedStatements.clear();
@@ -283,6 +304,28 @@
         sendAnswer("ERROR MALFORMED " + word);
 }
 
+void Connection::sendStatus()
+{
+    sendAnswer(fmt::format("ROW {} {} {}.{} {} 0 {} {}\r\nCOMPLETE -", group.primary == member.id ? "primary" : "replica", group.term, group.term, member.receivedEntries, member.suspendedFor, member.busySlots, member.connections.size()));
+}
+
+// Commands that change whether the member receives log entries.
+void Connection::changeReplication(const std::string& command, uint64_t term)
+{
+    bool isPrimary = group.primary == member.id;
+    bool isRefused = command == "SUSPEND" && (isPrimary || member.faults.refusesSuspension || term <= group.term);
+    if (isRefused) {
+        sendAnswer("ERROR MALFORMED " + command);
+        return;
+    }
+    if (command == "SUSPEND")
+        member.suspendedFor = std::max(member.suspendedFor, term);
+    else
+        member.suspendedFor = 0;
+    group.replicate();
+    sendStatus();
+}
+
 void Connection::runStatement(const std::string& id, const std::string& text, bool isRead)
 {
     if (member.faults.busyReplies > 0) {
@@ -322,33 +365,44 @@
                 for (auto& [name, value] : self->written)
                     items[name] = value;
                 rows = fmt::format("ROW {}\r\n", items[item]);
-            } else if (!isCommit) {
-                if (self->isInTransaction)
-                    self->written[item] = data;
-                else
-                    group.commit(member, { { item, data } });
-            } else {
-                if (!self->written.empty())
-                    group.commit(member, self->written);
+            }
+            Variables committed;
+            if (isCommit) {
+                committed = std::move(self->written);
                 self->isInTransaction = false;
                 self->written.clear();
-            }
-            if (member.faults.closedAfterRun > 0) {
-                --member.faults.closedAfterRun;
-                self->close();
+            } else if (!isRead && self->isInTransaction)
+                self->written[item] = data;
+            else if (!isRead)
+                committed = { { item, data } };
+            auto answer = [self, id, rows] { self->answerStatement(id, rows); };
+            if (committed.empty()) {
+                answer();
                 return;
             }
-            if (member.faults.unansweredAfterRun > 0) {
-                --member.faults.unansweredAfterRun;
-                self->isBusy = true;
-                return;
-            }
-            self->sendAnswer(fmt::format("{}COMPLETE sig.{}.{}", rows, member.id, id));
-            self->handleNextLine();
+            self->isBusy = true;
+            group.commit(member, committed, id, self, answer);
         });
     });
 }
 
+void Connection::answerStatement(const std::string& id, const std::string& rows)
+{
+    isBusy = false;
+    if (member.faults.closedAfterRun > 0) {
+        --member.faults.closedAfterRun;
+        close();
+        return;
+    }
+    if (member.faults.unansweredAfterRun > 0) {
+        --member.faults.unansweredAfterRun;
+        isBusy = true;
+        return;
+    }
+    sendAnswer(fmt::format("{}COMPLETE sig.{}.{}", rows, member.id, id));
+    handleNextLine();
+}
+
 void LineGroup::Impl::acquireSlot(Member& member, std::function<void()> task)
 {
     if (member.busySlots < slots) {
@@ -379,28 +433,67 @@
     return state;
 }
 
-void LineGroup::Impl::commit(Member& member, const Variables& written)
+void LineGroup::Impl::commit(Member& member, const Variables& written, const std::string& statement, const std::shared_ptr<Connection>& connection, std::function<void()> acknowledge)
 {
-    log.push_back({ term, written });
+    log.push_back({ term, written, statement, connection, std::move(acknowledge) });
     member.receivedEntries = member.appliedEntries = log.size();
     ++commits;
     for (auto& [name, value] : written)
         items[name] = value;
+    acknowledgeReceived();
     replicate();
 }
 
+size_t LineGroup::Impl::countHolders(size_t index, const std::string& except) const
+{
+    return static_cast<size_t>(std::ranges::count_if(members, [&](const auto& it) { return it.first != primary && it.first != except && it.second.receivedEntries > index; }));
+}
+
+void LineGroup::Impl::acknowledgeReceived()
+{
+    std::vector<std::function<void()>> due;
+    for (size_t i = log.size(); i > 0; --i) {
+        auto& entry = log[i - 1];
+        if (!entry.waiting || countHolders(i - 1, {}) < synchronousReplicas)
+            continue;
+        entry.isAcknowledged = !entry.waiting->isClosed;
+        entry.waiting = nullptr;
+        due.push_back(std::exchange(entry.acknowledge, nullptr));
+    }
+    std::ranges::reverse(due);
+    for (auto& it : due)
+        it();
+}
+
+// Discards the entries that the promoted member lacks. Callers whose commits were not acknowledged lose their connections.
+void LineGroup::Impl::truncate(size_t size, const std::string& promoted)
+{
+    std::vector<std::shared_ptr<Connection>> waiting;
+    for (size_t i = size; i < log.size(); ++i) {
+        auto& entry = log[i];
+        if (entry.waiting)
+            waiting.push_back(entry.waiting);
+        if (synchronousReplicas > 0 && entry.isAcknowledged && !entry.wasLostByRestarts)
+            lostCommits.push_back({ entry.statement, promoted });
+    }
+    log.resize(size);
+    for (auto& it : waiting)
+        it->close();
+}
+
 void LineGroup::Impl::replicate()
 {
     auto size = log.size();
     auto startTerm = term;
     for (auto& [id, member] : members) {
-        if (id == primary || member.faults.isReplicationStopped || !member.isRunning)
+        if (id == primary || !member.receivesEntries())
             continue;
         auto timer = std::make_shared<asio::steady_timer>(context, member.faults.lag);
-        timer->async_wait([this, timer, &member, size, startTerm](boost::system::error_code) {
-            if (startTerm != term || member.faults.isReplicationStopped)
+        timer->async_wait([this, timer, &member, size, startTerm, starts = member.startCount](boost::system::error_code) {
+            if (startTerm != term || starts != member.startCount || !member.receivesEntries())
                 return;
             member.receivedEntries = member.appliedEntries = std::max(member.appliedEntries, std::min(size, log.size()));
+            acknowledgeReceived();
         });
     }
 }
@@ -419,7 +512,7 @@
 }
 
 LineGroup::LineGroup(asio::io_context& context, std::string name, std::vector<std::string> ids, std::vector<unsigned short> ports, unsigned slots, unsigned connections)
-    : m_impl(std::make_shared<Impl>(Impl { context, std::move(name), ids, {}, slots, connections, {}, {}, 1, {}, {}, 0 }))
+    : m_impl(std::make_shared<Impl>(Impl { context, std::move(name), ids, {}, slots, connections }))
 {
     m_impl->primary = ids.front();
     for (size_t i = 0; i < ids.size(); ++i) {
@@ -451,6 +544,9 @@
 const std::vector<ExecutedStatement>& LineGroup::getExecutedStatements() const { return m_impl->executedStatements; }
 const std::map<std::string, std::string>& LineGroup::getItems() const { return m_impl->items; }
 uint64_t LineGroup::getCommitCount() const { return m_impl->commits; }
+const std::vector<LostCommit>& LineGroup::getLostCommits() const { return m_impl->lostCommits; }
+void LineGroup::setSynchronousReplicas(unsigned count) { m_impl->synchronousReplicas = count; }
+uint64_t LineGroup::getSuspendedFor(const std::string& id) const { return m_impl->members.at(id).suspendedFor; }
 uint64_t LineGroup::getLaggingRefusals() const { return m_impl->laggingRefusals; }
 
 bool LineGroup::promote(const std::string& id)
@@ -460,13 +556,15 @@
         return false;
     if (m_impl->primary == id)
         return true;
-    m_impl->log.resize(it->second.receivedEntries);
     m_impl->primary = id;
     ++m_impl->term;
+    m_impl->truncate(it->second.receivedEntries, id);
     it->second.appliedEntries = it->second.receivedEntries;
     m_impl->items = m_impl->getStateAt(it->second);
-    for (auto& [other, member] : m_impl->members)
+    for (auto& [other, member] : m_impl->members) {
         member.receivedEntries = member.appliedEntries = std::min(member.appliedEntries, m_impl->log.size());
+        member.suspendedFor = 0;
+    }
     m_impl->replicate();
     return true;
 }
@@ -506,6 +604,10 @@
 {
     kill(id);
     auto& member = m_impl->members.at(id);
+    for (size_t i = 0; i < m_impl->log.size(); ++i) {
+        auto& entry = m_impl->log[i];
+        entry.wasLostByRestarts = entry.wasLostByRestarts || (entry.isAcknowledged && m_impl->countHolders(i, id) == 0);
+    }
     member.receivedEntries = member.appliedEntries = 0;
     start(id);
 }
@@ -524,6 +626,7 @@
         bindPort(m_impl->context, member);
     member.acceptor->listen();
     member.isRunning = true;
+    member.suspendedFor = 0;
     ++member.startCount;
     member.receivedEntries = member.appliedEntries = std::min(member.appliedEntries, m_impl->log.size());
     m_impl->accept(member);
--- a/tests/standins/line_group.h
+++ b/tests/standins/line_group.h
@@ -33,6 +33,13 @@
     milliseconds lag { 5 }; // until this member applies a commit
     milliseconds statementTime { 1 }; // execution time of a statement in a slot
     bool isReplicationStopped { false }; // receives no log entries
+    bool refusesSuspension { false }; // replies to SUSPEND with an error, as a member that does not know the command
+};
+
+// An acknowledged commit that a promotion discarded although a replica had received it.
+struct LostCommit {
+    std::string statement; // id
+    std::string promoted; // member
 };
 
 class LineGroup {
@@ -46,6 +53,10 @@
     std::string getPrimary() const;
     uint64_t getTerm() const;
     MemberFaults& getFaults(const std::string& id);
+    // A commit is acknowledged once this many replicas have received it; 0: at once.
+    void setSynchronousReplicas(unsigned count);
+    // Term of the suspension that is in force at the member; 0: it receives log entries.
+    uint64_t getSuspendedFor(const std::string& id) const;
     // Makes the member primary of the next term with the entries it received; returns false if it is not running.
     bool promote(const std::string& id);
     // Closes the member's connections and stops listening. After `start` it is a replica, or still primary if no other member
@@ -60,6 +71,8 @@
     size_t countWritingTransactions(const std::string& id) const; // open transactions with uncommitted writes
     const std::vector<ExecutedStatement>& getExecutedStatements() const;
     const std::map<std::string, std::string>& getItems() const; // committed data of the primary
+    // Only with synchronous replicas. Without those that every replica had lost before, by a restart without data.
+    const std::vector<LostCommit>& getLostCommits() const;
     uint64_t getCommitCount() const;
     uint64_t getLaggingRefusals() const; // statements refused because the member lacked their required position
 
