Soak: a group with a synchronous replica, late handovers, members that restart in series, callers that rest in transactions

Its groups had no synchronous replica, no order was carried out late, callers rested for 0.1 s at most, and none had a transaction on a replica.

Change: the second group has a synchronous replica, with replicas that receive at different times; a third stream of random numbers draws handovers whose orders are carried out late, and members that restart four times in a row, so the schedules of earlier seeds stay; a quarter of the transactions rest for up to 2.3 s; read-only transactions. New promises: no acknowledged commit is missing in the log of a promoted member, no replica stays suspended.

--- a/tests/gateway/soak_test.cpp
+++ b/tests/gateway/soak_test.cpp
@@ -2,6 +2,7 @@
 // the statements run by members, and recovery once all faults are over. scripts/soak runs more seeds (ALDERWARD_SEED, ALDERWARD_SECONDS); see docs/SOAK.md.
 #include "harness/gateway_rig.h"
 #include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -25,6 +26,14 @@
 constexpr milliseconds kSignalHandlersDelay { 200 }; // a process that gets SIGTERM or SIGHUP earlier after its start may be killed by it
 constexpr milliseconds kRecoveryTimeout { 30000 };
 constexpr unsigned kSecondStreamOffset = 1000000; // added to the seed
+constexpr unsigned kThirdStreamOffset = 2000000;
+constexpr unsigned kSynchronousGroup = 1; // has a synchronous replica; the other has none
+constexpr unsigned kMaxPauseMs = 100; // of a caller within a transaction
+constexpr unsigned kMaxLongPauseMs = 2300; // of some callers; below the idle limit of 3 s
+constexpr int kFlaps = 4; // restarts of a member in a series
+constexpr milliseconds kMinOrderDelay { 2000 }; // longer than a handover holds writes
+// Of the members of the synchronous group, in order. A member that is asked later for its position receives commits earlier.
+constexpr std::array kSynchronousLags { milliseconds(60), milliseconds(30), milliseconds(5) };
 constexpr size_t kMaxMemoryKb = 128 * 1024; // of a host
 
 enum class Fault {
@@ -56,7 +65,10 @@
     RestartMember, // at once, with the same id and an empty log
     ForeignEntries, // invalid ones in the store, one in place of a member's
     LeaveMember, // and return
-    End,
+    End, // of the second stream
+    LateHandover, // the primary of the synchronous group leaves; orders get no answer and are carried out later
+    FlapMember, // restarted several times with the same id and an empty log
+    ThirdEnd,
 };
 
 struct Event {
@@ -66,6 +78,13 @@
     milliseconds duration { 0 };
 };
 
+void addEvents(std::vector<Event>& events, std::mt19937& random, Fault first, Fault end, milliseconds length, unsigned minGapMs, unsigned gapRangeMs)
+{
+    auto count = static_cast<unsigned>(end) - static_cast<unsigned>(first);
+    for (milliseconds at { 600 }; at < length; at += milliseconds(minGapMs + random() % gapRangeMs))
+        events.push_back({ at, static_cast<Fault>(static_cast<unsigned>(first) + random() % count), static_cast<unsigned>(random()), milliseconds(100 + random() % 2500) });
+}
+
 // The schedule depends on the seed only.
 std::vector<Event> makeSchedule(unsigned seed, milliseconds length)
 {
@@ -73,10 +92,10 @@
     std::vector<Event> events;
     for (milliseconds at { 300 }; at < length; at += milliseconds(100 + random() % 700))
         events.push_back({ at, static_cast<Fault>(random() % static_cast<unsigned>(Fault::Count)), static_cast<unsigned>(random()), milliseconds(100 + random() % 2500) });
-    constexpr auto first = static_cast<unsigned>(Fault::RestartMember);
     std::mt19937 second(seed + kSecondStreamOffset);
-    for (milliseconds at { 600 }; at < length; at += milliseconds(500 + second() % 1500))
-        events.push_back({ at, static_cast<Fault>(first + second() % (static_cast<unsigned>(Fault::End) - first)), static_cast<unsigned>(second()), milliseconds(100 + second() % 2500) });
+    addEvents(events, second, Fault::RestartMember, Fault::End, length, 500, 1500);
+    std::mt19937 third(seed + kThirdStreamOffset);
+    addEvents(events, third, Fault::LateHandover, Fault::ThirdEnd, length, 800, 2400);
     std::ranges::stable_sort(events, {}, &Event::at);
     return events;
 }
@@ -127,11 +146,13 @@
             open();
         if (!m_caller)
             return;
-        auto kind = m_random() % 4;
+        auto kind = m_random() % 5;
         if (kind == 0)
             writeOnce();
         else if (kind == 1)
             writeInTransaction();
+        else if (kind == 2)
+            readInTransaction();
         else
             read();
         std::this_thread::sleep_for(milliseconds(m_random() % 40));
@@ -214,7 +235,7 @@
             return;
         }
         auto first = m_lastId;
-        std::this_thread::sleep_for(milliseconds(m_random() % 100));
+        pauseInTransaction();
         auto seen = ask("READ " + m_item, first);
         if (!m_caller)
             return;
@@ -228,6 +249,30 @@
         recordOutcome(m_lastId, answer, value, term);
     }
 
+    // Some pauses are long enough for a member to restart meanwhile.
+    void pauseInTransaction()
+    {
+        bool isLong = m_random() % 4 == 0;
+        std::this_thread::sleep_for(milliseconds(m_random() % (isLong ? kMaxLongPauseMs : kMaxPauseMs)));
+    }
+
+    void readInTransaction()
+    {
+        if (!m_caller->ask("BEGIN READ").isOk()) {
+            m_caller.reset();
+            return;
+        }
+        if (!ask("READ " + m_item, "first").isOk() || !m_caller) {
+            m_caller.reset();
+            return;
+        }
+        auto first = m_lastId;
+        pauseInTransaction();
+        ask("READ " + m_item, first);
+        if (m_caller)
+            ask("COMMIT", first);
+    }
+
     // The newest write that a read sent at `sentAt` must see; null: none.
     const AcknowledgedWrite* findRequiredWrite(Clock::time_point sentAt) const
     {
@@ -321,6 +366,10 @@
             m_rig.call([&] { injectMemberFault(event); });
         else if (event.fault <= Fault::Configure)
             injectStoreFault(event);
+        else if (event.fault == Fault::LateHandover)
+            delayHandover(event);
+        else if (event.fault == Fault::FlapMember)
+            flapMember(event);
         else if (event.fault > Fault::Count)
             m_rig.call([&] { injectEntryFault(event); });
         else
@@ -360,6 +409,11 @@
         m_stoppedHosts.erase(index);
     }
 
+    static milliseconds getUsualLag(const Event& event)
+    {
+        return event.index % kGroups == kSynchronousGroup ? kSynchronousLags[event.index / kGroups % 3] : standins::MemberFaults {}.lag;
+    }
+
     void injectMemberFault(const Event& event)
     {
         auto& group = m_rig.getGroup(event.index % kGroups);
@@ -378,7 +432,7 @@
             scheduleEnd(event.duration, heal([](standins::MemberFaults& it) { it.isReplicationStopped = false; }));
         } else if (event.fault == Fault::LagMember) {
             faults.lag = milliseconds(800);
-            scheduleEnd(event.duration, heal([](standins::MemberFaults& it) { it.lag = standins::MemberFaults {}.lag; }));
+            scheduleEnd(event.duration, heal([lag = getUsualLag(event)](standins::MemberFaults& it) { it.lag = lag; }));
         } else if (event.fault == Fault::SlowMember) {
             faults.statementTime = milliseconds(60);
             scheduleEnd(event.duration, heal([](standins::MemberFaults& it) { it.statementTime = standins::MemberFaults {}.statementTime; }));
@@ -408,6 +462,30 @@
         }
     }
 
+    void flapMember(const Event& event)
+    {
+        auto& group = m_rig.getGroup(event.index % kGroups);
+        auto id = group.getIds()[event.index / kGroups % 3];
+        for (int i = 0; i < kFlaps; ++i)
+            scheduleEnd(i * event.duration / kFlaps, [this, &group, id] { m_rig.call([&] { group.restartEmpty(id); m_rig.getStore().registerMembers(); }); });
+    }
+
+    void delayHandover(const Event& event)
+    {
+        auto primary = m_rig.call([&] {
+            auto id = m_rig.getGroup(kSynchronousGroup).getPrimary();
+            m_rig.getStore().faults.unansweredOrderDelay = kMinOrderDelay + event.duration / 2;
+            m_rig.getStore().setLeaving(id, true);
+            return id;
+        });
+        scheduleEnd(kMinOrderDelay + event.duration, [this, primary] {
+            m_rig.call([&] {
+                m_rig.getStore().faults.unansweredOrderDelay = milliseconds(0);
+                m_rig.getStore().setLeaving(primary, false);
+            });
+        });
+    }
+
     void injectStoreFault(const Event& event)
     {
         if (event.fault == Fault::Configure) {
@@ -511,6 +589,28 @@
     return violations;
 }
 
+// With a synchronous replica, a promoted member holds what callers were told of.
+std::vector<std::string> checkLostCommits(const std::vector<standins::LostCommit>& lost, const std::vector<History>& histories)
+{
+    std::vector<std::string> violations;
+    for (auto& it : lost) {
+        for (auto& history : histories) {
+            auto attempt = std::ranges::find(history.attempts, it.statement, &Attempt::id);
+            if (attempt != history.attempts.end() && attempt->isAcknowledged)
+                violations.push_back(fmt::format("{} was acknowledged, and the log of the promoted {} lacks it", it.statement, it.promoted));
+        }
+    }
+    return violations;
+}
+
+size_t countSuspendedReplicas(GatewayRig& rig)
+{
+    return rig.call([&] {
+        auto& group = rig.getGroup(kSynchronousGroup);
+        return static_cast<size_t>(std::ranges::count_if(group.getIds(), [&](const std::string& id) { return group.getSuspendedFor(id) != 0; }));
+    });
+}
+
 // Once all faults are over, each host serves each database again within its memory limit.
 void checkRecovery(GatewayRig& rig)
 {
@@ -527,6 +627,7 @@
         bool isFound = std::regex_search(metrics, match, std::regex("\nalderward_invariant_violations_total ([0-9]+)"));
         BOOST_TEST((isFound && match[1] == "0"), metrics.size() << " bytes of metrics at host " << host);
     }
+    BOOST_TEST(waitUntil(kRecoveryTimeout, [&] { return countSuspendedReplicas(rig) == 0; }));
 }
 
 void runSoak(unsigned seed, milliseconds length)
@@ -535,8 +636,14 @@
     options.hosts = kHosts;
     options.groups = kGroups;
     options.hasProxies = true;
+    options.synchronousReplicas = { 0, 1 };
     GatewayRig rig(options);
     rig.startHosts();
+    rig.call([&] {
+        auto& group = rig.getGroup(kSynchronousGroup);
+        for (size_t i = 0; i < kSynchronousLags.size(); ++i)
+            group.getFaults(group.getIds()[i]).lag = kSynchronousLags[i];
+    });
     std::vector<History> histories(kCallers);
     FaultLoop faults(rig);
     {
@@ -556,8 +663,9 @@
         ran.insert(ran.end(), part.begin(), part.end());
     }
     auto violations = checkRanStatements(ran, histories);
+    auto lost = rig.call([&] { return rig.getGroup(kSynchronousGroup).getLostCommits(); });
     auto orders = rig.call([&] { return rig.getStore().getPromotionRequests(); });
-    for (auto& it : { checkOrders(orders), faults.getViolations() })
+    for (auto& it : { checkOrders(orders), checkLostCommits(lost, histories), faults.getViolations() })
         violations.insert(violations.end(), it.begin(), it.end());
     unsigned served = 0;
     for (auto& it : histories) {
@@ -593,6 +701,14 @@
     runSoak(3010, std::chrono::seconds(12));
 }
 
+// Guards against the loss of a commit that a synchronous replica has acknowledged, as an order is carried out late (9201, 9208), and against a
+// statement that runs in the transaction of another caller after a member has restarted (9204).
+BOOST_AUTO_TEST_CASE(promises_hold_for_seeds_9201_9204_and_9208)
+{
+    for (unsigned seed : { 9201U, 9204U, 9208U })
+        runSoak(seed, std::chrono::seconds(12));
+}
+
 // Guards against a read by a host that has just started from a primary that restarted with an empty log. The failover
 // suite reproduces it directly.
 BOOST_AUTO_TEST_CASE(promises_hold_for_seed_4043)
