--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -19,6 +19,8 @@
     Begin, // the first statement of a transaction, preceded by BEGIN
     Continue, // a later statement of a transaction, or its COMMIT
 };
+// Whether the statement belongs to a transaction of its caller.
+inline bool isInTransaction(RequestKind kind) { return kind == RequestKind::Begin || kind == RequestKind::Continue; }
 
 struct StatementRequest {
     RequestKind kind { RequestKind::Single };
