Suspensions: a replica that does not answer is given up after two attempts

Cause: a change at a replica that does not answer was tried four times, 1.35 s each with a witness, so the repetition of a pending order, and with it the question whether its member leads by now, could wait for over 5 s.

Change: four attempts are for a member that is busy; one that does not answer gets a second one, as the answer may have been lost.

--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -20,7 +20,8 @@
 using links::ReplicationChange;
 using links::StatusQuery;
 
-static constexpr int kReplicationAttempts = 4; // of one change at a member, which may be busy
+static constexpr int kReplicationAttempts = 4; // of one change at a member that is busy
+static constexpr int kUnreachedAttempts = 2; // at one that does not answer: it may have made the change and its answer was lost
 static constexpr milliseconds kReplicationRetryDelay { 30 }; // about the time of a few statements
 static constexpr milliseconds kSuspensionCheckInterval { 2000 }; // until all replicas have answered
 // How long writes wait for an order at members that cannot be suspended; renewed with each attempt. Must exceed the time in which a standby
@@ -226,7 +227,7 @@
     return it != replicas.end() && it->term != 0 ? earlier : std::nullopt;
 }
 
-// Changes whether a member receives log entries, and repeats that while the member is busy. Returns its last report.
+// Changes whether a member receives log entries. Returns its last report, without a status if it has not confirmed the change.
 asio::awaitable<StatusReport> Promoter::changeReplication(TargetAddress target, StatusQuery query)
 {
     bool isSuspension = query.change == ReplicationChange::Suspend;
@@ -244,7 +245,8 @@
         bool hasStatus = report.status.term != 0;
         isDone = hasStatus && (isSuspension ? report.status.suspendedFor >= query.term : report.status.suspendedFor == 0);
         report.isRefused = isRefused && hasStatus && !isDone;
-        if (report.isRefused)
+        bool isUnreached = !report.wasReached && i + 1 >= kUnreachedAttempts;
+        if (report.isRefused || isUnreached)
             break;
     }
     std::string_view result = isDone ? "done" : report.isRefused ? "refused"
