Suspensions: an order is not repeated for a member that has lost its log

What callers would have seen: commits lost.

Cause: the coordinator noted the restart for its next attempt, but not in the one that was running; the next one chose among replicas that could not catch up.

Change: a running attempt ends when the member of its order has restarted. The next one resumes the replicas, holds writes until one has what the primary has, and chooses that one.

--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -155,6 +155,8 @@
 
     unsigned getSynchronousReplicas(const std::string& group) const;
     bool hasOrderInForce(const std::string& group) const;
+    // Whether an order in force names a member that is still there: it receives all that is acknowledged.
+    bool isBoundToSuccessor(const std::string& group) const;
     void setPending(const std::string& group, PendingPromotion pending, std::string_view source);
     void settlePending(const std::string& group, std::string_view reason);
     // Settles the pending order if its member says that it is primary: an order for the present primary changes nothing.
@@ -164,6 +166,7 @@
     void releaseSuspensions(const std::string& group);
     static std::optional<std::string> findEarlierSuccessor(const GroupState& state, std::vector<decisions::MemberFinding> replicas, uint64_t newestTerm);
     boost::asio::awaitable<void> checkSuspensions(std::string group);
+    boost::asio::awaitable<void> resumeAllReplicas(std::string group, std::string primary);
     // Returns whether all that were suspended have confirmed it.
     boost::asio::awaitable<bool> resumeReplicas(std::string group, std::vector<decisions::MemberFinding> findings);
     struct SuspensionRound;
--- a/src/gateway/promoter_attempts.cpp
+++ b/src/gateway/promoter_attempts.cpp
@@ -36,7 +36,9 @@
     bool isDue = true;
     bool wasOrdered = false;
     auto member = m_context.view.members.find(knownPrimary.member);
-    if (isPlanned && !hasOrderInForce(group)) // otherwise the successor receives all that is acknowledged
+    if (hasOrderInForce(group) && !isBoundToSuccessor(group)) // another member is to be chosen, and may have to catch up first
+        co_await resumeAllReplicas(group, knownPrimary.member);
+    if (isPlanned && !isBoundToSuccessor(group))
         co_await waitForReplicaCatchUp(group, knownPrimary.member);
     auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
     queryReplicas(group, knownPrimary.member, isPlanned, replicas);
@@ -212,8 +214,13 @@
             base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(*token) } });
             co_return false;
         }
-        if (attempt.guard != CommitGuard::NotNeeded)
-            co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
+        if (attempt.guard == CommitGuard::NotNeeded)
+            continue;
+        if (state.pending && state.pending->member != member) {
+            logHoldBack(group, "the member of the order has lost its log", member, attempt.shownTerm);
+            co_return false;
+        }
+        co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
     }
     co_return false;
 }
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -40,6 +40,11 @@
     return it != m_groups.end() && it->second.pending && it->second.pending->isInForce;
 }
 
+bool Promoter::isBoundToSuccessor(const std::string& group) const
+{
+    return hasOrderInForce(group) && m_context.view.members.contains(m_groups.at(group).pending->member);
+}
+
 static void logPending(const std::string& group, const std::string& member, uint64_t previousTerm, std::string_view state, const std::string& host)
 {
     base::logEvent(LogClass::State, "promotion-pending", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "previous_term", static_cast<int64_t>(previousTerm) }, { "state", state }, { "holder", std::string_view(host) } });
@@ -170,6 +175,14 @@
     co_return haveAllAnswered;
 }
 
+asio::awaitable<void> Promoter::resumeAllReplicas(std::string group, std::string primary)
+{
+    auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
+    queryReplicas(group, primary, false, replicas);
+    co_await replicas->latch.wait();
+    co_await resumeReplicas(group, replicas->findings);
+}
+
 // The member of an earlier order, as the suspended replicas show it. Those that this host suspended for an order that was not sent say nothing.
 std::optional<std::string> Promoter::findEarlierSuccessor(const GroupState& state, std::vector<MemberFinding> replicas, uint64_t newestTerm)
 {
@@ -321,8 +334,8 @@
         StatusQuery query { ReplicationChange::Resume };
         co_await changeReplication(member->second.getTarget(), query);
     }
-    // While an order is pending, writes are not held, and the successor has received what was acknowledged since.
-    bool mustReachPrimary = isPrimaryAlive && (mustResume || !hasOrderInForce(group));
+    // Under an earlier order writes are not held, and the successor has received what was acknowledged since.
+    bool mustReachPrimary = isPrimaryAlive && (mustResume || !isBoundToSuccessor(group));
     if (!mustReachPrimary)
         primary.clear();
     bool isHeld = co_await waitUntilSuccessorHolds(primary, successor, round->suspended);
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -236,6 +236,29 @@
     group.checkRecovered("g0-a");
 }
 
+// The order is not repeated for the member, which holds nothing any more. Another one is promoted once it holds what the primary has.
+BOOST_AUTO_TEST_CASE(a_member_that_lost_its_log_after_an_unanswered_order_is_not_promoted)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts = { "h0", "h1", "h2" }; });
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(group.waitForEvent("promotion-ordered"));
+    std::this_thread::sleep_for(kObservedTime); // writes are no longer held
+    group.rig.call([&] {
+        auto& members = group.rig.getGroup();
+        auto successor = members.getSuspendedFor("g0-b") == 0 ? "g0-b" : "g0-c";
+        members.restartEmpty(successor);
+        members.getFaults(successor).isReplicationStopped = true;
+        group.rig.getStore().registerMembers();
+    });
+    std::this_thread::sleep_for(kObservedTime);
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts.clear(); });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.getPrimary() != "g0-a"; }));
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
 // A refused order is not carried out later, so the replicas receive commits again.
 BOOST_AUTO_TEST_CASE(replicas_are_resumed_after_a_refused_order)
 {
