Suspensions: the member of a late order is kept while it can catch up

What callers would have seen: a commit lost.

Cause: the member of an unanswered order restarted with an empty log.

Change: the order stays bound to its member, which alone receives commits; it is ordered again once it holds what the suspended replicas and a live primary have, with writes held.

Left: an order carried out in the moment before the member has caught up, or after it was given up, is not guarded (design/0015).

--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -60,7 +60,8 @@
     // A promotion order that the platform may still carry out. Until it is settled, all orders name the same member. Only in groups with
     // synchronous replicas.
     struct PendingPromotion {
-        std::string member {}; // empty: it is gone or has restarted, so that another one can be chosen
+        std::string member {}; // empty: it has lost its log and did not catch up, so that another one can be chosen
+        bool hasLostLog { false }; // the member has restarted, and must catch up before it is ordered again
         uint64_t previousTerm { 0 }; // newest term that a member had shown before the order: it is settled once one proves a newer term
         std::string host {}; // that sent it; empty: this host, or unknown
         bool isInForce { false }; // it was sent, and the platform has not refused it
@@ -155,8 +156,11 @@
 
     unsigned getSynchronousReplicas(const std::string& group) const;
     bool hasOrderInForce(const std::string& group) const;
-    // Whether an order in force names a member that is still there: it receives all that is acknowledged.
+    // Whether an order in force names a member that has received all that is acknowledged.
     bool isBoundToSuccessor(const std::string& group) const;
+    // Whether the member of the order in force is gone, or lost its log and did not catch up.
+    bool mustChooseAnew(const std::string& group) const;
+    void giveUpMemberWithoutLog(const std::string& group);
     void setPending(const std::string& group, PendingPromotion pending, std::string_view source);
     void settlePending(const std::string& group, std::string_view reason);
     // Settles the pending order if its member says that it is primary: an order for the present primary changes nothing.
--- a/src/gateway/promoter_attempts.cpp
+++ b/src/gateway/promoter_attempts.cpp
@@ -36,7 +36,7 @@
     bool isDue = true;
     bool wasOrdered = false;
     auto member = m_context.view.members.find(knownPrimary.member);
-    if (hasOrderInForce(group) && !isBoundToSuccessor(group)) // another member is to be chosen, and may have to catch up first
+    if (mustChooseAnew(group)) // the next member may have to catch up first
         co_await resumeAllReplicas(group, knownPrimary.member);
     if (isPlanned && !isBoundToSuccessor(group))
         co_await waitForReplicaCatchUp(group, knownPrimary.member);
@@ -108,6 +108,7 @@
         term = std::max({ term, it.term, it.received.term });
     auto successor = chooseSuccessor(group, findings, newestSeen);
     if (!successor) {
+        giveUpMemberWithoutLog(group);
         base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("no member can be promoted safely") }, { "members_asked", static_cast<int64_t>(findings.size()) } });
         co_return false;
     }
@@ -150,9 +151,10 @@
         std::string_view reason = attempt.guard == CommitGuard::Failed ? "the successor may lack commits that are acknowledged" : findHoldBackReason(group, attempt);
         if (!reason.empty()) {
             logHoldBack(group, reason, successor, attempt.shownTerm);
+            giveUpMemberWithoutLog(group);
             co_return false;
         }
-        PendingPromotion pending { successor, attempt.shownTerm, {}, hasOrderInForce(group), Clock::now() };
+        PendingPromotion pending { successor, false, attempt.shownTerm, {}, hasOrderInForce(group), Clock::now() };
         setPending(group, pending, "sent");
         announcePending(group, successor, attempt.shownTerm, false);
     }
@@ -216,7 +218,7 @@
         }
         if (attempt.guard == CommitGuard::NotNeeded)
             continue;
-        if (state.pending && state.pending->member != member) {
+        if (state.pending && state.pending->hasLostLog) {
             logHoldBack(group, "the member of the order has lost its log", member, attempt.shownTerm);
             co_return false;
         }
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -42,7 +42,15 @@
 
 bool Promoter::isBoundToSuccessor(const std::string& group) const
 {
-    return hasOrderInForce(group) && m_context.view.members.contains(m_groups.at(group).pending->member);
+    if (!hasOrderInForce(group))
+        return false;
+    auto& pending = *m_groups.at(group).pending;
+    return !pending.hasLostLog && m_context.view.members.contains(pending.member);
+}
+
+bool Promoter::mustChooseAnew(const std::string& group) const
+{
+    return hasOrderInForce(group) && !m_context.view.members.contains(m_groups.at(group).pending->member);
 }
 
 static void logPending(const std::string& group, const std::string& member, uint64_t previousTerm, std::string_view state, const std::string& host)
@@ -56,6 +64,7 @@
     bool isSame = known && known->member == pending.member && known->previousTerm == pending.previousTerm;
     if (isSame) {
         known->isInForce = known->isInForce || pending.isInForce;
+        known->hasLostLog = pending.hasLostLog;
         return;
     }
     logPending(group, pending.member, pending.previousTerm, source, pending.host);
@@ -111,7 +120,7 @@
     bool isOutdated = known && known->isInForce && known->previousTerm >= wire.previous_term();
     bool isOver = m_context.view.groups[wire.group()].provenTerm > wire.previous_term();
     if (!isOutdated && !isOver)
-        setPending(wire.group(), { wire.member(), wire.previous_term(), host, true, Clock::now() }, "told");
+        setPending(wire.group(), { wire.member(), false, wire.previous_term(), host, true, Clock::now() }, "told");
 }
 
 void Promoter::onMemberRestarted(const std::string& group, const std::string& member)
@@ -120,7 +129,17 @@
     if (it == m_groups.end() || !it->second.pending || it->second.pending->member != member)
         return;
     logPending(group, member, it->second.pending->previousTerm, "restarted", it->second.pending->host);
-    it->second.pending->member.clear();
+    it->second.pending->hasLostLog = true;
+}
+
+// The member of the order is kept for as long as it can catch up: the order may still be carried out, and it receives all that is acknowledged.
+void Promoter::giveUpMemberWithoutLog(const std::string& group)
+{
+    auto& pending = m_groups[group].pending;
+    if (!pending || !pending->hasLostLog)
+        return;
+    logPending(group, pending->member, pending->previousTerm, "given-up", pending->host);
+    pending->member.clear();
 }
 
 bool Promoter::isActing(const GroupState& state) const
@@ -206,7 +225,7 @@
     bool haveAllAnswered = std::ranges::all_of(findings, [](const MemberFinding& it) { return it.term != 0; });
     bool isUndisturbed = !state.pending && !state.isPromoting;
     if (isUndisturbed && earlier) {
-        PendingPromotion pending { *earlier, newestTerm, {}, true, Clock::now() };
+        PendingPromotion pending { *earlier, false, newestTerm, {}, true, Clock::now() };
         setPending(group, pending, "found");
     }
     bool isDone = isUndisturbed && !earlier && haveAllAnswered;
