Test: the other replica stays suspended while the member of an unanswered order catches up

Here the member of an unanswered order restarts without data, and the other replica is watched: it must not receive commits before the order is settled.

--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -259,6 +259,32 @@
     group.checkRecovered("g0-a");
 }
 
+// Resumed too early, it would acknowledge commits that the member of the order has not received yet.
+BOOST_AUTO_TEST_CASE(the_other_replica_stays_suspended_while_the_member_of_an_unanswered_order_catches_up)
+{
+    SynchronousGroup group;
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts = { "h0", "h1", "h2" }; });
+    group.setLeaving("g0-a", true);
+    BOOST_REQUIRE(group.waitForEvent("promotion-ordered"));
+    group.rig.call([&] {
+        group.rig.getGroup().restartEmpty(group.rig.getGroup().getSuspendedFor("g0-b") == 0 ? "g0-b" : "g0-c");
+        group.rig.getStore().registerMembers();
+    });
+    auto until = Clock::now() + kOrderDelay;
+    size_t resumed = 0;
+    while (Clock::now() < until) {
+        resumed += group.countSuspended() == 0 ? 1 : 0;
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    BOOST_TEST(resumed == 0u);
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts.clear(); });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.getPrimary() != "g0-a"; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
 // A refused order is not carried out later, so the replicas receive commits again.
 BOOST_AUTO_TEST_CASE(replicas_are_resumed_after_a_refused_order)
 {
