Suspensions: replicas that a dead host has suspended are found also if nothing else changes

What callers would have seen: reads at that replica refused, and all writes unanswered once the other replica fails. Found by asking who takes back what a host began when it dies halfway.

Cause: the acting coordinator looked for suspended replicas when it began to act and after orders. A standby that it did not reach may act in its place, suspend a replica and die, without a change of who acts in the eyes of the first.

Change: the acting coordinator also looks every 10 s; one status query a replica, in groups with synchronous replicas only.

Ruled out: telling all hosts of each suspension; a host that is cut off from the others tells nobody.

--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -24,6 +24,8 @@
 static constexpr int kUnreachedAttempts = 2; // at one that does not answer: it may have made the change and its answer was lost
 static constexpr milliseconds kReplicationRetryDelay { 30 }; // about the time of a few statements
 static constexpr milliseconds kSuspensionCheckInterval { 2000 }; // until all replicas have answered
+// Between checks for replicas that a host suspended which then died. One that the others did not reach may have told nobody.
+static constexpr milliseconds kRoutineCheckInterval { 10000 };
 // How long writes wait for an order at members that cannot be suspended; renewed with each attempt. Must exceed the time in which a standby
 // coordinator takes over (decisions::getTakeoverDelay()) and has gathered its evidence.
 static constexpr milliseconds kOrderHoldTime { 6000 };
@@ -147,7 +149,7 @@
     return findActingRank(state, decisions::PromotionTask::HandOver) == std::optional<size_t>(0);
 }
 
-// Whoever begins to act for a group looks for suspended replicas once: the host that suspended them may be gone.
+// The acting coordinator looks for suspended replicas when it begins to act, after each order, and else at kRoutineCheckInterval.
 void Promoter::maintainSuspensions(const std::string& group, const GroupView& groupView, GroupState& state, TimePoint now)
 {
     if (getSynchronousReplicas(group) == 0) {
@@ -159,9 +161,11 @@
     bool isActingNow = isActing(state);
     state.mustCheckSuspensions = state.mustCheckSuspensions || (isActingNow && !state.wasActing);
     state.wasActing = isActingNow;
-    bool isBusy = state.pending || state.isPromoting || state.isCheckingSuspensions || now - state.suspensionsCheckedAt < kSuspensionCheckInterval;
-    bool isDue = state.mustCheckSuspensions && (isActingNow || !state.resumable.empty());
-    if (isBusy || !isDue || m_context.isDraining)
+    auto sinceCheck = now - state.suspensionsCheckedAt;
+    bool isRoutineDue = isActingNow && sinceCheck >= kRoutineCheckInterval;
+    bool isCheckDue = state.mustCheckSuspensions && (isActingNow || !state.resumable.empty()) && sinceCheck >= kSuspensionCheckInterval;
+    bool isBusy = state.pending || state.isPromoting || state.isCheckingSuspensions;
+    if (isBusy || m_context.isDraining || (!isRoutineDue && !isCheckDue))
         return;
     state.isCheckingSuspensions = true;
     asio::co_spawn(m_context.context, checkSuspensions(group), asio::detached);
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -71,6 +71,13 @@
         return rig.call([&] { return rig.getGroup().getPrimary(); });
     }
 
+    // Sends the command to a replica, as a host does.
+    void suspend(const std::string& member, uint64_t term)
+    {
+        LineCaller caller(rig.call([&] { return rig.getGroup().getAddress(member); }), "g0");
+        BOOST_REQUIRE(caller.ask(fmt::format("SUSPEND {}", term)).isOk());
+    }
+
     size_t countSuspended()
     {
         return rig.call([&] { return static_cast<size_t>(std::ranges::count_if(rig.getGroup().getIds(), [&](auto& id) { return rig.getGroup().getSuspendedFor(id) != 0; })); });
@@ -259,6 +266,23 @@
     group.checkRecovered("g0-a");
 }
 
+// As left behind by a host that died before it had sent an order, and of which no other host knows. The successor holds what the suspended replica has, so
+// an order for it may have been sent.
+BOOST_AUTO_TEST_CASE(a_suspension_that_no_host_knows_of_is_ended)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    std::this_thread::sleep_for(kObservedTime); // the coordinator has begun to act before
+    group.suspend("g0-c", 2);
+    BOOST_TEST(group.countSuspended() == 1u);
+    BOOST_TEST(waitUntil(2 * kRecoveryLimit, [&] { return group.countSuspended() == 0; }));
+    std::this_thread::sleep_for(milliseconds(500));
+    group.stopWriters();
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(group.canWrite(i));
+    group.checkNothingLost();
+}
+
 // Resumed too early, it would acknowledge commits that the member of the order has not received yet.
 BOOST_AUTO_TEST_CASE(the_other_replica_stays_suspended_while_the_member_of_an_unanswered_order_catches_up)
 {
