Promotions with synchronous replicas: an order is repeated only once its guard is complete

Cause: before an order was repeated, the replicas were suspended again, and what came of it was not looked at. A suspended replica that has restarted receives commits and acknowledges them alone; the order was repeated although it could not be suspended, or held commits that the successor had not received.

Change: renewGuard() returns whether the successor holds all that is acknowledged: the replicas that were suspended again have confirmed it, and the successor has caught up with them. Otherwise the attempt ends, as the first order of an attempt is held back already. Where members refuse the command, writes are held and logs compared again. The iterator to the primary in replacePrimary() is looked up after the waits, as the member may be removed meanwhile.

Ruled out: a wrong successor (it held everything when the order was first sent).

--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -180,7 +180,7 @@
     boost::asio::awaitable<CommitGuard> guardCommits(std::string group, std::string primary, std::string successor, std::vector<decisions::MemberFinding> findings, uint64_t previousTerm);
     boost::asio::awaitable<bool> waitUntilSuccessorHolds(std::string primary, std::string successor, std::vector<decisions::MemberFinding> suspended);
     boost::asio::awaitable<bool> holdWritesForOrder(std::string group, std::string primary, std::string successor);
-    boost::asio::awaitable<void> renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm);
+    boost::asio::awaitable<bool> renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm);
     std::vector<std::string> chooseWitnesses() const;
     size_t countListedMembers(const std::string& group) const;
 
--- a/src/gateway/promoter_attempts.cpp
+++ b/src/gateway/promoter_attempts.cpp
@@ -17,6 +17,7 @@
 
 static constexpr milliseconds kOrderTimeout { 800 }; // then the member itself is asked whether it is primary; the platform usually answers within tens of ms
 static constexpr milliseconds kOrderRetryDelay { 150 };
+static constexpr std::string_view kUnguardedReason = "the successor may lack commits that are acknowledged";
 static constexpr int kMaxOrderAttempts = 8; // with one fencing token, while the result is unknown or busy
 
 // Logs the status of each member, one line each.
@@ -35,13 +36,13 @@
     base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(knownPrimary.member) }, { "term", static_cast<int64_t>(knownPrimary.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
     bool isDue = true;
     bool wasOrdered = false;
-    auto member = m_context.view.members.find(knownPrimary.member);
     if (mustChooseAnew(group)) // the next member may have to catch up first
         co_await resumeAllReplicas(group, knownPrimary.member);
     if (isPlanned && !isBoundToSuccessor(group))
         co_await waitForReplicaCatchUp(group, knownPrimary.member);
     auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
     queryReplicas(group, knownPrimary.member, isPlanned, replicas);
+    auto member = m_context.view.members.find(knownPrimary.member);
     if (member != m_context.view.members.end() && !isPlanned)
         isDue = co_await isPrimaryDead(group, member->second.getTarget());
     // Counted after the examination: a network partition shows up in the connections to other hosts only after their timeouts.
@@ -148,7 +149,7 @@
 {
     if (getSynchronousReplicas(group) > 0) {
         attempt.guard = co_await guardCommits(group, attempt.primary.member, successor, std::move(findings), attempt.shownTerm);
-        std::string_view reason = attempt.guard == CommitGuard::Failed ? "the successor may lack commits that are acknowledged" : findHoldBackReason(group, attempt);
+        std::string_view reason = attempt.guard == CommitGuard::Failed ? kUnguardedReason : findHoldBackReason(group, attempt);
         if (!reason.empty()) {
             logHoldBack(group, reason, successor, attempt.shownTerm);
             giveUpMemberWithoutLog(group);
@@ -222,7 +223,11 @@
             logHoldBack(group, "the member of the order has lost its log", member, attempt.shownTerm);
             co_return false;
         }
-        co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
+        bool isGuarded = co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
+        if (!isGuarded) {
+            logHoldBack(group, kUnguardedReason, member, attempt.shownTerm);
+            co_return false;
+        }
     }
     co_return false;
 }
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -404,8 +404,9 @@
     co_return isHeld;
 }
 
-// Before an order is repeated: replicas that have restarted or are new receive commits again.
-asio::awaitable<void> Promoter::renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm)
+// Before an order is repeated: replicas that have restarted or are new have received commits since. Returns whether the successor holds all that is
+// acknowledged.
+asio::awaitable<bool> Promoter::renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm)
 {
     auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
     queryReplicas(group, primary, false, replicas);
@@ -416,10 +417,14 @@
         return it != replicas->findings.end() && decisions::isSuspended(*it, previousTerm);
     });
     if (others.empty())
-        co_return;
+        co_return true;
     auto round = co_await suspendReplicas(group, others, previousTerm + 1);
     if (round->isRefused)
-        holdWritesEverywhere(group, primary, kOrderHoldTime);
+        co_return co_await holdWritesForOrder(group, primary, successor);
+    if (round->isIncomplete)
+        co_return false;
+    std::string noPrimary; // it may be ahead of what is acknowledged
+    co_return co_await waitUntilSuccessorHolds(noPrimary, successor, round->suspended);
 }
 
 }
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds kWriterPause { 5 }; // between two writes of a writer
 constexpr milliseconds kOrderDelay { 3000 }; // until an unanswered order is carried out
 constexpr milliseconds kPromotionTime { 300 }; // from the execution of an order until the member leads
+constexpr milliseconds kSlowReplica { 400 }; // until it receives a commit; less than a coordinator waits for it
 constexpr milliseconds kRecoveryLimit { 12000 }; // a change of primary is over within this
 constexpr milliseconds kObservedTime { 1500 }; // in which an order is unanswered and writes are no longer held
 
@@ -283,6 +284,32 @@
     group.checkNothingLost();
 }
 
+// The other replica restarts, receives commits again and acknowledges them long before the successor has them.
+BOOST_AUTO_TEST_CASE(an_order_is_not_repeated_before_the_successor_holds_what_a_restarted_replica_has)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts = { "h0", "h1", "h2" }; });
+    group.setLeaving("g0-a", true);
+    BOOST_REQUIRE(group.waitForEvent("promotion-ordered"));
+    std::this_thread::sleep_for(kObservedTime); // writes are no longer held
+    group.rig.call([&] {
+        auto& members = group.rig.getGroup();
+        bool isFirst = members.getSuspendedFor("g0-b") == 0;
+        members.getFaults(isFirst ? "g0-b" : "g0-c").lag = kSlowReplica;
+        members.restartEmpty(isFirst ? "g0-c" : "g0-b");
+        group.rig.getStore().registerMembers();
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    group.rig.call([&] {
+        group.rig.getStore().faults.promotionDelay = milliseconds(0);
+        group.rig.getStore().faults.ignoredHosts.clear();
+    });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.getPrimary() != "g0-a"; }));
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
 // Resumed too early, it would acknowledge commits that the member of the order has not received yet.
 BOOST_AUTO_TEST_CASE(the_other_replica_stays_suspended_while_the_member_of_an_unanswered_order_catches_up)
 {
