--- a/review/rig_2.cpp
+++ b/review/rig_2.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <sstream>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -22,6 +23,9 @@
 static constexpr milliseconds kHeartbeat { 1200 };
 static constexpr milliseconds kReadyLimit { 20000 };
 static constexpr milliseconds kStopLimit { 8000 };
+static constexpr milliseconds kLagSpan { 400 }; // in which a replica receives all commits with the same delay
+static constexpr double kLagSpread = 0.6;
+static constexpr int kMaxLagFactor = 6;
 
 // ---- record and helpers ----
 
@@ -254,13 +258,8 @@
     , m_work(m_options.work)
     , m_primary(m_options.members.front())
 {
-    for (auto& id : m_options.members) {
-        auto member = std::make_unique<Member>();
-        member->id = id;
-        auto* raw = member.get();
-        m_members[id] = std::move(member);
-        raw->listener = std::make_unique<Listener>(findFreePort(), [this, raw](const std::shared_ptr<Socket>& socket) { serve(*raw, socket); });
-    }
+    for (auto& id : m_options.members)
+        add(id);
     m_replicator = std::thread([this] { replicate(); });
 }
 
@@ -317,13 +316,45 @@
     return m_lost;
 }
 
+void Group::add(const std::string& id)
+{
+    auto member = std::make_unique<Member>();
+    member->id = id;
+    auto* raw = member.get();
+    raw->listener = std::make_unique<Listener>(findFreePort(), [this, raw](const std::shared_ptr<Socket>& socket) { serve(*raw, socket); });
+    {
+        std::lock_guard lock(m_mutex);
+        m_members[id] = std::move(member);
+    }
+    m_record.add("member " + id + " starts");
+    m_changed.notify_all();
+}
+
+void Group::remove(const std::string& id)
+{
+    kill(id);
+    std::lock_guard lock(m_mutex);
+    m_members.at(id)->hasLeft = true;
+}
+
+std::vector<std::string> Group::getMembers()
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<std::string> ids;
+    for (auto& [id, member] : m_members) {
+        if (!member->hasLeft)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void Group::kill(const std::string& id)
 {
     {
         std::lock_guard lock(m_mutex);
         m_members.at(id)->isRunning = false;
     }
-    m_record.add("member " + id + " crashes");
+    m_record.add("member " + id + " ends");
     m_members.at(id)->listener->dropConnections();
     m_changed.notify_all();
 }
@@ -373,6 +404,14 @@
     return static_cast<size_t>(std::ranges::count_if(m_members, [&](auto& it) { return it.first != m_primary && it.second->received >= entries; }));
 }
 
+// The delay of a replica in one span of time: log-normal, as in the site files (spread 0.6).
+static milliseconds drawLag(milliseconds mean, const std::string& member, int64_t span)
+{
+    std::mt19937 random(static_cast<unsigned>(std::hash<std::string> {}(member + std::to_string(span))));
+    std::lognormal_distribution<double> distribution(-kLagSpread * kLagSpread / 2, kLagSpread);
+    return std::min(milliseconds(static_cast<int64_t>(static_cast<double>(mean.count()) * distribution(random))), kMaxLagFactor * mean);
+}
+
 void Group::replicate()
 {
     std::unique_lock lock(m_mutex);
@@ -380,9 +419,9 @@
         auto now = Clock::now();
         bool hasReceived = false;
         for (auto& [id, member] : m_members) {
-            auto lag = m_options.lag.contains(id) ? m_options.lag.at(id) : milliseconds(20);
+            auto getLag = [&](const LogEntry& it) { return drawLag(m_options.lag, id, it.at.time_since_epoch() / kLagSpan); };
             bool receives = id != m_primary && member->isRunning && member->suspendedFor == 0 && m_members.at(m_primary)->isRunning;
-            while (receives && member->received < m_log.size() && now >= m_log[member->received].at + lag) {
+            while (receives && member->received < m_log.size() && now >= m_log[member->received].at + getLag(m_log[member->received])) {
                 ++member->received;
                 hasReceived = true;
             }
@@ -708,15 +747,11 @@
     write(key, encodeBase64(value), 0);
 }
 
-void Platform::setDraining(const std::string& member, bool isDraining)
+void Platform::setDraining(const std::string& member)
 {
     std::lock_guard lock(m_mutex);
-    if (isDraining)
-        m_draining.insert(member);
-    else
-        m_draining.erase(member);
-    m_record.add("member " + member + (isDraining ? " reports draining" : " reports ready"));
-    m_sequence = 0; // all members register at the next turn
+    m_draining.insert(member);
+    m_record.add("member " + member + " reports draining");
 }
 
 // Registers the members, at every heartbeat and when their role or state has changed, and ends leases.
@@ -735,9 +770,18 @@
             ++sequence;
         }
         for (auto* group : m_groups) {
+            auto ids = group->getMembers();
+            for (auto it = seen.begin(); it != seen.end();) {
+                bool hasLeft = std::ranges::find(ids, it->first) == ids.end();
+                if (hasLeft) {
+                    std::lock_guard lock(m_mutex);
+                    erase("servers/" + it->first);
+                }
+                it = hasLeft ? seen.erase(it) : std::next(it);
+            }
             auto primary = group->getPrimary();
             size_t index = 0;
-            for (auto& id : group->getOptions().members) {
+            for (auto& id : group->getMembers()) {
                 auto zone = zones[index++ % zones.size()];
                 bool isRunning = group->isRunning(id);
                 std::lock_guard lock(m_mutex);
@@ -923,6 +967,11 @@
         return makeResponse(409, { { "error", "no such service" } });
     auto& group = **found;
     ++m_orders;
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_firstOrderAt == Clock::time_point {})
+            m_firstOrderAt = Clock::now();
+    }
     auto lateBy = m_lateBy.load();
     m_record.add("order of " + holder + ": " + member + " is to lead " + service + ", token " + std::to_string(token) + (lateBy.count() > 0 ? ", to be carried out late" : ""));
     if (lateBy.count() > 0) {
@@ -950,6 +999,18 @@
     return makeResponse(200, {});
 }
 
+Clock::time_point Platform::getFirstOrderAt()
+{
+    std::lock_guard lock(m_mutex);
+    return m_firstOrderAt;
+}
+
+void Platform::resetFirstOrder()
+{
+    std::lock_guard lock(m_mutex);
+    m_firstOrderAt = {};
+}
+
 // ---- gateways ----
 
 Host::Host(std::string name, std::string zone, const Platform& platform, const std::string& folder, HostOptions options)
@@ -1095,7 +1156,7 @@
     return ::mkdtemp(pattern.data()) ? pattern : std::string();
 }
 
-Deployment::Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hostCount, const std::string& recordPath)
+Deployment::Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hostCount, const std::string& recordPath, HostOptions hostOptions)
     : folder(makeFolder())
     , record(recordPath)
     , group(std::move(groupOptions), record)
@@ -1108,7 +1169,7 @@
     platform.put("op/config", json::serialize(json::object { { "Version", 1 }, { "Routes", described }, { "Services", services }, { "Limits", { { "TxIdleMs", 10000 } } } }));
     static constexpr std::array zones { "zone-a", "zone-b", "zone-c" };
     for (unsigned i = 0; i < hostCount; ++i)
-        hosts.push_back(std::make_unique<Host>("front-" + std::to_string(i + 1), zones[i % zones.size()], platform, folder));
+        hosts.push_back(std::make_unique<Host>("front-" + std::to_string(i + 1), zones[i % zones.size()], platform, folder, hostOptions));
 }
 
 bool Deployment::start()
--- a/review/rig_2.h
+++ b/review/rig_2.h
@@ -109,7 +109,7 @@
     unsigned synchronousReplicas { 0 };
     milliseconds work { 5 }; // of each read, write and commit
     milliseconds promoteTime { 300 };
-    std::map<std::string, milliseconds> lag {}; // until a replica has received a commit; 20 ms by default
+    milliseconds lag { 20 }; // mean time until a replica has received a commit
 };
 
 class Group {
@@ -130,12 +130,18 @@
     void kill(const std::string& member);
     void start(const std::string& member); // with its log
     bool promote(const std::string& member);
+    // A new replica without a log, which it receives from the primary.
+    void add(const std::string& member);
+    // The member has left for good.
+    void remove(const std::string& member);
+    std::vector<std::string> getMembers();
 
 private:
     struct Member {
         std::string id;
         std::unique_ptr<Listener> listener;
         bool isRunning { true };
+        bool hasLeft { false };
         size_t received { 0 }; // entries of the log
         uint64_t suspendedFor { 0 };
         unsigned busy { 0 };
@@ -177,10 +183,12 @@
 
     unsigned short getPort() const { return m_listener->getPort(); }
     void put(const std::string& key, const std::string& value);
-    void setDraining(const std::string& member, bool isDraining);
+    void setDraining(const std::string& member);
     // Orders get no answer and are carried out this much later; 0: they are answered.
     void setLateOrders(milliseconds delay) { m_lateBy = delay; }
     unsigned countOrders() const { return m_orders; }
+    Clock::time_point getFirstOrderAt(); // since the last call of resetFirstOrder(); zero: none
+    void resetFirstOrder();
 
 private:
     struct Item {
@@ -218,7 +226,7 @@
     std::set<std::string> m_draining;
     uint64_t m_revision { 1 };
     uint64_t m_lastLease { 0 };
-    uint64_t m_sequence { 0 };
+    Clock::time_point m_firstOrderAt {};
     std::atomic<milliseconds> m_lateBy { milliseconds(0) };
     std::atomic<unsigned> m_orders { 0 };
     std::atomic<unsigned> m_pendingOrders { 0 };
@@ -298,7 +306,7 @@
 };
 
 struct Deployment {
-    Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hosts, const std::string& recordPath);
+    Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hosts, const std::string& recordPath, HostOptions hostOptions = {});
     ~Deployment();
     bool start(); // false: the gateways did not become ready
     std::string folder;
