--- a/review/late_order.cpp
+++ b/review/late_order.cpp
@@ -1,5 +1,6 @@
 // The members of a service with a synchronous replica are replaced one after the other. With trouble, the order to replace the primary gets no answer and is
-// carried out late, and the next new member starts just before.
+// carried out late. Just before, the next new member starts, or with "restart" as second argument a replica that was suspended for the order is back from a
+// crash.
 #include "rig_2.h"
 #include <algorithm>
 
@@ -12,7 +13,8 @@
 constexpr milliseconds kLength { 85000 }; // no round begins later
 constexpr milliseconds kOrderLimit { 15000 };
 constexpr milliseconds kOrderDelay { 2750 }; // from an order until it is carried out; the pages have 2 to 12 s
-constexpr milliseconds kStartBefore { 300 }; // the next new member starts this long before the order is carried out
+constexpr milliseconds kStartBefore { 300 }; // the member starts this long before the order is carried out
+constexpr milliseconds kDownTime { 700 }; // of a replica that crashes; half of the period of members that go down and up by turns
 constexpr milliseconds kBetweenNewAndOld { 1000 }; // from the start of a new member until the one that it replaces reports draining
 constexpr milliseconds kDrain { 7500 }; // a member ends this long after it has reported draining; DrainMs is 7 s
 constexpr milliseconds kBetweenRounds { 2500 };
@@ -87,8 +89,29 @@
     unsigned m_count { 0 };
 };
 
-// Replaces the primary and then a replica. Returns false if no order was sent.
-bool playRound(Deployment& deployment, Release& release)
+std::string findSuspended(Group& group)
+{
+    for (auto& id : group.getMembers()) {
+        if (group.getSuspendedFor(id) != 0)
+            return id;
+    }
+    return {};
+}
+
+// A suspended replica crashes, and is back with its log at the given time.
+void restartReplica(Group& group, Clock::time_point backAt)
+{
+    std::this_thread::sleep_until(backAt - kDownTime);
+    auto replica = findSuspended(group);
+    if (!hasTrouble() || replica.empty())
+        return;
+    group.kill(replica);
+    std::this_thread::sleep_until(backAt);
+    group.start(replica);
+}
+
+// Replaces the primary, and then a replica if `restarts` is false. Returns false if no order was sent.
+bool playRound(Deployment& deployment, Release& release, bool restarts)
 {
     auto& group = deployment.group;
     auto& platform = deployment.platform;
@@ -100,17 +123,22 @@
     release.drain(primary);
     if (!waitUntil(kOrderLimit, [&] { return platform.getFirstOrderAt() != Clock::time_point {}; }))
         return false;
-    std::this_thread::sleep_until(platform.getFirstOrderAt() + kOrderDelay - kStartBefore);
-    release.startNew();
+    auto startsAt = platform.getFirstOrderAt() + kOrderDelay - kStartBefore;
+    if (restarts)
+        restartReplica(group, startsAt);
+    std::this_thread::sleep_until(startsAt);
+    if (!restarts)
+        release.startNew();
     waitUntil(milliseconds(5000), [&] { return group.getPrimary() != primary; });
     platform.setLateOrders(milliseconds(0));
     sleepFor(kBetweenNewAndOld);
-    release.drain(release.findReplica());
+    if (!restarts)
+        release.drain(release.findReplica());
     sleepFor(kBetweenRounds);
     return true;
 }
 
-int play(const std::string& recordPath)
+int play(const std::string& recordPath, bool restarts)
 {
     GroupOptions options;
     options.synchronousReplicas = 1;
@@ -130,7 +158,7 @@
     Release release(deployment);
     unsigned rounds = 0;
     for (auto until = Clock::now() + kLength; Clock::now() < until;)
-        rounds += playRound(deployment, release) ? 1 : 0;
+        rounds += playRound(deployment, release, restarts) ? 1 : 0;
     writers.isOver = true;
     release.stop();
     for (auto& it : threads)
@@ -152,5 +180,5 @@
 
 int main(int argc, char** argv)
 {
-    return argc == 2 ? play(argv[1]) : 2;
+    return argc >= 2 ? play(argv[1], argc == 3 && std::string(argv[2]) == "restart") : 2;
 }
--- a/review/rig_2.cpp
+++ b/review/rig_2.cpp
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <random>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -1050,6 +1051,7 @@
     m_process = ::fork();
     if (m_process != 0)
         return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // a case that is ended itself leaves no gateway behind
     int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
@@ -1156,22 +1158,27 @@
     return ::mkdtemp(pattern.data()) ? pattern : std::string();
 }
 
-Deployment::Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hostCount, const std::string& recordPath, HostOptions hostOptions)
+Deployment::Deployment(GroupOptions groupOptions, const std::vector<RouteOptions>& routes, unsigned hostCount, const std::string& recordPath, HostOptions hostOptions)
     : folder(makeFolder())
     , record(recordPath)
     , group(std::move(groupOptions), record)
     , platform({ &group }, record)
 {
-    json::array described;
-    for (auto& it : routes)
-        described.push_back({ { "Name", "r-" + it.database }, { "Host", it.database }, { "Prefix", "/" }, { "Service", group.getOptions().name }, { "RouteType", it.kind }, { "TimeoutMs", it.timeoutMs }, { "SloMs", 800 }, { "Priority", 1 }, { "MaxStalenessMs", it.stalenessMs } });
-    json::array services { { { "Name", group.getOptions().name }, { "MaxConns", group.getOptions().maxConnections }, { "SyncReplicas", group.getOptions().synchronousReplicas } } };
-    platform.put("op/config", json::serialize(json::object { { "Version", 1 }, { "Routes", described }, { "Services", services }, { "Limits", { { "TxIdleMs", 10000 } } } }));
+    configure(1, routes);
     static constexpr std::array zones { "zone-a", "zone-b", "zone-c" };
     for (unsigned i = 0; i < hostCount; ++i)
         hosts.push_back(std::make_unique<Host>("front-" + std::to_string(i + 1), zones[i % zones.size()], platform, folder, hostOptions));
 }
 
+void Deployment::configure(uint64_t version, const std::vector<RouteOptions>& routes)
+{
+    json::array described;
+    for (auto& it : routes)
+        described.push_back({ { "Name", "r-" + it.database }, { "Host", it.database }, { "Prefix", "/" }, { "Service", group.getOptions().name }, { "RouteType", it.kind }, { "TimeoutMs", it.timeoutMs }, { "SloMs", 800 }, { "Priority", it.priority }, { "MaxStalenessMs", it.stalenessMs } });
+    json::array services { { { "Name", group.getOptions().name }, { "MaxConns", group.getOptions().maxConnections }, { "SyncReplicas", group.getOptions().synchronousReplicas } } };
+    platform.put("op/config", json::serialize(json::object { { "Version", version }, { "Routes", described }, { "Services", services }, { "Limits", { { "TxIdleMs", 10000 } } } }));
+}
+
 bool Deployment::start()
 {
     for (auto& it : hosts)
--- a/review/rig_2.h
+++ b/review/rig_2.h
@@ -303,12 +303,14 @@
     std::string kind { "primary" };
     int timeoutMs { 1000 };
     int stalenessMs { 0 };
+    int priority { 1 };
 };
 
 struct Deployment {
-    Deployment(GroupOptions groupOptions, std::vector<RouteOptions> routes, unsigned hosts, const std::string& recordPath, HostOptions hostOptions = {});
+    Deployment(GroupOptions groupOptions, const std::vector<RouteOptions>& routes, unsigned hosts, const std::string& recordPath, HostOptions hostOptions = {});
     ~Deployment();
     bool start(); // false: the gateways did not become ready
+    void configure(uint64_t version, const std::vector<RouteOptions>& routes);
     std::string folder;
     Record record;
     Group group;
