Review case 8: one priority above 1,000 keeps a whole configuration out of force

Case: version 2 removes a database and adds one with a Priority of 1,500; 8 s after its acknowledgement all gateways refuse the new one and run writes for the old one.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review-2
 compile() { g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread "$@"; }
 compile -c review/rig_2.cpp -o target/review-2/rig_2.o
-for name in smuggled_shape cut_at_stop late_order; do
+for name in smuggled_shape cut_at_stop late_order refused_configuration; do
     compile "review/$name.cpp" target/review-2/rig_2.o -lboost_json -o "target/review-2/$name"
 done
