Prepared statements: names of their connection; a statement is sent once its setup is accepted

Cause: the name of a prepared statement at members was made from the shape, a caller's text that may hold blanks, and written into a field that a blank ends; and the statement was sent behind RESET, SET and PREPARE before any of them was answered, so that each refused setup, for whatever reason, ran it with the state of another session.

Change: names are numbers of the connection, never used twice; a statement follows once all of its setup is accepted, else it is answered as not run. BEGIN goes with the setup. A refused setup costs no connection. An account's name with a blank is escaped in the handshake. New: metric session_setups_total, event setup-refused.

The stand-in parses PREPARE as the protocol says.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -21,6 +21,7 @@
     MetricFamilyInfo { MetricFamily::ConnectionsOpened, "alderward_connections_opened_total", MetricType::Counter, "member,result", "connections to targets that were tried" },
     MetricFamilyInfo { MetricFamily::ConnectionsClosed, "alderward_connections_closed_total", MetricType::Counter, "member", "connections to targets that ended" },
     MetricFamilyInfo { MetricFamily::ConnectionsEvicted, "alderward_connections_given_up_total", MetricType::Counter, "member", "connections of one client account closed to make room for one of another" },
+    MetricFamilyInfo { MetricFamily::SessionSetups, "alderward_session_setups_total", MetricType::Counter, "member,result", "statements by whether their connection first had to be given their session's variables or prepared statement: not-needed, accepted, failed" },
     MetricFamilyInfo { MetricFamily::QuotaRefused, "alderward_quota_refused_total", MetricType::Counter, "reason,priority", "operations of client accounts refused because of their quotas" },
     MetricFamilyInfo { MetricFamily::QuotaLevel, "alderward_quota_level", MetricType::Gauge, "account", "on a quota server: tokens in the account's bucket" },
     MetricFamilyInfo { MetricFamily::QuotaGrants, "alderward_quota_grants_total", MetricType::Counter, "result", "on a quota server: decisions on requests for grants" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -20,6 +20,7 @@
     ConnectionsOpened,
     ConnectionsClosed,
     ConnectionsEvicted,
+    SessionSetups,
     QuotaRefused,
     QuotaLevel,
     QuotaGrants,
--- a/src/decisions/statement.h
+++ b/src/decisions/statement.h
@@ -9,7 +9,6 @@
 #include "decisions/errors.h"
 #include "decisions/session.h"
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -84,32 +83,34 @@
     friend auto operator<=>(const PreparedShape&, const PreparedShape&) = default;
 };
 
-// Returns the name under which a shape is prepared at targets. It is the same for all sessions, so that sessions with colliding names can
-// share a connection.
-std::string getPreparedName(const PreparedShape& shape);
-
 using SessionVariables = std::map<std::string, std::string>;
 
 // Session state left on a pooled connection by the sessions that it served before.
 struct ConnectionState {
     SessionVariables variables {};
-    std::set<PreparedShape> prepared {};
+    std::map<PreparedShape, std::string> prepared {}; // the name of each shape at the target
+    uint64_t lastPreparedNumber { 0 }; // of the connection's prepared statements; names are not used again, also after a reset
+    bool isUncertain { false }; // the target refused a part of the last setup: a reset must precede the next one
     friend bool operator==(const ConnectionState&, const ConnectionState&) = default;
 };
 
 // What must be sent on a connection before it can serve a session.
 struct ConnectionPlan {
-    bool mustReset { false }; // it has a variable that the session has not set
+    bool mustReset { false }; // it has a variable that the session has not set, or its state is uncertain
     std::vector<std::pair<std::string, std::string>> variables {}; // to set
-    bool mustPrepare { false };
-    size_t getCost() const { return (mustReset ? 1 : 0) + variables.size() + (mustPrepare ? 1 : 0); }
+    std::string preparedName {}; // to prepare the shape under; empty: it need not be prepared
+    size_t getCost() const { return (mustReset ? 1 : 0) + variables.size() + (preparedName.empty() ? 0 : 1); }
     friend bool operator==(const ConnectionPlan&, const ConnectionPlan&) = default;
 };
 
 // `shape` is the prepared statement that the session executes next, if any.
 ConnectionPlan planConnection(const ConnectionState& connection, const SessionVariables& session, const std::optional<PreparedShape>& shape);
-// Returns the connection's state after the plan has been carried out.
+// Returns the connection's state after the target has accepted each message of the plan.
 ConnectionState applyPlan(ConnectionState connection, const ConnectionPlan& plan, const std::optional<PreparedShape>& shape);
+// Returns the connection's state after the target has refused a message of the plan, or has not answered all of them.
+ConnectionState applyRefusedPlan(ConnectionState connection, const ConnectionPlan& plan);
+// The name under which the shape is prepared on the connection; empty: it is not.
+std::string findPreparedName(const ConnectionState& connection, const PreparedShape& shape);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Routes
--- a/src/gateway/target_pool.h
+++ b/src/gateway/target_pool.h
@@ -4,6 +4,8 @@
 //
 // COMMON MISTAKES
 //   - Sending a statement before the BEGIN of its transaction is answered. If the BEGIN is refused, the statement runs outside the transaction.
+//   - Sending a statement before the setup of its connection is answered. If the setup is refused, the statement runs with the variables or the
+//     prepared statement of another session.
 #pragma once
 #include "decisions/connections.h"
 #include "decisions/member_queue.h"
@@ -146,10 +148,20 @@
         uint64_t handle { 0 }; // returned by submit(); the hedge of a job has the same
         bool isHedge { false }; // second attempt of a read whose first answer is overdue but may still arrive
         bool isStalled { false }; // its answer is probably lost, so it no longer counts against the concurrency limit
+        bool isSent { false }; // the statement itself, and not only the setup of its connection or its BEGIN
         bool isDone() const { return !*done; }
     };
     using JobPtr = std::shared_ptr<Job>;
     using SessionPtr = std::shared_ptr<TargetSession>;
+    // The messages that prepare a connection for a job. They are sent together; the job's statement follows once the target has accepted them all.
+    struct SessionSetup {
+        decisions::ConnectionPlan plan {};
+        size_t pendingAnswers { 0 };
+        std::optional<decisions::Error> error {}; // of the first message that failed
+        bool isResetRefused { false };
+        std::function<void()> onDone {};
+    };
+    using SetupPtr = std::shared_ptr<SessionSetup>;
     struct OpenTransaction {
         SessionPtr session;
         decisions::OperationKind kind;
@@ -183,8 +195,11 @@
     void openSession(const std::string& account);
     void handleOpened(const SessionPtr& session, const Outcome& outcome, const Mark& knownMark);
     void startJob(const JobPtr& job, const SessionPtr& session);
-    void prepareSession(const Job& job, const SessionPtr& session);
-    void beginTransaction(const JobPtr& job, const SessionPtr& session);
+    decisions::ConnectionPlan planSetup(const Job& job, const TargetSession& session) const;
+    SetupPtr sendSetup(const Job& job, const SessionPtr& session);
+    void handleSetupAnswer(const SetupPtr& setup, const std::optional<decisions::PreparedShape>& shape, const SessionPtr& session, const Outcome& outcome);
+    void refuseSetup(const JobPtr& job, const SessionPtr& session, const decisions::Error& error);
+    void beginTransaction(const JobPtr& job, const SessionPtr& session, const SetupPtr& setup);
     void rollBack(const SessionPtr& session);
     void runStatement(const JobPtr& job, const SessionPtr& session);
     bool canRetryWhenBusy(const Job& job, const SessionPtr& session, const Outcome& outcome) const;
@@ -196,6 +211,7 @@
     bool applyPrimaryProof(const Mark& position, TimePoint sentAt, const Mark& knownMark);
     void recordWorkTime(const Job& job);
     void detachTransaction(const SessionPtr& session);
+    static Outcome makeLostOutcome(const Job& job, const std::string& reason);
     // Closes the connection and removes it. With `isFailure`, a pending answer is reported as a connection failure.
     void dropSession(const SessionPtr& session, const std::string& reason, bool isFailure = true);
     void provePrimary(TimePoint now);
--- a/src/gateway/target_pool_connections.cpp
+++ b/src/gateway/target_pool_connections.cpp
@@ -153,6 +153,15 @@
         dropSession(session, "a transaction was left open on it");
 }
 
+// The outcome of a job whose connection has ended.
+Outcome TargetPool::makeLostOutcome(const Job& job, const std::string& reason)
+{
+    if (job.isSent)
+        return decisions::makeFailure(ErrorKind::OutcomeUnknown, reason, true);
+    bool isContinuation = job.request.kind == RequestKind::Continue;
+    return decisions::makeFailure(isContinuation ? ErrorKind::TransactionAborted : ErrorKind::TargetUnreachable, reason);
+}
+
 void TargetPool::dropSession(const SessionPtr& session, const std::string& reason, bool isFailure)
 {
     auto it = std::ranges::find(m_sessions, session);
@@ -168,7 +177,7 @@
     auto running = m_runningJobs;
     for (auto& [job, jobSession] : running) {
         if (jobSession == session)
-            completeJob(job, session, decisions::makeFailure(ErrorKind::OutcomeUnknown, reason, true));
+            completeJob(job, session, makeLostOutcome(*job, reason));
     }
     // A later answer on another connection shows that the target is alive. Clearing the proof time makes the next sweep request a proof at once.
     bool isAlive = std::ranges::any_of(m_sessions, [&](const SessionPtr& it) { return it->getLastReceivedAt() > pendingSince; });
--- a/src/gateway/target_pool_statements.cpp
+++ b/src/gateway/target_pool_statements.cpp
@@ -1,4 +1,5 @@
 // The statements and transactions of a target pool, from the connection that was chosen to the answer.
+#include "base/event_log.h"
 #include "base/families.h"
 #include "base/metrics.h"
 #include "gateway/target_pool.h"
@@ -20,37 +21,92 @@
     bool isContinuation = job->request.kind == RequestKind::Continue;
     base::checkInvariant(!session->isBusy && (session->transaction != 0) == isContinuation, "a connection was assigned to a job while another job or transaction holds it", m_target.member);
     session->isBusy = true;
+    job->isSent = false;
     m_runningJobs.emplace_back(job, session);
-    prepareSession(*job, session);
-    if (job->request.kind == RequestKind::Begin || job->request.kind == RequestKind::PrimaryRead)
-        beginTransaction(job, session);
-    else
+    auto setup = sendSetup(*job, session);
+    if (job->request.kind == RequestKind::Begin || job->request.kind == RequestKind::PrimaryRead) {
+        beginTransaction(job, session, setup);
+        return;
+    }
+    if (setup->pendingAnswers == 0) {
         runStatement(job, session);
+        return;
+    }
+    setup->onDone = [self = shared_from_this(), job, session, setup = setup.get()] { // the setup owns this function
+        if (setup->error)
+            self->refuseSetup(job, session, *setup->error);
+        else if (!job->isDone()) // it has not timed out meanwhile
+            self->runStatement(job, session);
+    };
 }
 
-// Sets the session's variables and prepared statement on the connection. Pipelined with the statement, as a target does not refuse these
-// messages; if one fails nevertheless, the connection is closed.
-void TargetPool::prepareSession(const Job& job, const SessionPtr& session)
+decisions::ConnectionPlan TargetPool::planSetup(const Job& job, const TargetSession& session) const
+{
+    if (session.state.prepared.size() <= kMaxPreparedShapes)
+        return decisions::planConnection(session.state, job.request.variables, job.request.shape);
+    auto state = session.state;
+    state.isUncertain = true; // it is reset
+    return decisions::planConnection(state, job.request.variables, job.request.shape);
+}
+
+// Sets the job's variables and its prepared statement on the connection. A target may refuse any of these messages, so the statement must not be sent
+// before all of them are answered; a connection that is set up already costs no round trip.
+TargetPool::SetupPtr TargetPool::sendSetup(const Job& job, const SessionPtr& session)
 {
     auto& request = job.request;
-    auto plan = decisions::planConnection(session->state, request.variables, request.shape);
-    if (session->state.prepared.size() > kMaxPreparedShapes)
-        plan = decisions::planConnection({ { { "", "" } }, {} }, request.variables, request.shape);
-    auto self = shared_from_this();
-    auto closeOnError = [self, session](const Outcome& outcome) {
-        if (outcome.error)
-            self->dropSession(session, "session setup failed: " + outcome.error->message);
-    };
+    auto setup = std::make_shared<SessionSetup>();
+    setup->plan = planSetup(job, *session);
+    auto& plan = setup->plan;
+    setup->pendingAnswers = plan.getCost();
+    if (setup->pendingAnswers == 0) {
+        base::incrementCounter(base::MetricFamily::SessionSetups, { { "member", m_target.member }, { "result", "not-needed" } });
+        return setup;
+    }
+    auto onAnswer = [self = shared_from_this(), setup, session, shape = request.shape](const Outcome& outcome) { self->handleSetupAnswer(setup, shape, session, outcome); };
     if (plan.mustReset)
-        session->sendStatement(m_codec.formatReset(), closeOnError);
+        session->sendStatement(m_codec.formatReset(), onAnswer);
     for (const auto& [name, value] : plan.variables)
-        session->sendStatement(m_codec.formatSetVariable(name, value), closeOnError);
-    if (plan.mustPrepare)
-        session->sendStatement(m_codec.formatPrepare(decisions::getPreparedName(*request.shape), *request.shape), closeOnError);
-    session->state = decisions::applyPlan(std::move(session->state), plan, request.shape);
+        session->sendStatement(m_codec.formatSetVariable(name, value), onAnswer);
+    if (!plan.preparedName.empty())
+        session->sendStatement(m_codec.formatPrepare(plan.preparedName, *request.shape), onAnswer);
+    return setup;
 }
 
-void TargetPool::beginTransaction(const JobPtr& job, const SessionPtr& session)
+void TargetPool::handleSetupAnswer(const SetupPtr& setup, const std::optional<decisions::PreparedShape>& shape, const SessionPtr& session, const Outcome& outcome)
+{
+    bool isReset = setup->plan.mustReset && setup->pendingAnswers == setup->plan.getCost(); // it was sent first
+    setup->isResetRefused = setup->isResetRefused || (isReset && outcome.error);
+    if (outcome.error && !setup->error)
+        setup->error = outcome.error;
+    if (--setup->pendingAnswers > 0)
+        return;
+    session->state = setup->error ? decisions::applyRefusedPlan(std::move(session->state), setup->plan) : decisions::applyPlan(std::move(session->state), setup->plan, shape);
+    base::incrementCounter(base::MetricFamily::SessionSetups, { { "member", m_target.member }, { "result", setup->error ? "failed" : "accepted" } });
+    if (setup->isResetRefused) // the connection could never be used again
+        dropSession(session, "the connection could not be reset: " + setup->error->message);
+    auto onDone = std::exchange(setup->onDone, nullptr);
+    if (onDone)
+        onDone();
+}
+
+// The statement was not sent. A target that calls the setup malformed would not be the only one, so the caller gets that error; for other errors, another
+// target or connection may be tried. An open transaction is rolled back.
+void TargetPool::refuseSetup(const JobPtr& job, const SessionPtr& session, const decisions::Error& error)
+{
+    auto reason = "the connection could not be set up: " + error.message;
+    base::logEvent(base::LogClass::Failure, "setup-refused", { { "member", std::string_view(m_target.member) }, { "request", std::string_view(job->request.statement.id) }, { "reason", std::string_view(reason) } });
+    bool isFinal = error.kind == ErrorKind::BadRequest || decisions::canTryOtherTarget(error.kind);
+    auto kind = isFinal ? error.kind : ErrorKind::TargetUnreachable;
+    if (job->request.kind == RequestKind::Continue) {
+        kind = ErrorKind::TransactionAborted;
+        detachTransaction(session);
+        if (session->isOpen())
+            rollBack(session);
+    }
+    completeJob(job, session, decisions::makeFailure(kind, reason));
+}
+
+void TargetPool::beginTransaction(const JobPtr& job, const SessionPtr& session, const SetupPtr& setup)
 {
     auto sentAt = Clock::now();
     bool isReadOnly = job->request.kind == RequestKind::Begin && job->request.isReadOnly;
@@ -60,7 +116,14 @@
         ++m_queue.shares.accounts[job->account].openTransactions;
     }
     auto knownMark = m_observer.getKnownMark(m_target);
-    session->sendStatement(m_codec.formatBegin(isReadOnly, job->request.atLeast), [self = shared_from_this(), job, session, sentAt, isReadOnly, knownMark](const Outcome& outcome) {
+    session->sendStatement(m_codec.formatBegin(isReadOnly, job->request.atLeast), [self = shared_from_this(), job, session, setup, sentAt, isReadOnly, knownMark](const Outcome& outcome) {
+        if (setup->error) {
+            self->detachTransaction(session);
+            if (!outcome.error)
+                self->rollBack(session);
+            self->refuseSetup(job, session, *setup->error);
+            return;
+        }
         if (!outcome.error) {
             if (!isReadOnly && !self->applyPrimaryProof(outcome.position, sentAt, knownMark)) {
                 self->detachTransaction(session);
@@ -87,7 +150,8 @@
     base::checkInvariant(session->transaction == request.transaction || request.kind == RequestKind::Single || request.kind == RequestKind::PrimaryRead, "a statement was about to run in a transaction other than its own", m_target.member);
     base::checkInvariant(session->state.variables == request.variables, "a statement was about to run with variables that are not its session's", m_target.member);
     auto atLeast = request.kind == RequestKind::Single ? request.atLeast : Mark {};
-    auto bytes = m_codec.formatStatement(request.statement, atLeast, request.shape ? decisions::getPreparedName(*request.shape) : "");
+    auto bytes = m_codec.formatStatement(request.statement, atLeast, request.shape ? decisions::findPreparedName(session->state, *request.shape) : "");
+    job->isSent = true;
     auto sentAt = Clock::now();
     auto knownMark = m_observer.getKnownMark(m_target);
     session->sendStatement(bytes, [self = shared_from_this(), job, session, sentAt, knownMark](const Outcome& outcome) {
--- a/src/gateway/target_pool_upkeep.cpp
+++ b/src/gateway/target_pool_upkeep.cpp
@@ -106,7 +106,10 @@
     for (auto& [job, session] : running) {
         if (now < job->request.deadline)
             continue;
-        finish(job, decisions::makeFailure(ErrorKind::StatementTimedOut, "the target did not answer in time", true));
+        if (job->isSent)
+            finish(job, decisions::makeFailure(ErrorKind::StatementTimedOut, "the target did not answer in time", true));
+        else
+            finish(job, decisions::makeFailure(ErrorKind::Overloaded, "the target did not answer the setup of the connection in time"));
         auto pendingSince = session->getOldestPendingAt();
         dropSession(session, "no answer before the deadline");
         // Idle connections without a later answer may have failed in the same way.
--- a/tests/standins/line_group.cpp
+++ b/tests/standins/line_group.cpp
@@ -63,7 +63,9 @@
     void changeReplication(const std::string& command, uint64_t term);
     void sendStatus();
     void answerStatement(const std::string& id, const std::string& rows);
-    void runStatement(const std::string& id, const std::string& text, bool isRead);
+    bool refuseSetup();
+    void prepare(const std::string& text);
+    void runStatement(const std::string& id, const std::string& text, const std::string& shape, bool isRead);
     void sendAnswer(const std::string& body);
     void sendReady();
     void send(std::string bytes);
@@ -256,14 +258,12 @@
         std::string name, value;
         stream >> name;
         std::getline(stream >> std::ws, value);
+        if (refuseSetup())
+            return;
         variables[name] = value;
         sendAnswer("COMPLETE -");
     } else if (word == "PREPARE") {
-        std::string name, shape;
-        stream >> name;
-        std::getline(stream >> std::ws, shape);
-        preparedStatements[name] = shape;
-        sendAnswer("COMPLETE -");
+        prepare(text.substr(word.size()));
     } else if (word == "BEGIN") {
         bool readOnly = text == "BEGIN READ";
         if (!readOnly && !isPrimary) {
@@ -286,6 +286,7 @@
         sendAnswer("COMPLETE -");
     } else if (word == "READ" || word == "WRITE" || word == "EXECUTE" || word == "COMMIT") {
         std::string statement = text;
+        std::string shape;
         bool isRead = word == "READ";
         if (word == "EXECUTE") {
             std::string name, rest;
@@ -297,13 +298,40 @@
                 return;
             }
             isRead = it->second.starts_with("READ ");
-            statement = it->second.substr(0, it->second.find(' ')) + " " + rest;
+            auto mode = it->second.find(' ');
+            statement = it->second.substr(0, mode) + " " + rest;
+            shape = it->second.substr(mode + 1);
         }
-        runStatement(id, statement, isRead);
+        runStatement(id, statement, shape, isRead);
     } else
         sendAnswer("ERROR MALFORMED " + word);
 }
 
+bool Connection::refuseSetup()
+{
+    if (member.faults.refusedSetups == 0)
+        return false;
+    --member.faults.refusedSetups;
+    sendAnswer("ERROR MALFORMED refused");
+    return true;
+}
+
+// The shape is the last field, and so may contain blanks; the name and the mode may not.
+void Connection::prepare(const std::string& text)
+{
+    auto name = text.find(' ', 1);
+    auto mode = name == std::string::npos ? name : text.find(' ', name + 1);
+    auto isMode = [&](std::string_view word) { return mode != std::string::npos && text.substr(name + 1, mode - name - 1) == word; };
+    if (!isMode("READ") && !isMode("WRITE")) {
+        sendAnswer("ERROR MALFORMED PREPARE");
+        return;
+    }
+    if (refuseSetup())
+        return;
+    preparedStatements[text.substr(1, name - 1)] = text.substr(name + 1);
+    sendAnswer("COMPLETE -");
+}
+
 void Connection::sendStatus()
 {
     sendAnswer(fmt::format("ROW {} {} {}.{} {} 0 {} {}\r\nCOMPLETE -", group.primary == member.id ? "primary" : "replica", group.term, group.term, member.receivedEntries, member.suspendedFor, member.busySlots, member.connections.size()));
@@ -326,7 +354,7 @@
     sendStatus();
 }
 
-void Connection::runStatement(const std::string& id, const std::string& text, bool isRead)
+void Connection::runStatement(const std::string& id, const std::string& text, const std::string& shape, bool isRead)
 {
     if (member.faults.busyReplies > 0) {
         --member.faults.busyReplies;
@@ -334,9 +362,9 @@
         return;
     }
     isBusy = true;
-    group.acquireSlot(member, [self = shared_from_this(), id, text, isRead] {
+    group.acquireSlot(member, [self = shared_from_this(), id, text, shape, isRead] {
         auto timer = std::make_shared<asio::steady_timer>(self->group.context, self->member.faults.statementTime);
-        timer->async_wait([self, timer, id, text, isRead](boost::system::error_code) {
+        timer->async_wait([self, timer, id, text, shape, isRead](boost::system::error_code) {
             self->group.releaseSlot(self->member);
             self->isBusy = false;
             if (self->isClosed)
@@ -354,7 +382,7 @@
             }
             if (self->isInTransaction && self->transaction.empty())
                 self->transaction = id;
-            group.executedStatements.push_back({ member.id, id, text, self->variables, self->account, self->isInTransaction ? self->transaction : "" });
+            group.executedStatements.push_back({ member.id, id, text, shape, self->variables, self->account, self->isInTransaction ? self->transaction : "" });
             std::string rows;
             std::istringstream stream(text);
             std::string word, item, data;
--- a/tests/standins/line_group.h
+++ b/tests/standins/line_group.h
@@ -18,7 +18,8 @@
 struct ExecutedStatement {
     std::string member;
     std::string id;
-    std::string text; // names of prepared statements are replaced by their text
+    std::string text; // READ or WRITE and their arguments, also for a prepared statement
+    std::string shape; // of the prepared statement; empty: none
     std::map<std::string, std::string> variables; // session variables of the connection
     std::string account; // client account from the connection's handshake
     std::string transaction; // id of the first statement of its transaction; empty: none
@@ -28,6 +29,7 @@
     bool isUnresponsive { false }; // keeps connections open but answers nothing
     bool failsRollback { false }; // replies with an error and keeps the transaction open
     int closedAfterRun { 0 }; // number of next statements that are executed, then their connection is closed without a reply
+    int refusedSetups { 0 }; // number of next SET and PREPARE messages that are refused
     int busyReplies { 0 }; // number of next statements that are refused as busy
     int unansweredAfterRun { 0 }; // number of next statements that are executed and never answered
     milliseconds lag { 5 }; // until this member applies a commit
--- a/tests/unit/accounts_test.cpp
+++ b/tests/unit/accounts_test.cpp
@@ -158,6 +158,8 @@
     BOOST_TEST(hello.database == "bookings");
     BOOST_TEST((hello.key == digestKey("a key with blanks")));
     BOOST_TEST(codec->formatHello("ledger", "mill", "m1") == "CONNECT ledger mill m1\r\n");
+    BOOST_TEST(codec->formatHello("ledger", "north mill 5%", "m1") == "CONNECT ledger north%20mill%205%25 m1\r\n"); // a blank would shift the fields
+    BOOST_TEST(codec->formatHello("ledger", "5%", "m1") == "CONNECT ledger 5% m1\r\n");
     BOOST_TEST(codec->formatError({ ErrorKind::UnknownKey, "x" }).starts_with("ERROR UNAUTH "));
     BOOST_TEST(codec->formatError({ ErrorKind::QuotaExceeded, "x" }).starts_with("ERROR BUSY ")); // not executed, so the caller may retry
 }
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -369,15 +369,40 @@
     auto plan = planConnection(connection, { { "zone", "b" }, { "lang", "mn" } }, PreparedShape { "q", false });
     BOOST_TEST(!plan.mustReset);
     BOOST_TEST(plan.variables.size() == 2u);
-    BOOST_TEST(plan.mustPrepare);
+    BOOST_TEST(!plan.preparedName.empty());
     connection = applyPlan(connection, plan, PreparedShape { "q", false });
     BOOST_TEST(planConnection(connection, { { "zone", "b" }, { "lang", "mn" } }, PreparedShape { "q", false }).getCost() == 0u);
     plan = planConnection(connection, { { "lang", "mn" } }, PreparedShape { "q", false });
     BOOST_TEST(plan.mustReset);
-    BOOST_TEST(plan.mustPrepare); // a reset drops prepared statements
+    BOOST_TEST(!plan.preparedName.empty()); // a reset drops prepared statements
     connection = applyPlan(connection, plan, PreparedShape { "q", false });
     BOOST_TEST((connection.variables == SessionVariables { { "lang", "mn" } }));
-    BOOST_TEST(getPreparedName({ "q", false }) != getPreparedName({ "q", true }));
+}
+
+// Names at a target are words of a few bytes, one for each shape and mode, whatever the callers' shapes contain.
+BOOST_AUTO_TEST_CASE(names_of_prepared_statements_are_distinct_words_and_never_used_again)
+{
+    ConnectionState connection;
+    std::set<std::string> names;
+    auto prepare = [&](const PreparedShape& shape, const SessionVariables& session) {
+        auto plan = planConnection(connection, session, shape);
+        connection = applyPlan(connection, plan, shape);
+        auto name = findPreparedName(connection, shape);
+        BOOST_TEST(name == plan.preparedName);
+        BOOST_TEST(name.size() < 10u);
+        BOOST_TEST(name.find_first_of(" \r\n") == std::string::npos);
+        BOOST_TEST(names.insert(name).second);
+    };
+    for (std::string shape : { "q", "q with options", "q  with options", "q ", " q", "p1", "1" }) {
+        prepare({ shape, false }, {});
+        prepare({ shape, true }, {});
+    }
+    prepare({ "r", true }, { { "zone", "a" } });
+    prepare({ "r", true }, {}); // after a reset
+    connection = applyRefusedPlan(connection, planConnection(connection, {}, PreparedShape { "s", true }));
+    BOOST_TEST(planConnection(connection, {}, {}).mustReset);
+    prepare({ "t", true }, {});
+    BOOST_TEST(!planConnection(connection, {}, {}).mustReset);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
