Suspensions: an order is repeated only while its member still holds what the suspended replicas have

Cause: before an order was repeated, replicas were suspended again if necessary, but the member of the order itself was compared only if one was. A member that had just started without its log was ordered again until the store had listed its restart, some 30 ms later.

Evidence: 41.028 the connections to g1-b end, 41.031 the order for it is repeated and carried out at once, 41.062 its restart is listed.

Costs one status query a repetition.

--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -291,7 +291,7 @@
     co_return isHeld;
 }
 
-// Before an order is repeated: replicas that have restarted or are new have received commits since. Returns whether the successor holds all that is
+// Before an order is repeated: replicas that have restarted or are new have received commits since, or the successor has lost its log. Returns whether the successor holds all that is
 // acknowledged.
 asio::awaitable<bool> Promoter::renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm)
 {
@@ -299,19 +299,17 @@
     queryReplicas(group, primary, false, replicas);
     co_await replicas->latch.wait();
     auto others = decisions::chooseReplicasToSuspend(replicas->findings, successor, getSynchronousReplicas(group));
-    std::erase_if(others, [&](const std::string& name) {
-        auto it = std::ranges::find(replicas->findings, name, &MemberFinding::member);
-        return it != replicas->findings.end() && decisions::isSuspended(*it, previousTerm);
-    });
-    if (others.empty())
-        co_return true;
+    std::vector<MemberFinding> suspended;
+    std::ranges::copy_if(replicas->findings, std::back_inserter(suspended), [&](const MemberFinding& it) { return decisions::isSuspended(it, previousTerm); });
+    std::erase_if(others, [&](const std::string& name) { return std::ranges::find(suspended, name, &MemberFinding::member) != suspended.end(); });
     auto round = co_await suspendReplicas(group, others, previousTerm + 1);
     if (round->isRefused)
         co_return co_await holdWritesForOrder(group, primary, successor);
     if (round->isIncomplete)
         co_return false;
+    suspended.insert(suspended.end(), round->suspended.begin(), round->suspended.end());
     std::string noPrimary; // it may be ahead of what is acknowledged
-    co_return co_await waitUntilSuccessorHolds(noPrimary, successor, round->suspended);
+    co_return co_await waitUntilSuccessorHolds(noPrimary, successor, suspended); // it may have lost its log, which is listed later
 }
 
 }
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -334,6 +334,33 @@
     group.checkRecovered("g0-a");
 }
 
+// Hosts learn of the restart from the store, later than the order is repeated. Lost the whole log.
+BOOST_AUTO_TEST_CASE(an_order_is_not_repeated_for_a_member_whose_lost_log_is_not_known_yet)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts = { "h0", "h1", "h2" }; });
+    group.setLeaving("g0-a", true);
+    BOOST_REQUIRE(group.waitForEvent("promotion-ordered"));
+    group.rig.call([&] {
+        auto& members = group.rig.getGroup();
+        auto successor = members.getSuspendedFor("g0-b") == 0 ? "g0-b" : "g0-c";
+        members.restartEmpty(successor);
+        members.getFaults(successor).isReplicationStopped = true;
+        group.rig.getStore().faults.ignoredHosts.clear();
+    });
+    std::this_thread::sleep_for(kObservedTime);
+    BOOST_TEST(group.getPrimary() == "g0-a");
+    group.rig.call([&] {
+        for (auto& id : group.rig.getGroup().getIds())
+            group.rig.getGroup().getFaults(id).isReplicationStopped = false;
+        group.rig.getStore().registerMembers();
+    });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.getPrimary() != "g0-a"; }));
+    group.stopWriters();
+    group.checkRecovered("g0-a");
+}
+
 // As left behind by a host that died before it had sent an order, and of which no other host knows. The successor holds what the suspended replica has, so
 // an order for it may have been sent.
 BOOST_AUTO_TEST_CASE(a_suspension_that_no_host_knows_of_is_ended)
