Commit gate: a status query that is given up no longer ends the process

Cause: giving up the query set the connection to null and went on with what had been read of it before. Beside it, the same call could remove waiting commits while they were being walked.

Change: members to ask are collected first, and the state of the connection is read again.

Test: synchronous_replicas/hosts_survive_a_member_of_an_order_that_stops_answering fails on (4 checks), passes now.

--- a/src/gateway/commit_gate.cpp
+++ b/src/gateway/commit_gate.cpp
@@ -129,33 +129,36 @@
         finish(waiting, isConfirmed);
 }
 
-// One query to a member serves all commits that wait for it.
+// One query to a member serves all commits that wait for it. Asked after the loop, as giving up an earlier query can end the wait of commits.
 void CommitGate::askSuccessors(TimePoint now)
 {
-    std::set<std::string> asked;
+    std::map<std::string, TargetAddress> targets; // by member
     for (auto& it : m_waiting) {
         for (auto& name : getSuccessors(it.group, it.primary).members) {
             auto member = m_context.view.members.find(name);
-            if (member != m_context.view.members.end() && !it.commit.confirmedBy.contains(name) && asked.insert(name).second)
-                ask(member->second.getTarget(), now);
+            if (member != m_context.view.members.end() && !it.commit.confirmedBy.contains(name))
+                targets[name] = member->second.getTarget();
         }
     }
+    for (auto& [name, target] : targets)
+        ask(target, now);
 }
 
 void CommitGate::ask(const TargetAddress& target, TimePoint now)
 {
-    auto& link = m_links[target.member];
-    if (!link)
-        link = std::make_shared<StatusLink>();
+    auto& known = m_links[target.member];
+    if (!known)
+        known = std::make_shared<StatusLink>();
+    auto link = known;
     link->lastUsedAt = now;
-    bool isOpen = link->session && link->session->isOpen();
-    if (link->isAsking && isOpen && now - link->askedAt > kQueryTimeout) // reports the failure to the pending query
+    auto isOpen = [&] { return link->session && link->session->isOpen(); };
+    if (link->isAsking && isOpen() && now - link->askedAt > kQueryTimeout) // reports the failure to the pending query
         std::exchange(link->session, nullptr)->close();
     if (link->isAsking || now - link->askedAt < kQueryInterval)
         return;
     link->isAsking = true;
     link->askedAt = now;
-    if (isOpen)
+    if (isOpen())
         sendQuery(target, link);
     else
         openLink(target, link);
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -458,6 +458,31 @@
     group.checkNothingLostToCallers();
 }
 
+// Giving up a status query to it ends the wait of some commits, while others are being looked at.
+BOOST_AUTO_TEST_CASE(hosts_survive_a_member_of_an_order_that_stops_answering)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts = { "h0", "h1", "h2" }; });
+    group.setLeaving("g0-a", true);
+    BOOST_REQUIRE(group.waitForEvent("promotion-ordered"));
+    std::this_thread::sleep_for(kObservedTime);
+    auto successor = group.rig.call([&] { return std::string(group.rig.getGroup().getSuspendedFor("g0-b") == 0 ? "g0-b" : "g0-c"); });
+    for (int i = 0; i < 3; ++i) {
+        group.rig.call([&] { group.rig.getGroup().getFaults(successor).isUnresponsive = true; });
+        std::this_thread::sleep_for(kObservedTime);
+        group.rig.call([&] { group.rig.getGroup().getFaults(successor).isUnresponsive = false; });
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    for (unsigned i = 0; i < kHosts; ++i)
+        BOOST_TEST(group.rig.getHost(i).isRunning());
+    group.rig.call([&] { group.rig.getStore().faults.ignoredHosts.clear(); });
+    BOOST_TEST(waitUntil(kRecoveryLimit, [&] { return group.getPrimary() != "g0-a"; }));
+    group.stopWriters();
+    group.checkServed("g0-a");
+    group.checkNothingLostToCallers();
+}
+
 // Hosts that are cut off from some or all others still reach the primary. One that the coordinator cannot connect to learns of the order from the answers
 // to its pings; one that reaches nobody cannot know that there is none.
 BOOST_AUTO_TEST_CASE(hosts_that_were_not_told_of_a_late_order_acknowledge_nothing_that_it_loses)
