--- a/src/decisions/promotion.cpp
+++ b/src/decisions/promotion.cpp
@@ -1,7 +1,6 @@
 #include "decisions/promotion.h"
 #include <algorithm>
 #include <boost/json.hpp>
-#include <set>
 
 namespace alderward::decisions {
 
@@ -23,6 +22,7 @@
     };
     addCandidates(true);
     addCandidates(false);
+    next.recorded = previous.recorded;
     return next;
 }
 
@@ -75,12 +75,91 @@
     return record.firstToken + rank * kTokensPerCoordinator + count;
 }
 
+RecordedOrders addOrder(RecordedOrders recorded, const RecordedOrder& order, uint64_t previousTerm)
+{
+    if (recorded.previousTerm < previousTerm)
+        return { { order }, previousTerm };
+    if (std::ranges::find(recorded.orders, order) == recorded.orders.end())
+        recorded.orders.push_back(order);
+    return recorded;
+}
+
+RecordedOrders removeOrders(RecordedOrders recorded, const Coordinator& sender, const std::set<std::string>& members)
+{
+    std::erase_if(recorded.orders, [&](const RecordedOrder& it) { return it.sender == sender && members.contains(it.member); });
+    return recorded.orders.empty() ? RecordedOrders {} : recorded;
+}
+
+static json::object formatCoordinator(const Coordinator& coordinator)
+{
+    return { { "host", coordinator.host }, { "incarnation", coordinator.incarnation } };
+}
+
 std::string formatCoordinatorRecord(const CoordinatorRecord& record)
 {
     json::array coordinators;
     for (auto& it : record.coordinators)
-        coordinators.push_back({ { "host", it.host }, { "incarnation", it.incarnation } });
-    return json::serialize(json::object { { "orderers", coordinators }, { "firstToken", record.firstToken } });
+        coordinators.push_back(formatCoordinator(it));
+    json::object object { { "orderers", coordinators }, { "firstToken", record.firstToken } };
+    if (record.recorded.orders.empty())
+        return json::serialize(object);
+    json::array orders;
+    for (auto& it : record.recorded.orders)
+        orders.push_back(json::object { { "member", it.member }, { "sender", formatCoordinator(it.sender) } });
+    object["orders"] = orders;
+    object["previousTerm"] = record.recorded.previousTerm;
+    return json::serialize(object);
+}
+
+static const json::array* findArray(const json::object& object, std::string_view key)
+{
+    auto* value = object.if_contains(key);
+    return value ? value->if_array() : nullptr;
+}
+
+static std::optional<uint64_t> findNumber(const json::object& object, std::string_view key)
+{
+    boost::system::error_code ec;
+    auto* value = object.if_contains(key);
+    if (!value || !value->is_number())
+        return std::nullopt;
+    auto number = value->to_number<uint64_t>(ec);
+    return ec ? std::nullopt : std::optional(number);
+}
+
+static std::optional<std::string> findText(const json::object& object, std::string_view key)
+{
+    auto* value = object.if_contains(key);
+    return value && value->is_string() ? std::optional<std::string>(value->as_string()) : std::nullopt;
+}
+
+static std::optional<Coordinator> parseCoordinator(const json::value* value)
+{
+    auto* object = value ? value->if_object() : nullptr;
+    auto host = object ? findText(*object, "host") : std::nullopt;
+    auto incarnation = object ? findNumber(*object, "incarnation") : std::nullopt;
+    return host && incarnation ? std::optional(Coordinator { *host, *incarnation }) : std::nullopt;
+}
+
+// Records of earlier versions, and those without an order, have neither field. Empty: malformed.
+static std::optional<RecordedOrders> parseRecordedOrders(const json::object& object)
+{
+    if (!object.contains("orders"))
+        return RecordedOrders {};
+    auto* orders = findArray(object, "orders");
+    auto previousTerm = findNumber(object, "previousTerm");
+    if (!orders || !previousTerm)
+        return std::nullopt;
+    RecordedOrders recorded { {}, *previousTerm };
+    for (auto& it : *orders) {
+        auto* order = it.if_object();
+        auto member = order ? findText(*order, "member") : std::nullopt;
+        auto sender = order ? parseCoordinator(order->if_contains("sender")) : std::nullopt;
+        if (!member || !sender)
+            return std::nullopt;
+        recorded.orders.push_back({ *member, *sender });
+    }
+    return recorded;
 }
 
 std::optional<CoordinatorRecord> parseCoordinatorRecord(const std::string& text)
@@ -90,20 +169,18 @@
     if (ec || !value.is_object())
         return std::nullopt;
     auto& object = value.as_object();
-    auto* coordinators = object.if_contains("orderers");
-    auto* first = object.if_contains("firstToken");
-    if (!coordinators || !coordinators->is_array() || !first || !first->is_number())
+    auto* coordinators = findArray(object, "orderers");
+    auto firstToken = findNumber(object, "firstToken");
+    auto recorded = parseRecordedOrders(object);
+    if (!coordinators || !firstToken || !recorded)
         return std::nullopt;
-    CoordinatorRecord record;
-    record.firstToken = first->to_number<uint64_t>(ec);
-    for (auto& it : coordinators->as_array()) {
-        auto* object = it.if_object();
-        if (!object || !object->contains("host") || !object->at("host").is_string() || !object->contains("incarnation"))
+    CoordinatorRecord record { {}, *firstToken, std::move(*recorded) };
+    for (auto& it : *coordinators) {
+        auto coordinator = parseCoordinator(&it);
+        if (!coordinator)
             return std::nullopt;
-        record.coordinators.push_back({ std::string(object->at("host").as_string()), object->at("incarnation").to_number<uint64_t>(ec) });
+        record.coordinators.push_back(*coordinator);
     }
-    if (ec)
-        return std::nullopt;
     return record;
 }
 
--- a/src/decisions/promotion.h
+++ b/src/decisions/promotion.h
@@ -11,6 +11,7 @@
 #pragma once
 #include "decisions/freshness.h"
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,26 @@
 struct Coordinator {
     std::string host {};
     uint64_t incarnation { 0 };
-    friend bool operator==(const Coordinator&, const Coordinator&) = default;
+    friend auto operator<=>(const Coordinator&, const Coordinator&) = default;
+};
+
+// A promotion order that the platform may carry out late, in a group with synchronous replicas.
+struct RecordedOrder {
+    std::string member {}; // that becomes primary
+    Coordinator sender {};
+    friend bool operator==(const RecordedOrder&, const RecordedOrder&) = default;
+};
+
+struct RecordedOrders {
+    std::vector<RecordedOrder> orders {};
+    uint64_t previousTerm { 0 }; // newest term of the group before the orders: they are settled once a member proves a newer one
+    friend bool operator==(const RecordedOrders&, const RecordedOrders&) = default;
 };
 
 struct CoordinatorRecord {
     std::vector<Coordinator> coordinators {}; // the first coordinator, then the standbys in order
     uint64_t firstToken { 0 }; // coordinator i owns kTokensPerCoordinator fencing tokens from firstToken + i * kTokensPerCoordinator
+    RecordedOrders recorded {};
     friend bool operator==(const CoordinatorRecord&, const CoordinatorRecord&) = default;
 };
 
@@ -41,7 +56,7 @@
     Coordinator coordinator {};
     std::string dataCentre {};
 };
-// The next record: the best-ranked live hosts, in different data centres where possible, with new fencing tokens.
+// The next record: the best-ranked live hosts, in different data centres where possible, with new fencing tokens. It keeps the orders of the previous one.
 CoordinatorRecord makeCoordinatorRecord(const CoordinatorRecord& previous, const std::vector<RankedCandidate>& ranked);
 // A live host, and whether it can perform every task of a coordinator.
 struct LiveCandidate {
@@ -56,6 +71,11 @@
 // The fencing token for a coordinator's `count`th order (from 0). Empty: its tokens are used up.
 std::optional<uint64_t> getFencingToken(const CoordinatorRecord& record, size_t rank, uint64_t count);
 
+// Adds an order. Recorded ones of an older term are settled by then, and left out.
+RecordedOrders addOrder(RecordedOrders recorded, const RecordedOrder& order, uint64_t previousTerm);
+// Without the sender's orders for these members.
+RecordedOrders removeOrders(RecordedOrders recorded, const Coordinator& sender, const std::set<std::string>& members);
+
 std::string formatCoordinatorRecord(const CoordinatorRecord& record);
 std::optional<CoordinatorRecord> parseCoordinatorRecord(const std::string& text);
 
--- a/src/gateway/gateway_hosts.cpp
+++ b/src/gateway/gateway_hosts.cpp
@@ -105,8 +105,7 @@
     callbacks.fillPong = [this](const peer::Ping& ping, peer::Pong& pong) {
         auto now = Clock::now();
         fillStatus(pong);
-        for (auto& pending : m_promoter.getPendingPromotions())
-            *pong.add_pending_promotions() = pending;
+        m_promoter.writeOrders(pong);
         writeGroupStatus(pong, m_view, ping.wants_heard(), now);
         if (ping.wants_heard()) {
             m_isPartnerChoiceDue = m_isPartnerChoiceDue || now - m_relayRequestedAt > kRelayRequestLifetime;
@@ -128,9 +127,8 @@
         m_directory.refreshConfiguration(ping.configuration());
         m_directory.applyReportedRevision(ping.change());
     };
-    callbacks.onPong = [this](const std::string&, const peer::Pong& pong, TimePoint sentAt) {
-        for (auto& pending : pong.pending_promotions())
-            m_promoter.onReportedPromotion(pending, sentAt);
+    callbacks.onPong = [this](const std::string& host, const peer::Pong& pong, TimePoint sentAt) {
+        m_promoter.readOrders(host, pong, sentAt);
         handlePong(pong, sentAt);
     };
     callbacks.fillMembersAnswer = [this](const peer::MembersQuestion& question, peer::MembersAnswer& answer) {
--- a/src/gateway/inbound_peers.cpp
+++ b/src/gateway/inbound_peers.cpp
@@ -93,6 +93,12 @@
     reply.mutable_pong()->set_number(ping.number());
     m_callbacks.fillPong(ping, *reply.mutable_pong());
     sendFrame(*connection->channel, reply);
+    m_pongTimes[connection->host] = Clock::now();
+}
+
+void InboundPeers::forgetPongsBefore(TimePoint at)
+{
+    std::erase_if(m_pongTimes, [&](auto& it) { return it.second < at; });
 }
 
 void InboundPeers::answerQuotaReport(const ConnectionPtr& connection, const peer::QuotaReport& report)
--- a/src/gateway/inbound_peers.h
+++ b/src/gateway/inbound_peers.h
@@ -36,17 +36,22 @@
     std::function<void(const peer::QuotaAnswer&)> onQuotaAnswer;
 };
 
+// When each host's last ping was answered, also of hosts that are not listed.
+using PongTimes = std::unordered_map<std::string, TimePoint>;
+
 class InboundPeers {
 public:
     // `callbacks` must outlive this object.
     InboundPeers(boost::asio::io_context& context, std::string name, const PeerCallbacks& callbacks);
 
     tl::expected<void, std::string> listen(const std::string& address);
-    // Accepts no new connections; existing ones stay open.
+    const PongTimes& getPongTimes() const { return m_pongTimes; }
+    void forgetPongsBefore(TimePoint at);
     // Refuses further statements of open transactions, and rolls these back.
     void endTransactions() { m_isEndingTransactions = true; }
     // Whether statements are unanswered, or open transactions may go on.
     bool hasWork() const;
+    // Accepts no new connections; existing ones stay open.
     void stop();
     // Sends to all hosts that have reported usage of client accounts.
     void broadcastQuotaState(const peer::QuotaState& state);
@@ -91,6 +96,7 @@
     const PeerCallbacks& m_callbacks;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::unordered_set<ConnectionPtr> m_connections;
+    PongTimes m_pongTimes;
 };
 
 }
--- a/src/gateway/peers.cpp
+++ b/src/gateway/peers.cpp
@@ -13,6 +13,7 @@
 static constexpr milliseconds kConnectTimeout { 250 }; // must exceed the round trip between data centres, 40 ms at most; a host that is starting may drop the attempt
 static constexpr milliseconds kConnectGrace { 100 }; // a host that takes longer to connect to is not used until it is connected
 static constexpr milliseconds kReconnectDelay { 100 };
+static constexpr milliseconds kPongTimeRetention { 60000 }; // must exceed the time for which a host relies on an answered ping
 static constexpr milliseconds kMissingMemberRetryDelay { 1000 }; // before a host that did not know a member is used for it again
 
 Peers::Peers(boost::asio::io_context& context, std::string name, PeerCallbacks callbacks)
@@ -52,6 +53,7 @@
             makeLink(name)->partner = partner;
     }
     std::erase_if(m_reportedLoads, [&](auto& it) { return !m_hosts.contains(it.first); });
+    m_inbound.forgetPongsBefore(Clock::now() - kPongTimeRetention);
     ++m_version;
 }
 
@@ -145,12 +147,6 @@
     return it != m_links.end() && it->second->isUp && it->second->hasAnswered;
 }
 
-TimePoint Peers::getAnsweredPingAt(const std::string& host) const
-{
-    auto it = m_links.find(host);
-    return it == m_links.end() ? TimePoint {} : it->second->answeredPingAt;
-}
-
 bool Peers::isLeaving(const std::string& host) const
 {
     auto it = m_links.find(host);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -35,8 +35,8 @@
     bool isUp(const std::string& host) const;
     // Whether the host has answered a ping on the current connection from this host.
     bool isAnswering(const std::string& host) const;
-    // When the last ping was sent that the host has answered; zero: none.
-    TimePoint getAnsweredPingAt(const std::string& host) const;
+    // Of the pings that this host has answered lately.
+    const PongTimes& getPongTimes() const { return m_inbound.getPongTimes(); }
     bool isLeaving(const std::string& host) const;
     // Whether new work may be sent to the host.
     bool isUsable(const std::string& host) const { return isUp(host) && !isLeaving(host); }
--- a/src/gateway/peers_link.h
+++ b/src/gateway/peers_link.h
@@ -27,7 +27,6 @@
     bool hasAnswered { false }; // a ping on the current connection
     TimePoint lastReceivedAt {}; // on the current connection, or when it was started
     TimePoint lastPongAt {}; // on any connection to the host
-    TimePoint answeredPingAt {}; // when the last ping was sent that was answered, on any connection to the host
     TimePoint lastPingAt {};
     TimePoint membersRequestedAt {};
     TimePoint connectStartedAt {};
--- a/src/gateway/peers_messages.cpp
+++ b/src/gateway/peers_messages.cpp
@@ -182,7 +182,6 @@
     auto sentAt = it->second;
     link->pendingPings.erase(link->pendingPings.begin(), std::next(it));
     link->lastPongAt = now;
-    link->answeredPingAt = sentAt;
     std::chrono::duration<double, std::milli> roundTrip = now - sentAt;
     link->roundTripMs = link->hasAnswered ? link->roundTripMs + kRoundTripSmoothing * (roundTrip.count() - link->roundTripMs) : roundTrip.count();
     m_version += link->isLeaving == pong.is_leaving() ? 0 : 1;
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -15,8 +15,6 @@
 using base::Clock;
 using base::LogClass;
 
-static constexpr milliseconds kRecordCheckInterval { 100 };
-static constexpr milliseconds kStoreTimeout { 600 }; // of a write of the coordinator record
 static constexpr milliseconds kNoPrimaryDelay { 600 }; // how long no primary may be known before an attempt to find or promote one
 static constexpr milliseconds kRelistingTime { 2500 }; // members whose entries expired during a store outage register again within this time
 static constexpr milliseconds kStandbyDelay { 300 }; // added for each rank before a reported primary is checked
@@ -38,80 +36,6 @@
     return decisions::canPerform(host == m_context.self.host ? getCapabilities() : m_context.peers.getCapabilities(host), task);
 }
 
-// Whether this host is the best-ranked live host that can write the record, or the best-ranked live host if none can. Called often by
-// every host for every group, so it stops at the first match instead of ranking all hosts.
-bool Promoter::isFirstCandidate(const std::string& group) const
-{
-    const std::string* firstLive = nullptr;
-    for (auto& name : getRankedHosts(m_context.view, group)) {
-        if (!isLive(name))
-            continue;
-        if (canPerformTask(name, decisions::PromotionTask::HandOver))
-            return name == m_context.self.host;
-        firstLive = firstLive ? firstLive : &name;
-    }
-    return firstLive && *firstLive == m_context.self.host;
-}
-
-// The live hosts needed to check the record: this host, its coordinators, and the best-ranked ones up to kCoordinatorCount.
-std::vector<decisions::LiveCandidate> Promoter::getLiveCandidates(const std::string& group, const GroupState& state) const
-{
-    std::vector<decisions::LiveCandidate> live;
-    auto addCandidate = [&](const decisions::Coordinator& it) {
-        if (std::ranges::find(live, it, &decisions::LiveCandidate::coordinator) == live.end())
-            live.push_back({ it, canPerformTask(it.host, decisions::PromotionTask::HandOver) });
-    };
-    addCandidate(m_context.self);
-    for (auto& it : state.record.coordinators) {
-        auto host = m_context.view.hosts.find(it.host);
-        if (host != m_context.view.hosts.end() && host->second.incarnation == it.incarnation && isLive(it.host))
-            addCandidate(it);
-    }
-    for (auto& name : getRankedHosts(m_context.view, group)) {
-        if (live.size() >= decisions::kCoordinatorCount)
-            break;
-        if (isLive(name))
-            addCandidate({ name, m_context.view.hosts.at(name).incarnation });
-    }
-    return live;
-}
-
-std::vector<decisions::RankedCandidate> Promoter::rankLiveHosts(const std::string& group) const
-{
-    std::vector<decisions::RankedCandidate> ranked;
-    for (auto& name : getRankedHosts(m_context.view, group)) {
-        if (!isLive(name))
-            continue;
-        auto& host = m_context.view.hosts.at(name);
-        ranked.push_back({ { name, host.incarnation }, host.dataCentre });
-    }
-    return ranked;
-}
-
-void Promoter::applyCoordinatorRecord(const std::string& group, const links::StoreItem& item)
-{
-    auto& state = m_groups[group];
-    if (item.revision < state.revision)
-        return;
-    state.revision = item.isDeleted ? 0 : item.revision;
-    auto record = decisions::parseCoordinatorRecord(item.value);
-    // A host that starts now would find no record and begin with token 1 again, so a host that knows the previous record must replace it.
-    state.mustRenewRecord = item.isDeleted || !record;
-    if (state.mustRenewRecord) {
-        base::incrementCounter(base::MetricFamily::EntriesRefused, { { "result", item.isDeleted ? "gone" : "unreadable" } });
-        base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) }, { "reason", item.isDeleted ? std::string_view("the coordinator record was deleted") : std::string_view("the value is not a coordinator record") }, { "revision", static_cast<int64_t>(item.revision) } });
-        return;
-    }
-    if (*record == state.record)
-        return;
-    state.record = *record;
-    state.firstUsableRank = 0;
-    state.orderCount = 0;
-    auto rank = decisions::findRank(*record, m_context.self);
-    std::string_view firstCoordinator = record->coordinators.empty() ? std::string_view() : std::string_view(record->coordinators.front().host);
-    base::logEvent(LogClass::State, "succession", { { "group", std::string_view(group) }, { "holder", firstCoordinator }, { "first_token", static_cast<int64_t>(record->firstToken) }, { "rank_here", rank ? static_cast<int64_t>(*rank) : int64_t { -1 } }, { "revision", static_cast<int64_t>(item.revision) } });
-}
-
 void Promoter::raiseAlarm(const std::string& group, const std::string& reason)
 {
     auto& state = m_groups[group];
@@ -279,39 +203,4 @@
     }
 }
 
-void Promoter::maintainCoordinatorRecord(const std::string& group, GroupState& state, TimePoint now)
-{
-    if (state.isWritingRecord || state.isPromoting || m_context.isDraining || now - state.startedAt < kStoreTimeout || now - state.recordCheckedAt < kRecordCheckInterval)
-        return;
-    state.recordCheckedAt = now;
-    if (!isFirstCandidate(group))
-        return;
-    bool mustRenew = state.firstUsableRank > 0 || state.mustRenewRecord;
-    if (!mustRenew && !decisions::isCoordinatorRecordDue(state.record, getLiveCandidates(group, state)))
-        return;
-    auto ranked = rankLiveHosts(group);
-    std::ranges::stable_partition(ranked, [this](const decisions::RankedCandidate& it) { return canPerformTask(it.coordinator.host, decisions::PromotionTask::HandOver); });
-    state.isWritingRecord = true;
-    asio::co_spawn(m_context.context, writeCoordinatorRecord(group, decisions::makeCoordinatorRecord(state.record, ranked), state.revision), asio::detached);
-}
-
-asio::awaitable<void> Promoter::writeCoordinatorRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision)
-{
-    auto key = std::string(kCoordinatorRecordPrefix) + group;
-    links::StoreChange change;
-    change.expected.emplace_back(key, revision);
-    change.puts.push_back({ .key = key, .value = decisions::formatCoordinatorRecord(record) });
-    auto written = co_await m_context.platform.getStore().change(std::move(change), Clock::now() + kStoreTimeout);
-    auto& state = m_groups[group];
-    if (written)
-        applyCoordinatorRecord(group, { .key = key, .value = decisions::formatCoordinatorRecord(record), .revision = *written });
-    else if (written.error().kind == links::StoreErrorKind::Conflict) {
-        for (auto& it : written.error().items)
-            applyCoordinatorRecord(group, it);
-    }
-    if (!written)
-        co_await base::sleepFor(kAttemptCooldown);
-    state.isWritingRecord = false;
-}
-
 }
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -5,6 +5,7 @@
 //   promoter.cpp            which host acts, and when
 //   promoter_attempts.cpp   one attempt to replace a primary, and its order
 //   promoter_evidence.cpp   status queries to members and witnesses
+//   promoter_records.cpp    the coordinator record in the platform's store
 //   promoter_pending.cpp    orders that may be carried out late, in groups with synchronous replicas
 //   promoter_suspension.cpp replicas that are suspended meanwhile
 #pragma once
@@ -52,11 +53,10 @@
     void onPromotionOrdered(const std::string& group, const std::string& host);
     // Another host has sent an order that may be carried out, or reports that its order was refused.
     void onPendingPromotion(const peer::PendingPromotion& wire);
-    // The same, as another host reports it in its answer to a ping.
-    void onReportedPromotion(const peer::PendingPromotion& wire, TimePoint pingSentAt);
     void onPendingPromotionAcknowledged(const std::string& host, uint64_t number);
-    // The orders of this host that may be carried out, as it reports them to others.
-    std::vector<peer::PendingPromotion> getPendingPromotions() const;
+    // Add to an answer to a ping, and read from one, the sender's orders that may be carried out and the groups that it coordinates.
+    void writeOrders(peer::Pong& pong) const;
+    void readOrders(const std::string& host, const peer::Pong& pong, TimePoint pingSentAt);
     // The members of the group that may be promoted at any moment: those of known orders, or all if this host may not have been told of one.
     PossibleSuccessors getPossibleSuccessors(const std::string& group) const;
     // Asks from this host, or from a witness if this host does not reach the member.
@@ -75,14 +75,27 @@
         std::string member {}; // empty: it has lost its log and did not catch up, so that another one can be chosen
         bool hasLostLog { false }; // the member has restarted, and must catch up before it is ordered again
         uint64_t previousTerm { 0 }; // newest term that a member had shown before the order: it is settled once one proves a newer term
-        std::string host {}; // that sent it; empty: this host, or unknown
+        decisions::Coordinator sender {}; // empty: unknown
         bool isInForce { false }; // it was sent, and the platform has not refused it
         TimePoint since {};
     };
 
+    // Members, by the process that has ordered their promotion.
+    using OrderedMembers = std::map<decisions::Coordinator, std::set<std::string>>;
+
+    // A coordinator's latest answer to a ping.
+    struct CoordinatorAnswer {
+        uint64_t incarnation { 0 }; // of the process that answered
+        uint64_t recordRevision { 0 }; // of the coordinator record that it knew
+        TimePoint pingSentAt {};
+    };
+
     struct GroupState {
         decisions::CoordinatorRecord record {};
         uint64_t revision { 0 }; // of the record in the store; 0: no record
+        TimePoint coordinatorSince {}; // when this process learned that it is a coordinator
+        std::map<std::string, CoordinatorAnswer> coordinatorAnswers {}; // by host; with synchronous replicas only
+        OrderedMembers refusedMembers {}; // of orders that were refused, or not sent, and may still be in the record
         bool isWritingRecord { false };
         bool mustRenewRecord { false }; // the stored record was deleted or is unreadable
         bool isPromoting { false }; // replacePrimary() is running
@@ -98,8 +111,8 @@
         std::string alarmReason {};
         std::string loggedCoordinator {}; // acting coordinator in the last log line
         std::optional<PendingPromotion> pending {};
-        std::map<std::string, TimePoint> refusedAt {}; // when another host last reported that its order was refused
-        std::map<std::string, std::set<std::string>> orderedMembers {}; // of all orders since `pending` was set, by the host that sent them; empty name: this host, or unknown
+        std::map<decisions::Coordinator, TimePoint> refusedAt {}; // when a process last reported that its order was refused
+        OrderedMembers orderedMembers {}; // of all orders since `pending` was set
         std::set<std::string> resumable {}; // members that this host has suspended, for orders that were not sent or were refused
         bool wasActing { false }; // this host was the acting coordinator at the last sweep
         bool mustCheckSuspensions { false }; // replicas may be suspended that nobody resumes
@@ -140,10 +153,24 @@
     bool mustActNow(const GroupState& state, const DueTask& due, TimePoint now) const;
     bool mustHandOver(const GroupView& groupView) const;
     void maintainCoordinatorRecord(const std::string& group, GroupState& state, TimePoint now);
+    enum class RecordWrite {
+        Written,
+        Conflict, // the record has changed
+        Unknown, // the store did not answer, or refused
+    };
     boost::asio::awaitable<void> writeCoordinatorRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision);
+    boost::asio::awaitable<RecordWrite> storeRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision);
+    std::vector<decisions::RecordedOrder> getRecordedOrders(const std::string& group, const GroupState& state) const;
+    void withdrawRemovedOrders(const std::string& group, const decisions::RecordedOrders& before);
+    boost::asio::awaitable<bool> recordOrder(std::string group, std::string member, uint64_t previousTerm);
+    bool mayPromoteOther(const std::string& group, const GroupState& state, const std::string& member) const;
+    void removeRefusedOrders(const std::string& group, GroupState& state);
+    void applyRecordedOrders(const std::string& group, GroupState& state);
     boost::asio::awaitable<void> replacePrimary(std::string group, bool isPlanned, std::string cause);
-    boost::asio::awaitable<bool> isPrimaryDead(std::string group, TargetAddress primary);
     struct ReplicaQuery;
+    boost::asio::awaitable<bool> isReplacementDue(std::string group, PromotionAttempt attempt, std::shared_ptr<ReplicaQuery> replicas);
+    void endAttempt(const std::string& group, const PromotionAttempt& attempt, bool wasOrdered);
+    boost::asio::awaitable<bool> isPrimaryDead(std::string group, TargetAddress primary);
     // Asks the replicas for their status, and with `includePrimary` the primary too: it counts as reached, but is no candidate.
     void queryReplicas(const std::string& group, const std::string& primary, bool includePrimary, const std::shared_ptr<ReplicaQuery>& replicas);
     boost::asio::awaitable<void> queryReplica(MemberView member, bool isCandidate, std::shared_ptr<ReplicaQuery> replicas);
@@ -157,12 +184,17 @@
     boost::asio::awaitable<bool> actOnEvidence(std::string group, std::vector<decisions::MemberFinding> findings, PromotionAttempt attempt);
     std::optional<std::string> chooseSuccessor(const std::string& group, const std::vector<decisions::MemberFinding>& findings, uint64_t newestTerm) const;
     boost::asio::awaitable<bool> promoteSuccessor(std::string group, std::string successor, std::vector<decisions::MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt);
+    boost::asio::awaitable<bool> promoteGuarded(std::string group, std::string successor, std::vector<decisions::MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt);
     struct OrderToken {
         size_t rank { 0 }; // of this host in the record that the token is from
         uint64_t token { 0 };
     };
     std::optional<OrderToken> takeFencingToken(const std::string& group);
     boost::asio::awaitable<bool> orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt, OrderToken token);
+    boost::asio::awaitable<links::PromotionResult> sendOrder(std::string group, std::string member, OrderToken token);
+    boost::asio::awaitable<uint64_t> findPromotedTerm(std::string member, uint64_t previousTerm);
+    void noteOrderInForce(const std::string& group, links::PromotionResult result);
+    boost::asio::awaitable<std::string_view> findReasonNotToRepeat(std::string group, std::string member, PromotionAttempt attempt);
     void applyPromotion(const std::string& group, const std::string& member, uint64_t term);
     // No default arguments: g++ 12 destroys them twice within a co_await expression.
     boost::asio::awaitable<StatusReport> queryStatus(std::string host, TargetAddress target, links::StatusQuery query);
@@ -179,26 +211,32 @@
     bool mustChooseAnew(const std::string& group) const;
     void giveUpMemberWithoutLog(const std::string& group);
     void setPending(const std::string& group, PendingPromotion pending, std::string_view source);
-    // An announced order was not sent: an earlier one binds the next attempt as before.
-    void withdrawPending(const std::string& group, const std::optional<PendingPromotion>& before);
+    // `before`: the order that was pending before this process announced one that it does not send.
+    void withdrawAnnouncedOrder(const std::string& group, const std::optional<PendingPromotion>& before);
+    void withdrawOwnOrders(const std::string& group);
     void settlePending(const std::string& group, std::string_view reason);
     // Settles the pending order if its member says that it is primary: an order for the present primary changes nothing.
     bool settleIfPromoted(const std::string& group, const std::vector<decisions::MemberFinding>& findings, uint64_t newestTerm);
     enum class PendingState { MayBeCarriedOut,
         Refused };
+    peer::PendingPromotion makeWireOrder(const std::string& group, const std::string& member, uint64_t previousTerm) const;
     // Returns the number of the announcement.
     uint64_t announcePending(const std::string& group, const std::string& member, uint64_t previousTerm, PendingState pendingState);
     // Hosts that are being told of an order, until all have answered.
     struct Announcement {
-        Announcement(const boost::asio::any_io_executor& executor, size_t count)
-            : latch(executor, count)
+        explicit Announcement(const boost::asio::any_io_executor& executor)
+            : latch(executor, 1)
         {
         }
         base::Latch latch;
-        std::set<std::string> unacknowledged {};
+        std::map<std::string, TimePoint> unacknowledged {}; // by host: when its last ping before the announcement was answered; zero: not lately
     };
     boost::asio::awaitable<void> announceToAllHosts(std::string group, std::string member, uint64_t previousTerm);
-    static void logAnnouncement(const std::string& group, const std::string& member, const Announcement& announcement);
+    std::map<std::string, TimePoint> findHostsToTell() const;
+    bool mayAnyHostRelyOnAnswer(const GroupState& state, const Announcement& announcement) const;
+    void onReportedPromotion(const peer::PendingPromotion& wire, TimePoint pingSentAt);
+    void applyOrder(const std::string& group, const decisions::RecordedOrder& order, uint64_t previousTerm, std::string_view source);
+    void withdrawOrdersOf(const std::string& group, const decisions::Coordinator& sender);
     bool mayMissOrder(const GroupState& state) const;
     void maintainSuspensions(const std::string& group, const GroupView& groupView, GroupState& state, TimePoint now);
     void releaseSuspensions(const std::string& group);
--- a/src/gateway/promoter_attempts.cpp
+++ b/src/gateway/promoter_attempts.cpp
@@ -17,6 +17,7 @@
 
 static constexpr milliseconds kOrderTimeout { 800 }; // then the member itself is asked whether it is primary; the platform usually answers within tens of ms
 static constexpr milliseconds kOrderRetryDelay { 150 };
+static constexpr std::string_view kSupersededReason = "this host is no coordinator any more, or another member may be promoted";
 static constexpr std::string_view kUnguardedReason = "the successor may lack commits that are acknowledged";
 static constexpr int kMaxOrderAttempts = 8; // with one fencing token, while the result is unknown or busy
 
@@ -31,41 +32,53 @@
 
 asio::awaitable<void> Promoter::replacePrimary(std::string group, bool isPlanned, std::string cause)
 {
-    auto knownPrimary = m_context.view.groups[group].primary;
-    auto startedAt = Clock::now();
-    base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(knownPrimary.member) }, { "term", static_cast<int64_t>(knownPrimary.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
-    bool isDue = true;
-    bool wasOrdered = false;
+    PromotionAttempt attempt { m_context.view.groups[group].primary, isPlanned, Clock::now() };
+    auto& primary = attempt.primary;
+    base::logEvent(LogClass::State, "promotion-considered", { { "group", std::string_view(group) }, { "primary", std::string_view(primary.member) }, { "term", static_cast<int64_t>(primary.term) }, { "cause", std::string_view(cause) }, { "planned", isPlanned } });
     if (mustChooseAnew(group)) // the next member may have to catch up first
-        co_await resumeAllReplicas(group, knownPrimary.member);
+        co_await resumeAllReplicas(group, primary.member);
     if (isPlanned && !isBoundToSuccessor(group))
-        co_await waitForReplicaCatchUp(group, knownPrimary.member);
+        co_await waitForReplicaCatchUp(group, primary.member);
     auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
-    queryReplicas(group, knownPrimary.member, isPlanned, replicas);
-    auto member = m_context.view.members.find(knownPrimary.member);
-    if (member != m_context.view.members.end() && !isPlanned)
-        isDue = co_await isPrimaryDead(group, member->second.getTarget());
+    queryReplicas(group, primary.member, isPlanned, replicas);
+    bool wasOrdered = false;
+    bool isDue = co_await isReplacementDue(group, attempt, replicas);
+    if (isDue)
+        wasOrdered = co_await actOnEvidence(group, replicas->findings, attempt);
+    endAttempt(group, attempt, wasOrdered);
+}
+
+// Examines the primary while the replicas are asked, and waits for their answers.
+asio::awaitable<bool> Promoter::isReplacementDue(std::string group, PromotionAttempt attempt, std::shared_ptr<ReplicaQuery> replicas)
+{
+    auto member = m_context.view.members.find(attempt.primary.member);
+    if (member != m_context.view.members.end() && !attempt.isPlanned) {
+        auto target = member->second.getTarget();
+        bool isDead = co_await isPrimaryDead(group, target);
+        if (!isDead)
+            co_return false;
+    }
     // Counted after the examination: a network partition shows up in the connections to other hosts only after their timeouts.
     auto reachability = m_context.peers.getReachability();
-    if (isDue && !isPlanned && !decisions::canJudgePrimary(reachability)) {
-        isDue = false;
+    if (!attempt.isPlanned && !decisions::canJudgePrimary(reachability)) {
         base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", std::string_view("most other hosts are unreachable") }, { "hosts_answering", static_cast<int64_t>(reachability.answering) }, { "hosts_lost", static_cast<int64_t>(reachability.lost) } });
+        co_return false;
     }
-    if (isDue)
-        co_await replicas->latch.wait();
-    auto& groupView = m_context.view.groups[group];
-    PromotionAttempt attempt { knownPrimary, isPlanned, startedAt };
-    auto holdBackReason = isDue ? findHoldBackReason(group, attempt) : std::string_view();
+    co_await replicas->latch.wait();
+    auto holdBackReason = findHoldBackReason(group, attempt);
     if (!holdBackReason.empty()) {
-        isDue = false;
-        base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(groupView.primary.member) }, { "term", static_cast<int64_t>(groupView.primary.term) } });
+        auto& primary = m_context.view.groups[group].primary;
+        logHoldBack(group, holdBackReason, primary.member, primary.term);
     }
-    if (isDue)
-        wasOrdered = co_await actOnEvidence(group, replicas->findings, attempt);
-    auto& state = m_groups[group];
-    std::chrono::duration<double, std::milli> took = Clock::now() - startedAt;
+    co_return holdBackReason.empty();
+}
+
+void Promoter::endAttempt(const std::string& group, const PromotionAttempt& attempt, bool wasOrdered)
+{
+    std::chrono::duration<double, std::milli> took = Clock::now() - attempt.startedAt;
     base::logEvent(LogClass::State, "promotion-ended", { { "group", std::string_view(group) }, { "ms", took.count() } });
     releaseSuspensions(group);
+    auto& state = m_groups[group];
     state.isPromoting = false;
     state.alarmedAt = {};
     state.nextAttemptAt = Clock::now() + (wasOrdered ? kPromotionGracePeriod : kAttemptCooldown);
@@ -144,31 +157,45 @@
     m_context.peers.announcePrimary(group, member, term);
 }
 
-// With synchronous replicas, only if no order can lose an acknowledged commit.
 asio::awaitable<bool> Promoter::promoteSuccessor(std::string group, std::string successor, std::vector<MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt)
 {
-    // Taken first: while this host waits for others, another one may renew the record. The platform takes this token until it has seen a newer one.
+    if (getSynchronousReplicas(group) > 0)
+        co_return co_await promoteGuarded(group, successor, std::move(findings), previousTerm, attempt);
     auto token = takeFencingToken(group);
     if (!token)
         co_return false;
-    if (getSynchronousReplicas(group) > 0) {
+    co_return co_await orderPromotion(group, successor, previousTerm, attempt, *token);
+}
+
+// In groups with synchronous replicas: only if the order cannot lose a commit that a caller was told of, whenever it is carried out.
+asio::awaitable<bool> Promoter::promoteGuarded(std::string group, std::string successor, std::vector<MemberFinding> findings, uint64_t previousTerm, PromotionAttempt attempt)
+{
+    PendingPromotion pending { successor, false, attempt.shownTerm, m_context.self, hasOrderInForce(group), Clock::now() };
+    auto before = m_groups[group].pending;
+    setPending(group, pending, "announced");
+    bool isRecorded = co_await recordOrder(group, successor, attempt.shownTerm);
+    // Taken before the waits: meanwhile another host may renew the record. The platform takes this token until it has seen a newer one.
+    auto token = isRecorded ? takeFencingToken(group) : std::nullopt;
+    std::string_view reason = token ? std::string_view() : kSupersededReason;
+    if (token) {
         // Known to all hosts before logs are compared: what is acknowledged from then on is held by the successor.
-        PendingPromotion pending { successor, false, attempt.shownTerm, {}, hasOrderInForce(group), Clock::now() };
-        auto before = m_groups[group].pending;
-        setPending(group, pending, "announced");
         co_await announceToAllHosts(group, successor, attempt.shownTerm);
         attempt.guard = co_await guardCommits(group, attempt.primary.member, successor, std::move(findings), attempt.shownTerm);
-        std::string_view reason = attempt.guard == CommitGuard::Failed ? kUnguardedReason : findHoldBackReason(group, attempt);
-        if (!reason.empty()) {
-            logHoldBack(group, reason, successor, attempt.shownTerm);
-            withdrawPending(group, before);
-            giveUpMemberWithoutLog(group);
-            co_return false;
-        }
+        bool isSuperseded = m_groups[group].pending && m_groups[group].pending->member != successor; // this host was told of another order meanwhile
+        if (attempt.guard == CommitGuard::Failed)
+            reason = kUnguardedReason;
+        else
+            reason = isSuperseded ? kSupersededReason : findHoldBackReason(group, attempt);
+    }
+    if (!reason.empty()) {
+        logHoldBack(group, reason, successor, attempt.shownTerm);
+        withdrawAnnouncedOrder(group, before);
+        giveUpMemberWithoutLog(group);
+        co_return false;
     }
     bool isPromoted = co_await orderPromotion(group, successor, previousTerm, attempt, *token);
     if (!isPromoted && !hasOrderInForce(group))
-        settlePending(group, "refused");
+        withdrawOwnOrders(group);
     co_return isPromoted;
 }
 
@@ -189,61 +216,85 @@
 // Uses one fencing token for one member. An unanswered order may still be carried out, so it is repeated unchanged.
 asio::awaitable<bool> Promoter::orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt, OrderToken token)
 {
-    auto& state = m_groups[group];
     for (int i = 0; i < kMaxOrderAttempts; ++i) {
         auto askedAt = Clock::now();
-        // A named variable, as g++ 12 destroys aggregates created within a co_await expression twice.
-        links::PromotionOrder request { group, member, m_context.self.host, token.token };
-        auto result = co_await m_context.platform.promote(request, askedAt + kOrderTimeout);
-        static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
-        std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
-        base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(token.token) }, { "result", std::string_view(names[static_cast<size_t>(result)]) }, { "ms", took.count() } });
-        base::incrementCounter(base::MetricFamily::PromotionOrders, { { "group", group }, { "result", names[static_cast<size_t>(result)] } });
-        // Set for rejected orders only: an unanswered one may still be carried out, unless a standby uses a higher token first.
-        m_orderRejectedAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
-        bool isPromoted = result == PromotionResult::Done;
-        auto newTerm = previousTerm + 1;
-        auto chosen = m_context.view.members.find(member);
-        if (result == PromotionResult::Unknown && chosen != m_context.view.members.end()) {
-            auto target = chosen->second.getTarget();
-            auto finding = co_await queryStatus(m_context.self.host, target);
-            isPromoted = finding.wasReached && finding.status.isPrimary && finding.status.term > previousTerm;
-            newTerm = std::max(newTerm, finding.status.term);
-        }
-        if (state.pending && (isPromoted || result == PromotionResult::Unknown)) {
-            state.pending->isInForce = true;
-            state.resumable.clear();
-        }
-        if (isPromoted) {
+        auto result = co_await sendOrder(group, member, token);
+        auto newTerm = result == PromotionResult::Done ? previousTerm + 1 : uint64_t { 0 };
+        if (result == PromotionResult::Unknown)
+            newTerm = co_await findPromotedTerm(member, previousTerm);
+        noteOrderInForce(group, result);
+        if (newTerm != 0) {
             applyPromotion(group, member, newTerm);
             co_return true;
         }
-        if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning) {
-            if (result == PromotionResult::Outranked) // a higher token was used: renew the record
-                state.firstUsableRank = std::max(state.firstUsableRank, token.rank + 1);
+        auto& state = m_groups[group];
+        if (result == PromotionResult::Outranked) // a higher token was used: renew the record
+            state.firstUsableRank = std::max(state.firstUsableRank, token.rank + 1);
+        if (result == PromotionResult::Outranked || result == PromotionResult::NotRunning)
             co_return false;
-        }
         co_await base::sleepFor(kOrderRetryDelay);
         // Another coordinator may have taken over, in particular if this process was suspended.
-        if (Clock::now() - askedAt > kOrderTimeout + kOrderRetryDelay + kAttemptCooldown || token.rank < state.firstUsableRank || m_context.isDraining)
-            co_return false;
-        if (auto holdBackReason = findHoldBackReason(group, attempt); !holdBackReason.empty()) {
-            base::logEvent(LogClass::State, "promotion-held-back", { { "group", std::string_view(group) }, { "reason", holdBackReason }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(token.token) } });
+        bool isOutdated = Clock::now() - askedAt > kOrderTimeout + kOrderRetryDelay + kAttemptCooldown || token.rank < state.firstUsableRank;
+        if (isOutdated || m_context.isDraining)
             co_return false;
-        }
-        if (attempt.guard == CommitGuard::NotNeeded)
-            continue;
-        if (state.pending && state.pending->hasLostLog) {
-            logHoldBack(group, "the member of the order has lost its log", member, attempt.shownTerm);
-            co_return false;
-        }
-        bool isGuarded = co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
-        if (!isGuarded) {
-            logHoldBack(group, kUnguardedReason, member, attempt.shownTerm);
+        std::string_view reason = co_await findReasonNotToRepeat(group, member, attempt);
+        if (!reason.empty()) {
+            logHoldBack(group, reason, member, attempt.shownTerm);
             co_return false;
         }
     }
     co_return false;
 }
 
+asio::awaitable<PromotionResult> Promoter::sendOrder(std::string group, std::string member, OrderToken token)
+{
+    static constexpr std::array names { "done", "outranked", "not-running", "busy", "unknown" };
+    auto askedAt = Clock::now();
+    // A named variable, as g++ 12 destroys aggregates created within a co_await expression twice.
+    links::PromotionOrder request { group, member, m_context.self.host, token.token };
+    auto result = co_await m_context.platform.promote(request, askedAt + kOrderTimeout);
+    std::string_view name = names[static_cast<size_t>(result)];
+    std::chrono::duration<double, std::milli> took = Clock::now() - askedAt;
+    base::logEvent(LogClass::State, "promotion-ordered", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "token", static_cast<int64_t>(token.token) }, { "result", name }, { "ms", took.count() } });
+    base::incrementCounter(base::MetricFamily::PromotionOrders, { { "group", group }, { "result", name } });
+    // Set for rejected orders only: an unanswered one may still be carried out, unless a standby uses a higher token first.
+    m_orderRejectedAt = result == PromotionResult::Busy ? Clock::now() : TimePoint {};
+    co_return result;
+}
+
+// The term that the member of an unanswered order leads by now; 0: none.
+asio::awaitable<uint64_t> Promoter::findPromotedTerm(std::string member, uint64_t previousTerm)
+{
+    auto it = m_context.view.members.find(member);
+    if (it == m_context.view.members.end())
+        co_return 0;
+    auto target = it->second.getTarget();
+    auto report = co_await queryStatus(m_context.self.host, target);
+    bool isPromoted = report.wasReached && report.status.isPrimary && report.status.term > previousTerm;
+    co_return isPromoted ? report.status.term : 0;
+}
+
+void Promoter::noteOrderInForce(const std::string& group, PromotionResult result)
+{
+    auto& state = m_groups[group];
+    bool mayBeCarriedOut = result == PromotionResult::Done || result == PromotionResult::Unknown;
+    if (!state.pending || !mayBeCarriedOut)
+        return;
+    state.pending->isInForce = true;
+    state.resumable.clear();
+}
+
+// Empty: the order is repeated.
+asio::awaitable<std::string_view> Promoter::findReasonNotToRepeat(std::string group, std::string member, PromotionAttempt attempt)
+{
+    auto reason = findHoldBackReason(group, attempt);
+    if (!reason.empty() || attempt.guard == CommitGuard::NotNeeded)
+        co_return reason;
+    auto& state = m_groups[group];
+    if (state.pending && state.pending->hasLostLog)
+        co_return "the member of the order has lost its log";
+    bool isGuarded = co_await renewGuard(group, attempt.primary.member, member, attempt.shownTerm);
+    co_return isGuarded ? std::string_view() : kUnguardedReason;
+}
+
 }
--- a/src/gateway/promoter_evidence.h
+++ b/src/gateway/promoter_evidence.h
@@ -5,6 +5,7 @@
 
 namespace alderward::gateway {
 
+inline constexpr milliseconds kRecordCheckInterval { 100 };
 inline constexpr milliseconds kAttemptCooldown { 400 }; // after an attempt without a promotion, and after a failed write of the record
 inline constexpr milliseconds kHoldPropagationTime { 60 }; // until all hosts hold their writes and the writes already sent have run; one way between hosts takes 20 ms at most
 inline constexpr milliseconds kCatchUpTimeout { 800 }; // how long a handover waits for a replica to catch up
--- a/src/gateway/promoter_pending.cpp
+++ b/src/gateway/promoter_pending.cpp
@@ -13,9 +13,9 @@
 using decisions::MemberFinding;
 
 static constexpr milliseconds kAcknowledgementTimeout { 300 }; // of another host that is told of an order; a round trip takes 40 ms at most
-static constexpr milliseconds kAssuranceTime { 3000 }; // must exceed the interval of pings to coordinators
+static constexpr milliseconds kAssuranceTime { 2000 }; // must exceed the interval of pings to coordinators
 static constexpr milliseconds kAssuranceMargin { 200 }; // for the delays of timers
-static constexpr milliseconds kAbsenceCheckInterval { 50 };
+static constexpr milliseconds kRelianceCheckInterval { 50 };
 
 unsigned Promoter::getSynchronousReplicas(const std::string& group) const
 {
@@ -29,27 +29,39 @@
     return it != m_groups.end() && it->second.pending && it->second.pending->isInForce;
 }
 
-// Coordinators tell of an order in their answers to pings, too. So a host whose ping was answered by all of them within kAssuranceTime knows the orders
-// that were announced before.
+// Coordinators report their orders in answers to pings, too. So a host whose pings were answered by all processes of the current record within
+// kAssuranceTime knows the orders that were announced before.
 bool Promoter::mayMissOrder(const GroupState& state) const
 {
     auto& coordinators = state.record.coordinators;
     auto oldest = Clock::now() - kAssuranceTime;
-    bool isInTouch = std::ranges::all_of(coordinators, [&](const decisions::Coordinator& it) { return it.host == m_context.self.host || m_context.peers.getAnsweredPingAt(it.host) > oldest; });
-    return coordinators.empty() || !isInTouch;
+    auto hasAnswered = [&](const decisions::Coordinator& it) {
+        auto answer = state.coordinatorAnswers.find(it.host);
+        return answer != state.coordinatorAnswers.end() && answer->second.incarnation == it.incarnation && answer->second.recordRevision <= state.revision && answer->second.pingSentAt > oldest;
+    };
+    bool areInTouch = std::ranges::all_of(coordinators, [&](const decisions::Coordinator& it) { return it == m_context.self || hasAnswered(it); });
+    bool isAlone = coordinators.size() == 1 && coordinators.front() == m_context.self;
+    bool mayBeReplaced = isAlone && !m_context.hasStore(); // by a record that nobody could tell it of
+    return coordinators.empty() || !areInTouch || mayBeReplaced;
 }
 
 PossibleSuccessors Promoter::getPossibleSuccessors(const std::string& group) const
 {
     auto it = m_groups.find(group);
-    bool isKnown = it != m_groups.end() && it->second.pending;
-    if (!isKnown && (it == m_groups.end() || mayMissOrder(it->second))) {
+    std::set<std::string> ordered;
+    if (it != m_groups.end()) {
+        for (auto& [sender, members] : it->second.orderedMembers)
+            ordered.insert(members.begin(), members.end());
+        for (auto& order : getRecordedOrders(group, it->second))
+            ordered.insert(order.member);
+    }
+    bool isUnknown = ordered.empty() && (it == m_groups.end() || mayMissOrder(it->second));
+    if (isUnknown) {
         auto groupView = m_context.view.groups.find(group);
         return { groupView == m_context.view.groups.end() ? std::vector<std::string>() : groupView->second.members, true };
     }
     PossibleSuccessors successors;
-    for (auto& [host, members] : it->second.orderedMembers)
-        std::ranges::copy_if(members, std::back_inserter(successors.members), [&](const std::string& member) { return m_context.view.members.contains(member); });
+    std::ranges::copy_if(ordered, std::back_inserter(successors.members), [&](const std::string& member) { return m_context.view.members.contains(member); });
     return successors;
 }
 
@@ -74,14 +86,14 @@
 void Promoter::setPending(const std::string& group, PendingPromotion pending, std::string_view source)
 {
     auto& known = m_groups[group].pending;
-    m_groups[group].orderedMembers[pending.host].insert(pending.member);
+    m_groups[group].orderedMembers[pending.sender].insert(pending.member);
     bool isSame = known && known->member == pending.member && known->previousTerm == pending.previousTerm;
     if (isSame) {
         known->isInForce = known->isInForce || pending.isInForce;
         known->hasLostLog = pending.hasLostLog;
         return;
     }
-    logPending(group, pending.member, pending.previousTerm, source, pending.host);
+    logPending(group, pending.member, pending.previousTerm, source, pending.sender.host);
     known = std::move(pending);
 }
 
@@ -93,21 +105,41 @@
     auto pending = std::move(*state.pending);
     state.pending.reset();
     state.orderedMembers.clear();
+    if (reason == "promoted") // recorded orders are settled, too
+        state.refusedMembers.clear();
     state.mustCheckSuspensions = true;
-    logPending(group, pending.member, pending.previousTerm, reason, pending.host);
-    if (reason != "refused" || !pending.host.empty())
+    logPending(group, pending.member, pending.previousTerm, reason, pending.sender.host);
+}
+
+void Promoter::withdrawAnnouncedOrder(const std::string& group, const std::optional<PendingPromotion>& before)
+{
+    auto& state = m_groups[group];
+    bool hasEarlierOrder = before && before->sender == m_context.self;
+    if (!hasEarlierOrder || !state.pending) {
+        withdrawOwnOrders(group);
         return;
-    announcePending(group, pending.member, pending.previousTerm, PendingState::Refused);
-    holdWritesEverywhere(group, m_context.view.groups[group].primary.member, milliseconds(0));
+    }
+    // The earlier order binds the next attempts as before.
+    if (state.pending->member != before->member) {
+        state.orderedMembers[m_context.self].erase(state.pending->member);
+        state.refusedMembers[m_context.self].insert(state.pending->member);
+    }
+    state.pending = before;
 }
 
-void Promoter::withdrawPending(const std::string& group, const std::optional<PendingPromotion>& before)
+void Promoter::withdrawOwnOrders(const std::string& group)
 {
-    auto& pending = m_groups[group].pending;
-    if (before && pending)
-        pending = before;
-    else
-        settlePending(group, "refused");
+    auto& state = m_groups[group];
+    if (!state.pending)
+        return;
+    auto members = state.orderedMembers[m_context.self];
+    auto previousTerm = state.pending->previousTerm;
+    state.refusedMembers[m_context.self].insert(members.begin(), members.end());
+    withdrawOrdersOf(group, m_context.self);
+    for (auto& member : members)
+        announcePending(group, member, previousTerm, PendingState::Refused);
+    if (!state.pending)
+        holdWritesEverywhere(group, m_context.view.groups[group].primary.member, milliseconds(0));
 }
 
 bool Promoter::settleIfPromoted(const std::string& group, const std::vector<MemberFinding>& findings, uint64_t newestTerm)
@@ -121,44 +153,73 @@
     return isPrimary;
 }
 
-uint64_t Promoter::announcePending(const std::string& group, const std::string& member, uint64_t previousTerm, PendingState pendingState)
+// An order of this process, or one that it has found without its sender.
+peer::PendingPromotion Promoter::makeWireOrder(const std::string& group, const std::string& member, uint64_t previousTerm) const
 {
     peer::PendingPromotion wire;
     wire.set_group(group);
     wire.set_member(member);
     wire.set_previous_term(previousTerm);
+    wire.set_host(m_context.self.host);
+    wire.set_incarnation(m_context.self.incarnation);
+    return wire;
+}
+
+uint64_t Promoter::announcePending(const std::string& group, const std::string& member, uint64_t previousTerm, PendingState pendingState)
+{
+    auto wire = makeWireOrder(group, member, previousTerm);
     wire.set_is_refused(pendingState == PendingState::Refused);
     wire.set_number(++m_lastAnnouncement);
-    wire.set_host(m_context.self.host);
     m_context.peers.announcePendingPromotion(wire);
     return wire.number();
 }
 
-// Until all hosts know of the order that is sent next, so that none of them acknowledges a commit which its member lacks. One that does not answer is
-// waited for until it can no longer be sure that there is no order, or until its entry has left the store.
-asio::awaitable<void> Promoter::announceToAllHosts(std::string group, std::string member, uint64_t previousTerm)
+// Also hosts that are not listed any more and still ping this one.
+std::map<std::string, TimePoint> Promoter::findHostsToTell() const
 {
-    auto announcement = std::make_shared<Announcement>(m_context.context.get_executor(), 1);
-    for (auto& [name, host] : m_context.view.hosts) {
-        if (name != m_context.self.host)
-            announcement->unacknowledged.insert(name);
-    }
-    auto announcedAt = Clock::now();
-    if (!announcement->unacknowledged.empty()) {
-        auto number = announcePending(group, member, previousTerm, PendingState::MayBeCarriedOut);
-        m_announcements[number] = announcement;
-        co_await announcement->latch.waitFor(kAcknowledgementTimeout);
-        logAnnouncement(group, member, *announcement);
-        auto isAbsent = [this](const std::string& name) { return !m_context.view.hosts.contains(name); };
-        while (!std::ranges::all_of(announcement->unacknowledged, isAbsent) && Clock::now() < announcedAt + kAssuranceTime + kAssuranceMargin)
-            co_await base::sleepFor(kAbsenceCheckInterval);
-        m_announcements.erase(number);
-    }
+    auto& pongTimes = m_context.peers.getPongTimes();
+    std::map<std::string, TimePoint> hosts { pongTimes.begin(), pongTimes.end() };
+    for (auto& [name, host] : m_context.view.hosts)
+        hosts.try_emplace(name);
+    hosts.erase(m_context.self.host);
+    return hosts;
 }
 
-void Promoter::logAnnouncement(const std::string& group, const std::string& member, const Announcement& announcement)
+// A host that knows an older record relies on the coordinators of that one, for kAssuranceTime at most after this one was appointed.
+bool Promoter::mayAnyHostRelyOnAnswer(const GroupState& state, const Announcement& announcement) const
 {
-    base::logEvent(LogClass::State, "promotion-announced", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "unanswered", std::string_view(fmt::format("{}", fmt::join(announcement.unacknowledged, " "))) } });
+    auto oldest = Clock::now() - kAssuranceTime - kAssuranceMargin;
+    return std::ranges::any_of(announcement.unacknowledged, [&](auto& it) {
+        bool isListed = m_context.view.hosts.contains(it.first);
+        return std::max(it.second, isListed ? state.coordinatorSince : TimePoint {}) > oldest;
+    });
+}
+
+static void logAnnouncement(const std::string& group, const std::string& member, const std::vector<std::string>& unanswered, TimePoint since)
+{
+    std::chrono::duration<double, std::milli> took = Clock::now() - since;
+    base::logEvent(LogClass::State, "promotion-announced", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "unanswered", std::string_view(fmt::format("{}", fmt::join(unanswered, " "))) }, { "ms", took.count() } });
+}
+
+// Until all hosts know of the order that is sent next, so that none of them acknowledges a commit which its member lacks. One that does not answer is
+// waited for until it can no longer rely on an answer of this host to its pings.
+asio::awaitable<void> Promoter::announceToAllHosts(std::string group, std::string member, uint64_t previousTerm)
+{
+    auto announcement = std::make_shared<Announcement>(m_context.context.get_executor());
+    announcement->unacknowledged = findHostsToTell();
+    auto announcedAt = Clock::now();
+    auto number = announcePending(group, member, previousTerm, PendingState::MayBeCarriedOut);
+    if (announcement->unacknowledged.empty())
+        co_return;
+    m_announcements[number] = announcement;
+    co_await announcement->latch.waitFor(kAcknowledgementTimeout);
+    std::vector<std::string> unanswered;
+    for (auto& [name, pongSentAt] : announcement->unacknowledged)
+        unanswered.push_back(name);
+    while (mayAnyHostRelyOnAnswer(m_groups[group], *announcement))
+        co_await base::sleepFor(kRelianceCheckInterval);
+    m_announcements.erase(number);
+    logAnnouncement(group, member, unanswered, announcedAt);
 }
 
 void Promoter::onPendingPromotionAcknowledged(const std::string& host, uint64_t number)
@@ -171,57 +232,89 @@
         it->second->latch.open();
 }
 
-std::vector<peer::PendingPromotion> Promoter::getPendingPromotions() const
+void Promoter::writeOrders(peer::Pong& pong) const
 {
-    std::vector<peer::PendingPromotion> all;
+    pong.set_incarnation(m_context.self.incarnation);
     for (auto& [group, state] : m_groups) {
-        auto own = state.orderedMembers.find("");
-        if (!state.pending || own == state.orderedMembers.end())
+        if (getSynchronousReplicas(group) == 0)
+            continue;
+        if (decisions::findRank(state.record, m_context.self)) {
+            auto& coordinated = *pong.add_coordinated_groups();
+            coordinated.set_group(group);
+            coordinated.set_record_revision(state.revision);
+        }
+        if (!state.pending)
             continue;
-        for (auto& member : own->second) {
-            auto& wire = all.emplace_back();
-            wire.set_group(group);
-            wire.set_member(member);
-            wire.set_previous_term(state.pending->previousTerm);
-            wire.set_host(m_context.self.host);
+        for (auto& [sender, members] : state.orderedMembers) {
+            bool isReported = sender == m_context.self || sender == decisions::Coordinator {};
+            for (auto& member : members) {
+                if (isReported)
+                    *pong.add_pending_promotions() = makeWireOrder(group, member, state.pending->previousTerm);
+            }
         }
     }
-    return all;
+}
+
+void Promoter::readOrders(const std::string& host, const peer::Pong& pong, TimePoint pingSentAt)
+{
+    for (auto& it : pong.pending_promotions())
+        onReportedPromotion(it, pingSentAt);
+    for (auto& it : pong.coordinated_groups())
+        m_groups[it.group()].coordinatorAnswers[host] = { pong.incarnation(), it.record_revision(), pingSentAt };
 }
 
 // An answer to a ping that was sent before its host reported a refusal may be older than the refusal. A new order is announced besides.
 void Promoter::onReportedPromotion(const peer::PendingPromotion& wire, TimePoint pingSentAt)
 {
     auto& refusedAt = m_groups[wire.group()].refusedAt;
-    auto it = refusedAt.find(wire.host());
+    auto it = refusedAt.find({ wire.host(), wire.incarnation() });
     if (it == refusedAt.end() || pingSentAt > it->second)
         onPendingPromotion(wire);
 }
 
 void Promoter::onPendingPromotion(const peer::PendingPromotion& wire)
 {
-    if (getSynchronousReplicas(wire.group()) == 0 || wire.host() == m_context.self.host)
+    decisions::Coordinator sender { wire.host(), wire.incarnation() };
+    if (getSynchronousReplicas(wire.group()) == 0 || sender == m_context.self)
         return;
     auto& state = m_groups[wire.group()];
-    auto& known = state.pending;
-    if (wire.is_refused()) {
-        state.refusedAt[wire.host()] = Clock::now();
-        state.orderedMembers.erase(wire.host());
-        if (state.orderedMembers.empty())
-            settlePending(wire.group(), "refused");
-        else if (known && known->host == wire.host()) { // another host's order may still be carried out
-            known->host = state.orderedMembers.begin()->first;
-            known->member = *state.orderedMembers.begin()->second.begin();
-        }
+    auto& refused = state.refusedMembers[sender];
+    if (!wire.is_refused()) {
+        refused.erase(wire.member());
+        applyOrder(wire.group(), { wire.member(), sender }, wire.previous_term(), "told");
         return;
     }
-    if (m_context.view.groups[wire.group()].provenTerm > wire.previous_term())
+    refused.insert(wire.member());
+    state.refusedAt[sender] = Clock::now();
+    withdrawOrdersOf(wire.group(), sender);
+}
+
+void Promoter::applyOrder(const std::string& group, const decisions::RecordedOrder& order, uint64_t previousTerm, std::string_view source)
+{
+    if (m_context.view.groups[group].provenTerm > previousTerm)
         return;
-    bool isOutdated = known && known->isInForce && known->previousTerm >= wire.previous_term();
+    auto& state = m_groups[group];
+    bool isOutdated = state.pending && state.pending->isInForce && state.pending->previousTerm >= previousTerm;
     if (isOutdated) // it may be carried out all the same
-        state.orderedMembers[wire.host()].insert(wire.member());
+        state.orderedMembers[order.sender].insert(order.member);
     else
-        setPending(wire.group(), { wire.member(), false, wire.previous_term(), wire.host(), true, Clock::now() }, "told");
+        setPending(group, { order.member, false, previousTerm, order.sender, true, Clock::now() }, source);
+}
+
+// The process's orders are not carried out any more. Those of others may still be.
+void Promoter::withdrawOrdersOf(const std::string& group, const decisions::Coordinator& sender)
+{
+    auto& state = m_groups[group];
+    state.orderedMembers.erase(sender);
+    std::erase_if(state.orderedMembers, [](auto& it) { return it.second.empty(); });
+    if (state.orderedMembers.empty()) {
+        settlePending(group, "refused");
+        return;
+    }
+    if (!state.pending || state.pending->sender != sender)
+        return;
+    state.pending->sender = state.orderedMembers.begin()->first;
+    state.pending->member = *state.orderedMembers.begin()->second.begin();
 }
 
 void Promoter::onMemberRestarted(const std::string& group, const std::string& member)
@@ -229,7 +322,7 @@
     auto it = m_groups.find(group);
     if (it == m_groups.end() || !it->second.pending || it->second.pending->member != member)
         return;
-    logPending(group, member, it->second.pending->previousTerm, "restarted", it->second.pending->host);
+    logPending(group, member, it->second.pending->previousTerm, "restarted", it->second.pending->sender.host);
     it->second.pending->hasLostLog = true;
 }
 
@@ -239,7 +332,7 @@
     auto& pending = m_groups[group].pending;
     if (!pending || !pending->hasLostLog)
         return;
-    logPending(group, pending->member, pending->previousTerm, "given-up", pending->host);
+    logPending(group, pending->member, pending->previousTerm, "given-up", pending->sender.host);
     pending->member.clear();
 }
 
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -45,6 +45,8 @@
     }
     if (state.pending && groupView.provenTerm > state.pending->previousTerm)
         settlePending(group, "promoted");
+    applyRecordedOrders(group, state);
+    removeRefusedOrders(group, state);
     bool isActingNow = isActing(state);
     state.mustCheckSuspensions = state.mustCheckSuspensions || (isActingNow && !state.wasActing);
     state.wasActing = isActingNow;
@@ -116,7 +118,7 @@
     bool haveAllAnswered = std::ranges::all_of(findings, [](const MemberFinding& it) { return it.term != 0; });
     bool isUndisturbed = !state.pending && !state.isPromoting;
     if (isUndisturbed && earlier) {
-        PendingPromotion pending { *earlier, false, newestTerm, {}, true, Clock::now() };
+        PendingPromotion pending { *earlier, false, newestTerm, {}, true, Clock::now() }; // its sender is unknown
         setPending(group, pending, "found");
     }
     bool isDone = isUndisturbed && !earlier && haveAllAnswered;
--- a/tests/gateway/soak_test.cpp
+++ b/tests/gateway/soak_test.cpp
@@ -28,11 +28,13 @@
 constexpr unsigned kSecondStreamOffset = 1000000; // added to the seed
 constexpr unsigned kThirdStreamOffset = 2000000;
 constexpr unsigned kFourthStreamOffset = 3000000;
+constexpr unsigned kFifthStreamOffset = 4000000;
 constexpr unsigned kSynchronousGroup = 1; // has a synchronous replica; the other has none
 constexpr unsigned kMaxPauseMs = 100; // of a caller within a transaction
 constexpr unsigned kMaxLongPauseMs = 2300; // of some callers; below the idle limit of 3 s
 constexpr int kFlaps = 4; // restarts of a member in a series
 constexpr int kBounces = 8; // restarts of a replica with its log in a series
+constexpr milliseconds kSlowReplicaLag { 60 }; // until a replica receives a commit
 constexpr milliseconds kDowntime { 40 }; // of such a replica
 constexpr milliseconds kMinStay { 1500 }; // of a member that is added
 constexpr milliseconds kMinOrderDelay { 2000 }; // longer than a handover holds writes
@@ -78,6 +80,8 @@
     LateHandoverWithNewMember, // as LateHandover, and a replica that starts without data before the order is carried out
     LateHandoverWithBounces, // as LateHandover, and a replica that goes down and up with its log meanwhile
     FourthEnd,
+    LateHandoverWithOutage, // as LateHandover, and all hosts are killed and a suspended replica restarts before the order is carried out
+    FifthEnd,
 };
 
 // What a play has. Seeds that failed before the second one existed are played as they were then.
@@ -85,9 +89,12 @@
     Asynchronous, // no synchronous replica, short pauses, no read-only transactions
     Full, // also a synchronous group, late handovers, restarts in series, long pauses
     Extended, // also new members and replicas that return while orders are late, prepared shapes with blanks
+    Outages, // also the loss of all hosts while orders are late
     Stops, // planned stops and reloads only, and transactions without pauses: no statement may be cut
 };
 
+bool includes(Extent extent, Extent part) { return extent != Extent::Stops && extent >= part; }
+
 struct Event {
     milliseconds at { 0 };
     Fault fault {};
@@ -118,15 +125,29 @@
     std::mt19937 second(seed + kSecondStreamOffset);
     addEvents(events, second, Fault::RestartMember, Fault::End, length, 500, 1500);
     std::mt19937 third(seed + kThirdStreamOffset);
-    if (extent != Extent::Asynchronous)
+    if (includes(extent, Extent::Full))
         addEvents(events, third, Fault::LateHandover, Fault::ThirdEnd, length, 800, 2400);
     std::mt19937 fourth(seed + kFourthStreamOffset);
-    if (extent == Extent::Extended)
+    if (includes(extent, Extent::Extended))
         addEvents(events, fourth, Fault::LateHandoverWithNewMember, Fault::FourthEnd, length, 3000, 3000);
+    std::mt19937 fifth(seed + kFifthStreamOffset);
+    if (includes(extent, Extent::Outages))
+        addEvents(events, fifth, Fault::LateHandoverWithOutage, Fault::FifthEnd, length, 4000, 6000);
     std::ranges::stable_sort(events, {}, &Event::at);
     return events;
 }
 
+// ---- members ----
+
+void setSynchronousLags(GatewayRig& rig)
+{
+    rig.call([&] {
+        auto& group = rig.getGroup(kSynchronousGroup);
+        for (size_t i = 0; i < kSynchronousLags.size(); ++i)
+            group.getFaults(group.getIds()[i]).lag = kSynchronousLags[i];
+    });
+}
+
 // ---- callers ----
 
 struct Attempt {
@@ -179,8 +200,8 @@
             readWithoutPauses();
             return;
         }
-        auto kind = m_random() % (m_extent == Extent::Extended ? 6 : m_extent == Extent::Full ? 5
-                                                                                              : 4);
+        auto kind = m_random() % (includes(m_extent, Extent::Extended) ? 6 : includes(m_extent, Extent::Full) ? 5
+                                                                                                              : 4);
         if (kind == 0)
             writeOnce();
         else if (kind == 1)
@@ -446,6 +467,8 @@
             addMember(event);
         else if (event.fault == Fault::LateHandoverWithBounces)
             bounceReplica(event);
+        else if (event.fault == Fault::LateHandoverWithOutage)
+            loseAllHosts(event);
         else if (event.fault == Fault::FlapMember)
             flapMember(event);
         else if (event.fault > Fault::Count)
@@ -578,6 +601,34 @@
         }
     }
 
+    // What is known of the order then is in the store and in the members.
+    void loseAllHosts(const Event& event)
+    {
+        delayHandover(event);
+        scheduleEnd(kMinOrderDelay / 2, [this, event] {
+            for (unsigned i = 0; i < kHosts; ++i)
+                injectHostFault({ event.at, Fault::KillHost, i, kDowntime + event.duration / 10 });
+            m_rig.call([&] {
+                m_rig.getStore().setLeaving(m_rig.getGroup(kSynchronousGroup).getPrimary(), false); // nobody orders anew
+                m_bounced = findReplica(event.index);
+                m_rig.getGroup(kSynchronousGroup).kill(m_bounced);
+                setReplicaLag(kSlowReplicaLag, m_bounced); // it is the first to receive commits when it is back
+            });
+        });
+        scheduleEnd(kMinOrderDelay + event.duration, [this] { setSynchronousLags(m_rig); });
+        scheduleEnd(kMinOrderDelay / 2 + kDowntime, [this] { m_rig.call([&] { m_rig.getGroup(kSynchronousGroup).start(m_bounced); m_rig.getStore().registerMembers(); }); });
+    }
+
+    // Of the synchronous group's members but one. On the thread of the stand-ins.
+    void setReplicaLag(milliseconds lag, const std::string& exception)
+    {
+        auto& group = m_rig.getGroup(kSynchronousGroup);
+        for (auto& id : group.getIds()) {
+            if (id != exception)
+                group.getFaults(id).lag = lag;
+        }
+    }
+
     // A replica of the synchronous group, a suspended one if there is one. On the thread of the stand-ins.
     std::string findReplica(unsigned index)
     {
@@ -752,15 +803,6 @@
     BOOST_TEST(waitUntil(kRecoveryTimeout, [&] { return countSuspendedReplicas(rig) == 0; }));
 }
 
-void setSynchronousLags(GatewayRig& rig)
-{
-    rig.call([&] {
-        auto& group = rig.getGroup(kSynchronousGroup);
-        for (size_t i = 0; i < kSynchronousLags.size(); ++i)
-            group.getFaults(group.getIds()[i]).lag = kSynchronousLags[i];
-    });
-}
-
 void setStatementTimes(GatewayRig& rig, milliseconds time)
 {
     rig.call([&] {
@@ -827,7 +869,7 @@
 
 BOOST_AUTO_TEST_CASE(promises_hold_through_faults_by_seed)
 {
-    runSoak(static_cast<unsigned>(getEnvironmentNumber("ALDERWARD_SEED", 1)), std::chrono::seconds(getEnvironmentNumber("ALDERWARD_SECONDS", 10)), Extent::Extended);
+    runSoak(static_cast<unsigned>(getEnvironmentNumber("ALDERWARD_SEED", 1)), std::chrono::seconds(getEnvironmentNumber("ALDERWARD_SECONDS", 10)), Extent::Outages);
 }
 
 // Guards against statements that a planned stop cuts while members run them: stops come in series and overlap, and callers do not pause.
@@ -870,6 +912,18 @@
     runSoak(3010, std::chrono::seconds(12), Extent::Full);
 }
 
+// Guards against a pending order that nobody knows of any more: all hosts are killed, and the replica that was suspended for it restarts.
+BOOST_AUTO_TEST_CASE(synchronous_commits_survive_seed_8101)
+{
+    runSoak(8101, std::chrono::seconds(12), Extent::Outages);
+}
+
+// Guards against the promotion of a member that has lost its log since its order was sent, while no host runs.
+BOOST_AUTO_TEST_CASE(synchronous_commits_survive_seed_8102)
+{
+    runSoak(8102, std::chrono::seconds(12), Extent::Outages);
+}
+
 // Guards against a read by a host that has just started from a primary that restarted with an empty log. The failover
 // suite reproduces it directly.
 BOOST_AUTO_TEST_CASE(promises_hold_for_seed_4043)
--- a/tests/gateway/synchronous_test.cpp
+++ b/tests/gateway/synchronous_test.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kSlowReplica { 400 }; // until it receives a commit; less than a coordinator waits for it
 constexpr milliseconds kRecoveryLimit { 12000 }; // a change of primary is over within this
 constexpr milliseconds kLongestRepetition { 950 }; // between two repetitions of an unanswered order
+constexpr milliseconds kRelianceTime { 2500 }; // longer than a host relies on an answer to a ping
+constexpr milliseconds kLongestHold { 1800 }; // of writes by a handover
 constexpr milliseconds kRestartInterval { 150 }; // of a replica that goes down and up in a series
 constexpr milliseconds kObservedTime { 1500 }; // in which an order is unanswered and writes are no longer held
 
@@ -296,6 +298,40 @@
     group.checkRecovered("g0-a");
 }
 
+// No host remembers the order, and the replica that was suspended for it has restarted. Only the coordinator record still tells of it.
+BOOST_AUTO_TEST_CASE(a_late_order_is_known_after_all_hosts_and_the_suspended_replica_have_restarted)
+{
+    SynchronousGroup group;
+    group.startWriters();
+    group.setSlowSuccessors();
+    group.rig.call([&] { group.rig.getStore().faults.unansweredOrderDelay = 2 * kOrderDelay; });
+    group.setLeaving("g0-a", true);
+    BOOST_REQUIRE(group.waitForEvent("promotion-ordered"));
+    for (unsigned i = 0; i < kHosts; ++i)
+        group.rig.getHost(i).kill();
+    group.setLeaving("g0-a", false);
+    group.restartSuspendedReplica(kRestartInterval);
+    for (unsigned i = 0; i < kHosts; ++i)
+        group.rig.startHost(i);
+    std::this_thread::sleep_for(2 * kOrderDelay);
+    group.setOrdersLate(false);
+    std::this_thread::sleep_for(kObservedTime);
+    group.stopWriters();
+    group.checkServed("g0-a");
+    group.checkNothingLostToCallers();
+}
+
+// A host that has ended is listed until its lease is over, but relies on no answer any more. The order waited 3.2 s for it, and writes were not held so long.
+BOOST_AUTO_TEST_CASE(an_order_does_not_wait_for_a_host_that_ended_before)
+{
+    SynchronousGroup group;
+    auto coordinator = group.rig.findFirstCoordinator();
+    group.rig.getHost((coordinator + 1) % kHosts).kill();
+    std::this_thread::sleep_for(kRelianceTime);
+    group.setLeaving("g0-a", true);
+    BOOST_TEST(waitUntil(kLongestHold + kPromotionTime, [&] { return group.getPrimary() != "g0-a"; }));
+}
+
 // The order cannot be taken back, so the handover is completed.
 BOOST_AUTO_TEST_CASE(a_late_order_loses_no_acknowledged_commit_if_the_primary_stops_leaving)
 {
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -295,6 +295,27 @@
         BOOST_TEST(!parseCoordinatorRecord(text), text);
 }
 
+// Guards against an order that is forgotten when the record gets other coordinators, or that is kept after its sender has removed it.
+BOOST_AUTO_TEST_CASE(recorded_orders_outlive_their_coordinators_until_they_are_removed)
+{
+    auto record = makeCoordinatorRecord({}, makeRanked());
+    record.recorded = addOrder(record.recorded, { "b", { "h1", 1 } }, 4);
+    record.recorded = addOrder(record.recorded, { "b", { "h3", 3 } }, 4);
+    BOOST_TEST((addOrder(record.recorded, { "b", { "h1", 1 } }, 4) == record.recorded));
+    BOOST_TEST((parseCoordinatorRecord(formatCoordinatorRecord(record)) == record));
+    auto next = makeCoordinatorRecord(record, { { { "h2", 2 }, "a" } });
+    BOOST_TEST((next.recorded == record.recorded));
+    auto remaining = removeOrders(next.recorded, { "h1", 1 }, { "b", "c" });
+    BOOST_TEST((remaining.orders == std::vector<RecordedOrder> { { "b", { "h3", 3 } } }));
+    BOOST_TEST((removeOrders(remaining, { "h3", 9 }, { "b" }) == remaining)); // of another process of that host
+    BOOST_TEST((removeOrders(remaining, { "h3", 3 }, { "b" }) == RecordedOrders {}));
+    auto newer = addOrder(record.recorded, { "c", { "h3", 3 } }, 5); // a term has begun: the earlier ones are settled
+    BOOST_TEST((newer.orders == std::vector<RecordedOrder> { { "c", { "h3", 3 } } }));
+    for (auto* text : { R"({"orderers":[],"firstToken":1,"orders":1,"previousTerm":1})", R"({"orderers":[],"firstToken":1,"orders":[]})",
+             R"({"orderers":[],"firstToken":1,"orders":[{"member":"b"}],"previousTerm":1})" })
+        BOOST_TEST(!parseCoordinatorRecord(text), text);
+}
+
 BOOST_AUTO_TEST_CASE(the_member_with_the_newest_log_succeeds_and_synchronous_commits_are_kept)
 {
     std::vector<MemberFinding> found { { "b", true, false, 1, { 1, 10 } }, { "c", true, false, 1, { 1, 12 } } };
