Directory: changes and this host's own entry have files of their own

Moved without a change: what is passed on to other hosts and what each item changes here (directory_changes.cpp), and the entry of this host (directory_entry.cpp). Nothing measured: no behaviour changes.

--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -6,13 +6,11 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 #include <fmt/format.h>
 
 namespace alderward::gateway {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 using base::Clock;
 using base::LogClass;
 using base::milliseconds;
@@ -25,13 +23,9 @@
 static constexpr milliseconds kProbeWait { 300 }; // of the watch that tests whether the store is reachable
 static constexpr unsigned kStartupShortCalls = 2; // consecutive calls with the short timeout before one with the full timeout, for a slow store
 static constexpr milliseconds kRelaySelectionDelay { 100 }; // a host chooses its relays within this time after the first list, and then needs no watch
-static constexpr milliseconds kRelayTimeout { 1500 }; // without changes from a relay for this long, a host watches the store itself
 static constexpr milliseconds kStoreLostPause { 6000 }; // mean; retry this long after relays lost the store, in case they cannot report its return
 static constexpr unsigned kStoreReturnFailures = 3; // failure count whose retry pause spreads the calls after the store's return
 static constexpr milliseconds kRelayCheckInterval { 100 };
-static constexpr size_t kMaxLoggedChanges = 2000; // kept for hosts that this one relays to; more than all hosts of a system cause that restart within a second
-static constexpr size_t kMaxLogBytes = 1 << 20;
-static constexpr size_t kMaxRelayedValueSize = 32 << 10; // bytes; each host reads larger values from the store, so that they do not fill a relay's connections. 300 client accounts fit
 static constexpr double kStartupRetryMs = 60; // mean pause; jittered by 50 %
 
 static milliseconds getStartupRetryPause()
@@ -39,31 +33,6 @@
     return milliseconds(static_cast<int64_t>(kStartupRetryMs * (0.5 + base::getRandom())));
 }
 
-static std::string formatHost(const links::RegisteredHost& host)
-{
-    return json::serialize(json::object { { "address", host.address }, { "dataCentre", host.dataCentre }, { "incarnation", host.incarnation } });
-}
-
-// Parses the output of formatHost(). The store may hold entries by other writers, so every field is validated.
-static std::optional<links::RegisteredHost> parseHost(const std::string& name, const std::string& text)
-{
-    boost::system::error_code ec;
-    auto value = json::parse(text, ec);
-    auto* object = ec ? nullptr : value.if_object();
-    if (!object)
-        return std::nullopt;
-    auto* address = object->if_contains("address");
-    auto* dataCentre = object->if_contains("dataCentre");
-    auto* incarnation = object->if_contains("incarnation");
-    bool isComplete = address && address->is_string() && dataCentre && dataCentre->is_string() && incarnation;
-    if (!isComplete || name.empty() || address->as_string().empty() || dataCentre->as_string().empty())
-        return std::nullopt;
-    auto number = incarnation->to_number<uint64_t>(ec);
-    if (ec)
-        return std::nullopt;
-    return links::RegisteredHost { name, std::string(address->as_string()), std::string(dataCentre->as_string()), number };
-}
-
 Directory::Directory(asio::io_context& context, links::PlatformAdapter& platform, links::RegisteredHost self, DirectoryTimings timings, DirectoryEvents events)
     : m_context(context)
     , m_platform(platform)
@@ -314,182 +283,4 @@
     co_return false;
 }
 
-void Directory::logChange(const RelayedChange& change)
-{
-    m_changeLog.push_back(change);
-    auto& item = m_changeLog.back().item;
-    if (item.key == m_platform.getConfigurationKey())
-        item.value = m_platform.replaceKeysWithDigests(item.value); // API keys must not be sent to other hosts
-    m_changeLogBytes += item.value.size();
-    while (m_changeLog.size() > kMaxLoggedChanges || m_changeLogBytes > kMaxLogBytes) {
-        m_logStartsAfter = std::max(m_logStartsAfter, m_changeLog.front().item.revision);
-        m_changeLogBytes -= m_changeLog.front().item.value.size();
-        m_changeLog.pop_front();
-    }
-}
-
-// Returns nothing while the store may be unreachable: an empty list of changes would claim that there are none.
-RelayedChanges Directory::getChanges(uint64_t since) const
-{
-    RelayedChanges relayed;
-    bool canAnswer = m_isReachable && !m_isProbing && !m_mustList && m_isWatcher && m_logStartsAfter != 0;
-    if (!canAnswer || since < m_logStartsAfter || since > m_revision)
-        return relayed;
-    auto first = std::ranges::upper_bound(m_changeLog, since, {}, [](const RelayedChange& it) { return it.item.revision; });
-    for (auto it = first; it != m_changeLog.end(); ++it) {
-        relayed.changes.push_back(*it);
-        relayed.changes.back().isLarge = it->item.value.size() > kMaxRelayedValueSize;
-    }
-    relayed.untilRevision = m_revision;
-    return relayed;
-}
-
-void Directory::applyRelayedChanges(const RelayedChanges& relayed)
-{
-    if (relayed.untilRevision == 0 || m_mustList || m_isWatcher)
-        return;
-    m_relayedAt = Clock::now();
-    if (relayed.untilRevision < m_revision) // this host has read the store more recently than its relay
-        return;
-    for (auto& it : relayed.changes) {
-        if (it.item.revision <= m_revision)
-            continue;
-        m_newestChange = std::max(m_newestChange, it.item.revision);
-        if (!it.isLarge)
-            applyItem(it.item, it.changedAt);
-        else if (it.item.key == m_platform.getConfigurationKey())
-            m_mustReadConfiguration = true;
-        else
-            m_mustList = true;
-    }
-    m_revision = relayed.untilRevision;
-    m_syncedAt = m_relayedAt;
-    m_logStartsAfter = 0; // these changes were not received from the store itself and must not be relayed
-}
-
-// A failed lease renewal starts a probe, and the host watches the store itself until that is answered.
-bool Directory::isFollowingRelay() const
-{
-    return m_hasRelay && !m_isWatcher && !m_mustList && m_isReachable && !m_isProbing && Clock::now() - m_relayedAt < kRelayTimeout;
-}
-
-void Directory::applyItem(const links::StoreItem& item, std::optional<TimePoint> changedAt)
-{
-    auto members = m_platform.getMembersPrefix();
-    if (item.key == m_platform.getConfigurationKey()) {
-        if (!item.isDeleted)
-            applyConfigurationItem(item);
-        return;
-    }
-    if (item.isDeleted)
-        m_knownKeys.erase(item.key);
-    else
-        m_knownKeys.insert(item.key);
-    if (item.key.starts_with(members)) {
-        if (item.isDeleted) {
-            m_events.onMemberRemoved(item.key.substr(members.size()), item.revision);
-            return;
-        }
-        auto member = m_platform.parseMember(item.key, item.value);
-        if (member) {
-            m_events.onMemberChanged(*member, item.revision, changedAt);
-            return;
-        }
-        // An unreadable entry counts as removed, so that its member is no longer used.
-        reportUnreadable(item, member.error());
-        m_events.onMemberRemoved(item.key.substr(members.size()), item.revision);
-    } else if (item.key.starts_with(kHostsPrefix))
-        applyHost(item);
-    else if (item.key.starts_with(kCoordinatorRecordPrefix))
-        m_events.onCoordinatorRecord(item.key.substr(kCoordinatorRecordPrefix.size()), item);
-}
-
-// Ignores versions older than the current one: they come from outdated answers.
-void Directory::applyConfigurationItem(const links::StoreItem& item)
-{
-    auto configuration = m_platform.parseConfiguration(item.value);
-    if (!configuration) {
-        base::logEvent(LogClass::State, "configuration-refused", { { "reason", std::string_view(configuration.error()) } });
-        return;
-    }
-    if (configuration->version <= m_configurationVersion)
-        return;
-    m_configurationVersion = configuration->version;
-    m_events.onConfiguration(*configuration);
-}
-
-void Directory::applyHost(const links::StoreItem& item)
-{
-    auto name = item.key.substr(kHostsPrefix.size());
-    if (item.isDeleted) {
-        if (name == m_self.name && m_lease != 0 && !m_isStopping) {
-            base::logEvent(LogClass::State, "entry-lost", { { "reason", std::string_view("the store deleted this host's entry") } });
-            m_lease = 0; // maintainEntry() writes it again
-        }
-        m_events.onHostRemoved(name);
-        return;
-    }
-    if (auto host = parseHost(name, item.value)) {
-        m_events.onHostChanged(*host);
-        return;
-    }
-    reportUnreadable(item, "not a valid host entry");
-    m_events.onHostRemoved(name);
-}
-
-// Logs one line for each change of an entry.
-void Directory::reportUnreadable(const links::StoreItem& item, const std::string& reason)
-{
-    base::incrementCounter(base::MetricFamily::EntriesRefused, { { "result", "unreadable" } });
-    base::logEvent(LogClass::State, "entry-unreadable", { { "key", std::string_view(item.key) }, { "reason", std::string_view(reason) }, { "revision", static_cast<int64_t>(item.revision) } });
-}
-
-asio::awaitable<bool> Directory::writeEntry()
-{
-    auto& store = m_platform.getStore();
-    auto deadline = getStartupDeadline(m_entryAttempts);
-    ++m_entryAttempts;
-    auto lease = co_await store.grantLease(m_timings.lease, deadline);
-    if (!lease)
-        co_return false;
-    links::StoreItem item;
-    item.key = std::string(kHostsPrefix) + m_self.name;
-    item.value = formatHost(m_self);
-    item.lease = *lease;
-    links::StoreChange change;
-    change.puts.push_back(std::move(item));
-    auto written = co_await store.change(std::move(change), getDeadline());
-    if (!written)
-        co_return false;
-    m_lease = *lease;
-    m_entryAttempts = 0;
-    co_return true;
-}
-
-asio::awaitable<void> Directory::maintainEntry()
-{
-    auto step = milliseconds(100);
-    auto renewedAt = Clock::now();
-    while (!m_isStopping) {
-        if (m_lease == 0) {
-            bool isWritten = co_await writeEntry();
-            renewedAt = Clock::now();
-            if (!isWritten)
-                co_await waitForStore(decisions::getRetryPause(m_entryAttempts, base::getRandom()));
-            continue;
-        }
-        co_await base::sleepFor(step);
-        if (Clock::now() - renewedAt < m_timings.lease / 3 || waitsForRelays())
-            continue;
-        renewedAt = Clock::now();
-        auto renewed = co_await m_platform.getStore().renewLease(m_lease, getDeadline());
-        if (renewed)
-            continue;
-        if (renewed.error().kind == StoreErrorKind::NotFound)
-            m_lease = 0;
-        else
-            startProbe();
-    }
-}
-
 }
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,5 +1,10 @@
 // Follows the platform's store: lists all items once, then watches for changes, directly or through a relay. Keeps this host's own
 // entry in the store under a lease.
+//
+// [SECTION] by source file
+//   directory.cpp         following the store
+//   directory_changes.cpp changes passed on to other hosts, and what they change here
+//   directory_entry.cpp   this host's own entry
 #pragma once
 #include "decisions/watching.h"
 #include "links/directory.h"
