Orders: they wait only for hosts that may rely on an answer to a ping

Cause: the wait for acknowledgements was 0.3 s for each order while any host that is listed, or was heard of within a minute, did not answer, also if it could not rely on anything any more.

Change: an order waits until each host has acknowledged it or can rely on no answer of this coordinator. Answers to pings have the sender's process only where they name a group with synchronous replicas, so that other deployments send no byte more.

Ruled out: no wait at all for hosts that are gone from the store (one that has lost its entry may still ping, and rely on the answer).

--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -233,6 +233,7 @@
     };
     boost::asio::awaitable<void> announceToAllHosts(std::string group, std::string member, uint64_t previousTerm);
     std::map<std::string, TimePoint> findHostsToTell() const;
+    static void logAnnouncement(const std::string& group, const std::string& member, const Announcement& announcement, TimePoint since);
     bool mayAnyHostRelyOnAnswer(const GroupState& state, const Announcement& announcement) const;
     void onReportedPromotion(const peer::PendingPromotion& wire, TimePoint pingSentAt);
     void applyOrder(const std::string& group, const decisions::RecordedOrder& order, uint64_t previousTerm, std::string_view source);
--- a/src/gateway/promoter_pending.cpp
+++ b/src/gateway/promoter_pending.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
+#include <ranges>
 
 namespace alderward::gateway {
 
@@ -12,7 +13,6 @@
 using base::LogClass;
 using decisions::MemberFinding;
 
-static constexpr milliseconds kAcknowledgementTimeout { 300 }; // of another host that is told of an order; a round trip takes 40 ms at most
 static constexpr milliseconds kAssuranceTime { 2000 }; // must exceed the interval of pings to coordinators
 static constexpr milliseconds kAssuranceMargin { 200 }; // for the delays of timers
 static constexpr milliseconds kRelianceCheckInterval { 50 };
@@ -195,14 +195,15 @@
     });
 }
 
-static void logAnnouncement(const std::string& group, const std::string& member, const std::vector<std::string>& unanswered, TimePoint since)
+void Promoter::logAnnouncement(const std::string& group, const std::string& member, const Announcement& announcement, TimePoint since)
 {
     std::chrono::duration<double, std::milli> took = Clock::now() - since;
+    auto unanswered = announcement.unacknowledged | std::views::keys;
     base::logEvent(LogClass::State, "promotion-announced", { { "group", std::string_view(group) }, { "member", std::string_view(member) }, { "unanswered", std::string_view(fmt::format("{}", fmt::join(unanswered, " "))) }, { "ms", took.count() } });
 }
 
-// Until all hosts know of the order that is sent next, so that none of them acknowledges a commit which its member lacks. One that does not answer is
-// waited for until it can no longer rely on an answer of this host to its pings.
+// Until each host knows of the order that is sent next, or can no longer rely on an answer of this host to its pings: so that none of them acknowledges a
+// commit which the order's member lacks.
 asio::awaitable<void> Promoter::announceToAllHosts(std::string group, std::string member, uint64_t previousTerm)
 {
     auto announcement = std::make_shared<Announcement>(m_context.context.get_executor());
@@ -212,14 +213,10 @@
     if (announcement->unacknowledged.empty())
         co_return;
     m_announcements[number] = announcement;
-    co_await announcement->latch.waitFor(kAcknowledgementTimeout);
-    std::vector<std::string> unanswered;
-    for (auto& [name, pongSentAt] : announcement->unacknowledged)
-        unanswered.push_back(name);
     while (mayAnyHostRelyOnAnswer(m_groups[group], *announcement))
-        co_await base::sleepFor(kRelianceCheckInterval);
+        co_await announcement->latch.waitFor(kRelianceCheckInterval);
     m_announcements.erase(number);
-    logAnnouncement(group, member, unanswered, announcedAt);
+    logAnnouncement(group, member, *announcement, announcedAt);
 }
 
 void Promoter::onPendingPromotionAcknowledged(const std::string& host, uint64_t number)
@@ -234,11 +231,11 @@
 
 void Promoter::writeOrders(peer::Pong& pong) const
 {
-    pong.set_incarnation(m_context.self.incarnation);
     for (auto& [group, state] : m_groups) {
         if (getSynchronousReplicas(group) == 0)
             continue;
         if (decisions::findRank(state.record, m_context.self)) {
+            pong.set_incarnation(m_context.self.incarnation);
             auto& coordinated = *pong.add_coordinated_groups();
             coordinated.set_group(group);
             coordinated.set_record_revision(state.revision);
