Orders: one that is refused or not sent withdraws no other one

Cause: an order that this process withdrew took all of its orders with it, at all hosts, also one for another member that was sent earlier and may be carried out; and whether this process had sent an order was told from the one that bound the attempt, which may be another host's.

Change: orders are withdrawn one by one, and a process notes which of its own orders it has sent.

--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -113,6 +113,7 @@
         std::optional<PendingPromotion> pending {};
         std::map<decisions::Coordinator, TimePoint> refusedAt {}; // when a process last reported that its order was refused
         OrderedMembers orderedMembers {}; // of all orders since `pending` was set
+        std::set<std::string> sentMembers {}; // of this process's orders among them that were sent and may be carried out
         std::set<std::string> resumable {}; // members that this host has suspended, for orders that were not sent or were refused
         bool wasActing { false }; // this host was the acting coordinator at the last sweep
         bool mustCheckSuspensions { false }; // replicas may be suspended that nobody resumes
@@ -193,7 +194,7 @@
     boost::asio::awaitable<bool> orderPromotion(std::string group, std::string member, uint64_t previousTerm, PromotionAttempt attempt, OrderToken token);
     boost::asio::awaitable<links::PromotionResult> sendOrder(std::string group, std::string member, OrderToken token);
     boost::asio::awaitable<uint64_t> findPromotedTerm(std::string member, uint64_t previousTerm);
-    void noteOrderInForce(const std::string& group, links::PromotionResult result);
+    void noteOrderInForce(const std::string& group, const std::string& member, links::PromotionResult result);
     boost::asio::awaitable<std::string_view> findReasonNotToRepeat(std::string group, std::string member, PromotionAttempt attempt);
     void applyPromotion(const std::string& group, const std::string& member, uint64_t term);
     // No default arguments: g++ 12 destroys them twice within a co_await expression.
@@ -212,8 +213,8 @@
     void giveUpMemberWithoutLog(const std::string& group);
     void setPending(const std::string& group, PendingPromotion pending, std::string_view source);
     // `before`: the order that was pending before this process announced one that it does not send.
-    void withdrawAnnouncedOrder(const std::string& group, const std::optional<PendingPromotion>& before);
-    void withdrawOwnOrders(const std::string& group);
+    void withdrawAnnouncedOrder(const std::string& group, const std::string& member, const std::optional<PendingPromotion>& before);
+    void withdrawUnsentOrder(const std::string& group, const std::string& member);
     void settlePending(const std::string& group, std::string_view reason);
     // Settles the pending order if its member says that it is primary: an order for the present primary changes nothing.
     bool settleIfPromoted(const std::string& group, const std::vector<decisions::MemberFinding>& findings, uint64_t newestTerm);
@@ -237,7 +238,7 @@
     bool mayAnyHostRelyOnAnswer(const GroupState& state, const Announcement& announcement) const;
     void onReportedPromotion(const peer::PendingPromotion& wire, TimePoint pingSentAt);
     void applyOrder(const std::string& group, const decisions::RecordedOrder& order, uint64_t previousTerm, std::string_view source);
-    void withdrawOrdersOf(const std::string& group, const decisions::Coordinator& sender);
+    void withdrawOrder(const std::string& group, const decisions::RecordedOrder& order);
     bool mayMissOrder(const GroupState& state) const;
     void maintainSuspensions(const std::string& group, const GroupView& groupView, GroupState& state, TimePoint now);
     void releaseSuspensions(const std::string& group);
--- a/src/gateway/promoter_attempts.cpp
+++ b/src/gateway/promoter_attempts.cpp
@@ -189,13 +189,13 @@
     }
     if (!reason.empty()) {
         logHoldBack(group, reason, successor, attempt.shownTerm);
-        withdrawAnnouncedOrder(group, before);
+        withdrawAnnouncedOrder(group, successor, before);
         giveUpMemberWithoutLog(group);
         co_return false;
     }
     bool isPromoted = co_await orderPromotion(group, successor, previousTerm, attempt, *token);
-    if (!isPromoted && !hasOrderInForce(group))
-        withdrawOwnOrders(group);
+    if (!isPromoted)
+        withdrawUnsentOrder(group, successor);
     co_return isPromoted;
 }
 
@@ -222,7 +222,7 @@
         auto newTerm = result == PromotionResult::Done ? previousTerm + 1 : uint64_t { 0 };
         if (result == PromotionResult::Unknown)
             newTerm = co_await findPromotedTerm(member, previousTerm);
-        noteOrderInForce(group, result);
+        noteOrderInForce(group, member, result);
         if (newTerm != 0) {
             applyPromotion(group, member, newTerm);
             co_return true;
@@ -274,13 +274,14 @@
     co_return isPromoted ? report.status.term : 0;
 }
 
-void Promoter::noteOrderInForce(const std::string& group, PromotionResult result)
+void Promoter::noteOrderInForce(const std::string& group, const std::string& member, PromotionResult result)
 {
     auto& state = m_groups[group];
     bool mayBeCarriedOut = result == PromotionResult::Done || result == PromotionResult::Unknown;
     if (!state.pending || !mayBeCarriedOut)
         return;
     state.pending->isInForce = true;
+    state.sentMembers.insert(member);
     state.resumable.clear();
 }
 
--- a/src/gateway/promoter_pending.cpp
+++ b/src/gateway/promoter_pending.cpp
@@ -105,39 +105,32 @@
     auto pending = std::move(*state.pending);
     state.pending.reset();
     state.orderedMembers.clear();
+    state.sentMembers.clear();
     if (reason == "promoted") // recorded orders are settled, too
         state.refusedMembers.clear();
     state.mustCheckSuspensions = true;
     logPending(group, pending.member, pending.previousTerm, reason, pending.sender.host);
 }
 
-void Promoter::withdrawAnnouncedOrder(const std::string& group, const std::optional<PendingPromotion>& before)
+void Promoter::withdrawAnnouncedOrder(const std::string& group, const std::string& member, const std::optional<PendingPromotion>& before)
 {
     auto& state = m_groups[group];
-    bool hasEarlierOrder = before && before->sender == m_context.self;
-    if (!hasEarlierOrder || !state.pending) {
-        withdrawOwnOrders(group);
-        return;
-    }
-    // The earlier order binds the next attempts as before.
-    if (state.pending->member != before->member) {
-        state.orderedMembers[m_context.self].erase(state.pending->member);
-        state.refusedMembers[m_context.self].insert(state.pending->member);
-    }
-    state.pending = before;
+    withdrawUnsentOrder(group, member);
+    auto isOrdered = [&](auto& it) { return before->member.empty() || it.second.contains(before->member); };
+    if (before && state.pending && std::ranges::any_of(state.orderedMembers, isOrdered))
+        state.pending = before;
 }
 
-void Promoter::withdrawOwnOrders(const std::string& group)
+// Unless this process has sent it, and it may be carried out: then it binds the next attempts as before.
+void Promoter::withdrawUnsentOrder(const std::string& group, const std::string& member)
 {
     auto& state = m_groups[group];
-    if (!state.pending)
+    if (!state.pending || state.sentMembers.contains(member))
         return;
-    auto members = state.orderedMembers[m_context.self];
     auto previousTerm = state.pending->previousTerm;
-    state.refusedMembers[m_context.self].insert(members.begin(), members.end());
-    withdrawOrdersOf(group, m_context.self);
-    for (auto& member : members)
-        announcePending(group, member, previousTerm, PendingState::Refused);
+    state.refusedMembers[m_context.self].insert(member);
+    withdrawOrder(group, { member, m_context.self });
+    announcePending(group, member, previousTerm, PendingState::Refused);
     if (!state.pending)
         holdWritesEverywhere(group, m_context.view.groups[group].primary.member, milliseconds(0));
 }
@@ -283,7 +276,7 @@
     }
     refused.insert(wire.member());
     state.refusedAt[sender] = Clock::now();
-    withdrawOrdersOf(wire.group(), sender);
+    withdrawOrder(wire.group(), { wire.member(), sender });
 }
 
 void Promoter::applyOrder(const std::string& group, const decisions::RecordedOrder& order, uint64_t previousTerm, std::string_view source)
@@ -298,20 +291,25 @@
         setPending(group, { order.member, false, previousTerm, order.sender, true, Clock::now() }, source);
 }
 
-// The process's orders are not carried out any more. Those of others may still be.
-void Promoter::withdrawOrdersOf(const std::string& group, const decisions::Coordinator& sender)
+// The order is not carried out any more. Others may still be.
+void Promoter::withdrawOrder(const std::string& group, const decisions::RecordedOrder& order)
 {
     auto& state = m_groups[group];
-    state.orderedMembers.erase(sender);
+    state.orderedMembers[order.sender].erase(order.member);
     std::erase_if(state.orderedMembers, [](auto& it) { return it.second.empty(); });
     if (state.orderedMembers.empty()) {
         settlePending(group, "refused");
         return;
     }
-    if (!state.pending || state.pending->sender != sender)
+    if (!state.pending || state.pending->member != order.member)
         return;
-    state.pending->sender = state.orderedMembers.begin()->first;
-    state.pending->member = *state.orderedMembers.begin()->second.begin();
+    auto remaining = std::ranges::find_if(state.orderedMembers, [&](auto& it) { return it.second.contains(order.member); });
+    if (remaining == state.orderedMembers.end()) {
+        remaining = state.orderedMembers.begin();
+        state.pending->member = *remaining->second.begin();
+        state.pending->hasLostLog = false;
+    }
+    state.pending->sender = remaining->first;
 }
 
 void Promoter::onMemberRestarted(const std::string& group, const std::string& member)
--- a/src/gateway/promoter_records.cpp
+++ b/src/gateway/promoter_records.cpp
@@ -248,7 +248,7 @@
         auto known = state.orderedMembers.find(it.sender);
         bool isRemoved = it.sender != m_context.self && std::ranges::find(recorded, it) == recorded.end();
         if (isRemoved && known != state.orderedMembers.end() && known->second.contains(it.member))
-            withdrawOrdersOf(group, it.sender);
+            withdrawOrder(group, it);
     }
 }
 
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -41,6 +41,7 @@
     if (getSynchronousReplicas(group) == 0) {
         state.pending.reset();
         state.orderedMembers.clear();
+        state.sentMembers.clear();
         return;
     }
     if (state.pending && groupView.provenTerm > state.pending->previousTerm)
