--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -95,7 +95,7 @@
         uint64_t revision { 0 }; // of the record in the store; 0: no record
         TimePoint coordinatorSince {}; // when this process learned that it is a coordinator
         std::map<std::string, CoordinatorAnswer> coordinatorAnswers {}; // by host; with synchronous replicas only
-        OrderedMembers refusedMembers {}; // of orders that were refused, or not sent, and may still be in the record
+        OrderedMembers refusedMembers {}; // of orders that may still be in the record, and were refused, not sent, or for a member that is primary already
         bool isWritingRecord { false };
         bool mustRenewRecord { false }; // the stored record was deleted or is unreadable
         bool isPromoting { false }; // replacePrimary() is running
--- a/src/gateway/promoter_pending.cpp
+++ b/src/gateway/promoter_pending.cpp
@@ -141,9 +141,16 @@
     if (!pending)
         return false;
     bool isPrimary = std::ranges::any_of(findings, [&](const MemberFinding& it) { return it.member == pending->member && it.saysPrimary && it.term >= newestTerm; });
-    if (isPrimary)
-        settlePending(group, "promoted");
-    return isPrimary;
+    if (!isPrimary)
+        return false;
+    auto member = pending->member;
+    settlePending(group, "promoted");
+    auto& state = m_groups[group];
+    for (auto& it : state.record.recorded.orders) { // also if no newer term has begun
+        if (it.member == member)
+            state.refusedMembers[it.sender].insert(member);
+    }
+    return true;
 }
 
 // An order of this process, or one that it has found without its sender.
