--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -294,8 +294,8 @@
     co_return isHeld;
 }
 
-// Before an order is repeated: replicas that have restarted or are new have received commits since, or the successor has lost its log. Returns whether the successor holds all that is
-// acknowledged.
+// Before an order is repeated: replicas that have restarted or are new have received commits since, or the successor has lost its log. Returns whether
+// the successor holds all that is acknowledged.
 asio::awaitable<bool> Promoter::renewGuard(std::string group, std::string primary, std::string successor, uint64_t previousTerm)
 {
     auto replicas = std::make_shared<ReplicaQuery>(m_context.context.get_executor());
