Configuration: an item that cannot be used costs itself and nothing else

Evidence: the only line of the hosts is configuration-refused, "Routes: Priority is missing or not an integer from 0 to 1000"; with a priority of 3 the case holds.

Change: designed first (docs/design/0016), field by field: used, limited where only the order counts, read as strictly as possible, or its item left out. What a version removes or lowers takes effect although another item is odd; an odd account opens nothing. Only a document without a version or a list of routes is refused as a whole; that, and each item that is not in force as written, is told while it lasts: log lines, two gauges, GET /configuration, alderctl configuration. A version that only another host can read is read once, not at each ping. Relays pass on what the sender reads: a section of accounts that is no list became an empty document, and a number above the range of doubles was written as Infinity.

Ruled out: the version does not arrive (the refusal is of the new document); it is taken for older (its version is never read). Weighed and not taken: higher limits, refusing loudly, keeping the older reading of an item (design/0016).

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -41,6 +41,8 @@
     MetricFamilyInfo { MetricFamily::Term, "alderward_term", MetricType::Gauge, "group", "newest term that was heard of" },
     MetricFamilyInfo { MetricFamily::LeavingPrimary, "alderward_leaving_primary_seconds", MetricType::Gauge, "group", "how long this host has known that the group's primary leaves; no value: it does not" },
     MetricFamilyInfo { MetricFamily::ConfigurationVersion, "alderward_configuration_version", MetricType::Gauge, "", "version in force" },
+    MetricFamilyInfo { MetricFamily::ConfigurationProblems, "alderward_configuration_problems", MetricType::Gauge, "use", "fields of the version in force that are not in force as written: left-out, restricted, limited" },
+    MetricFamilyInfo { MetricFamily::ConfigurationRefused, "alderward_configuration_refused_seconds", MetricType::Gauge, "", "how long the newest configuration in the store has been one that cannot be read as a whole; 0: it can" },
     MetricFamilyInfo { MetricFamily::Sessions, "alderward_sessions", MetricType::Gauge, "", "callers' sessions" },
     MetricFamilyInfo { MetricFamily::Ready, "alderward_ready", MetricType::Gauge, "", "1 if this host takes callers" },
     MetricFamilyInfo { MetricFamily::InvariantViolations, "alderward_invariant_violations_total", MetricType::Counter, "", "rules of the program itself that were found broken; any is a bug (event invariant-broken)" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -40,6 +40,8 @@
     Term,
     LeavingPrimary,
     ConfigurationVersion,
+    ConfigurationProblems,
+    ConfigurationRefused,
     Sessions,
     Ready,
     InvariantViolations,
--- a/src/ctl/accounts.cpp
+++ b/src/ctl/accounts.cpp
@@ -3,53 +3,14 @@
 #include "ctl/fetch.h"
 #include "links/json_fields.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 #include <map>
-#include <memory>
 
 namespace alderward::ctl {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
-using base::Clock;
-using base::milliseconds;
-
-static constexpr milliseconds kHostTimeout { 1500 }; // so that the command ends within 2 s whatever the number of hosts
-
-// The documents by address; empty for a host that does not answer.
-struct Documents {
-    std::map<std::string, std::optional<json::object>> byAddress {};
-    size_t pending { 0 };
-};
-
-static asio::awaitable<Documents> fetchDocuments(const std::vector<std::string>& addresses)
-{
-    auto executor = co_await asio::this_coro::executor;
-    auto documents = std::make_shared<Documents>();
-    auto allDone = std::make_shared<asio::steady_timer>(executor, asio::steady_timer::time_point::max());
-    for (auto& it : addresses)
-        documents->byAddress[it] = std::nullopt;
-    documents->pending = documents->byAddress.size();
-    auto deadline = Clock::now() + kHostTimeout;
-    for (auto& [address, document] : documents->byAddress) {
-        asio::co_spawn(executor, fetchJson(address, "/accounts", deadline), [documents, allDone, address](std::exception_ptr error, std::optional<json::object> result) {
-            if (!error)
-                documents->byAddress[address] = std::move(result);
-            if (--documents->pending == 0)
-                allDone->cancel();
-        });
-    }
-    boost::system::error_code ec;
-    if (documents->pending > 0)
-        co_await allDone->async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    co_return std::move(*documents);
-}
 
 namespace {
 
@@ -154,15 +115,12 @@
 asio::awaitable<int> showAccounts(Options options)
 {
     std::vector<std::string> addresses(options.arguments.begin() + 1, options.arguments.end());
-    auto documents = co_await fetchDocuments(addresses);
+    auto documents = co_await fetchDocuments(addresses, "/accounts");
     std::map<std::string, Row> sums; // by account
     std::map<std::string, Row> hosts; // of options.onlyAccount, by host
-    std::vector<std::string> silent;
-    for (auto& [address, document] : documents.byAddress) {
-        if (!document) {
-            silent.push_back(address);
+    for (auto& [address, document] : documents) {
+        if (!document)
             continue;
-        }
         auto host = links::getString(*document, "host");
         for (auto& it : getObject(*document, "accounts")) {
             bool isWanted = options.onlyAccount.empty() || it.key() == options.onlyAccount;
@@ -178,10 +136,7 @@
         printRow(account, row);
     for (auto& [host, row] : hosts)
         printRow("  at " + host, row);
-    fmt::print("{} of {} hosts answered\n", documents.byAddress.size() - silent.size(), documents.byAddress.size());
-    for (auto& it : silent)
-        fmt::print("host at {} does not answer\n", it);
-    co_return silent.empty() ? kExitSuccess : kExitFailed;
+    co_return printAnswered(documents);
 }
 
 }
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -11,7 +11,7 @@
 inline constexpr int kExitFailed = 1; // the command failed, or its outcome is unknown
 inline constexpr int kExitUsage = 2;
 inline constexpr int kExitConflict = 3; // the record was changed concurrently; nothing was written
-inline constexpr int kExitInvalid = 4; // the record or trace is invalid; nothing was written
+inline constexpr int kExitInvalid = 4; // the record, trace or configuration is invalid; nothing was written
 inline constexpr int kExitNotInForce = 5; // written, but not in force everywhere within the time limit
 
 struct Options {
@@ -37,6 +37,8 @@
 boost::asio::awaitable<int> showTimeline(Options options);
 // Prints one table of the client accounts over the hosts whose metrics addresses are the arguments.
 boost::asio::awaitable<int> showAccounts(Options options);
+// Prints what each host has in force of the operators' configuration, by metrics addresses. kExitInvalid: on some host not all of it as written.
+boost::asio::awaitable<int> showConfiguration(Options options);
 // Prints, from hosts' log files (standard input if none), the state of the host at a request, events of its group, and the
 // request's own lines.
 int explainRequest(const std::string& id, const std::vector<std::string>& paths);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -18,6 +18,7 @@
   config history-of GROUP      show the last changes of a record
   status                       show hosts, groups, primaries, terms, ages, homes, records in force
   accounts ADDRESS...          show client accounts over hosts, by their metrics addresses; --account NAME: also by host
+  configuration ADDRESS...     show what hosts have in force, by their metrics addresses, and what is not in force as written
   timeline [FILE...]           merge the timelines of all hosts; with files: the state changes in hosts' logs
   explain ID [FILE...]         explain one request from hosts' logs (standard input without files)
   replay FILE                  replay a recorded trace (GET /debug/trace?group=NAME) through this version's decisions)";
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -20,21 +20,6 @@
 
 static constexpr milliseconds kCallTimeout { 2000 };
 
-asio::awaitable<std::optional<json::object>> fetchJson(std::string address, std::string path, base::TimePoint deadline)
-{
-    auto connection = links::makeHttpConnection(co_await asio::this_coro::executor, address);
-    if (!co_await connection->open(deadline))
-        co_return std::nullopt;
-    links::HttpRequest request;
-    request.method = "GET";
-    request.path = std::move(path);
-    request.from = "alderctl";
-    auto answer = co_await connection->exchange(std::move(request), deadline);
-    if (!answer)
-        co_return std::nullopt;
-    co_return links::parseObject(answer->body);
-}
-
 // A host named by the operator takes precedence, because the platform's list can be outdated or unreachable.
 asio::awaitable<std::vector<std::string>> findHosts(const Options& options)
 {
@@ -170,6 +155,8 @@
         co_return co_await showStatus(std::move(options));
     if (command == "accounts" && options.arguments.size() >= 2)
         co_return co_await showAccounts(std::move(options));
+    if (command == "configuration" && options.arguments.size() >= 2)
+        co_return co_await showConfiguration(std::move(options));
     if (command == "explain" && options.arguments.size() >= 2)
         co_return explainRequest(options.arguments[1], { options.arguments.begin() + 2, options.arguments.end() });
     if (command == "timeline" && options.arguments.size() > 1)
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -71,7 +71,7 @@
 
 void Directory::refreshConfiguration(uint64_t version)
 {
-    if (version <= m_configurationVersion || m_mustReadConfiguration)
+    if (version <= std::max(m_configurationVersion, m_missingVersion) || m_mustReadConfiguration)
         return;
     if (isFollowingRelay()) { // the relay passes it on, unless the relay has failed
         m_reportedVersion = decisions::applyReportedChange(m_reportedVersion, version, m_configurationVersion, Clock::now());
@@ -79,6 +79,7 @@
             return;
     }
     base::logEvent(LogClass::State, "configuration-behind", { { "here", static_cast<int64_t>(m_configurationVersion) }, { "elsewhere", static_cast<int64_t>(version) } });
+    m_requestedVersion = version;
     m_mustReadConfiguration = true;
     m_platform.getStore().cancelWatch();
 }
@@ -181,6 +182,8 @@
         co_return item.error().kind == StoreErrorKind::NotFound;
     }
     applyConfigurationItem(*item);
+    if (m_configurationVersion < m_requestedVersion)
+        m_missingVersion = m_requestedVersion;
     co_return true;
 }
 
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -7,6 +7,7 @@
 //   directory_entry.cpp   this host's own entry
 #pragma once
 #include "decisions/watching.h"
+#include "gateway/configuration_report.h"
 #include "links/directory.h"
 #include <boost/asio/io_context.hpp>
 #include <deque>
@@ -59,8 +60,10 @@
     void start();
     // Stops following the store and deletes this host's entry.
     boost::asio::awaitable<void> stop();
-    // Reads the configuration if another host reports a newer version.
+    // Reads the configuration if another host reports a newer version, once for each: this host may be unable to use what the other one does.
     void refreshConfiguration(uint64_t version);
+    // Set while the newest configuration in the store cannot be read as a whole.
+    const std::optional<RefusedConfiguration>& getRefusedConfiguration() const { return m_refusedConfiguration; }
     // Sets whether this host polls the store often, and whether it has a relay that passes changes on.
     void setWatcher(bool isWatcher, bool hasRelay);
     // Sets whether all relays of this host report that they have lost the store. It then retries rarely and leaves retries to the relays.
@@ -98,6 +101,7 @@
     void logChange(const RelayedChange& change);
     bool isFollowingRelay() const;
     void applyConfigurationItem(const links::StoreItem& item);
+    void refuseConfiguration(const links::StoreItem& item, const std::string& reason);
     void applyHost(const links::StoreItem& item);
     void reportUnreadable(const links::StoreItem& item, const std::string& reason);
     void setReachable(bool isReachable, const std::string& reason);
@@ -111,6 +115,10 @@
     DirectoryEvents m_events;
     uint64_t m_revision { 0 }; // all changes up to this one are known
     uint64_t m_configurationVersion { 0 };
+    uint64_t m_configurationRevision { 0 }; // of the newest configuration received, readable or not
+    uint64_t m_requestedVersion { 0 }; // reported by other hosts, and the reason to read the configuration
+    uint64_t m_missingVersion { 0 }; // reported by other hosts, and not what the store had when it was read
+    std::optional<RefusedConfiguration> m_refusedConfiguration {};
     uint64_t m_lease { 0 }; // of this host's entry; 0: the entry must be written
     std::set<std::string> m_knownKeys;
     base::TimePoint m_syncedAt {}; // when all changes were last received, from the store or a relay
--- a/src/gateway/directory_changes.cpp
+++ b/src/gateway/directory_changes.cpp
@@ -128,14 +128,30 @@
         m_events.onCoordinatorRecord(item.key.substr(kCoordinatorRecordPrefix.size()), item);
 }
 
+// The time since which no readable configuration has been there stays when another unreadable one follows.
+void Directory::refuseConfiguration(const links::StoreItem& item, const std::string& reason)
+{
+    if (m_refusedConfiguration && m_refusedConfiguration->revision == item.revision)
+        return;
+    auto now = Clock::now();
+    auto since = m_refusedConfiguration ? m_refusedConfiguration->since : now;
+    m_refusedConfiguration = RefusedConfiguration { reason, item.revision, since };
+    logRefusedConfiguration(*m_refusedConfiguration, m_configurationVersion, now);
+}
+
 // Ignores versions older than the current one: they come from outdated answers.
 void Directory::applyConfigurationItem(const links::StoreItem& item)
 {
+    bool isNewest = item.revision >= m_configurationRevision;
+    m_configurationRevision = std::max(m_configurationRevision, item.revision);
     auto configuration = m_platform.parseConfiguration(item.value);
     if (!configuration) {
-        base::logEvent(LogClass::State, "configuration-refused", { { "reason", std::string_view(configuration.error()) } });
+        if (isNewest)
+            refuseConfiguration(item, configuration.error());
         return;
     }
+    if (isNewest)
+        m_refusedConfiguration.reset();
     if (configuration->version <= m_configurationVersion)
         return;
     m_configurationVersion = configuration->version;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/random.h"
+#include "gateway/configuration_report.h"
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -55,6 +56,10 @@
                 response.body = formatAccountReports(m_self.name, m_view.configuration.version, describeAccounts(Clock::now()));
                 co_return response;
             }
+            if (request.path == "/configuration") {
+                response.body = formatConfigurationReport(m_self.name, m_view.configuration, m_directory.getRefusedConfiguration(), Clock::now());
+                co_return response;
+            }
             updateGauges();
             response.contentType = "text/plain; version=0.0.4";
             response.body = base::formatMetricFamilies();
@@ -100,6 +105,7 @@
 {
     auto now = Clock::now();
     logReadinessChange();
+    repeatConfigurationProblems(now);
     sweepHosts(now);
     refreshMembersFromPeers(now);
     sweepPools(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,7 @@
     LocalHost getLocalHost() const;
     boost::asio::awaitable<links::HttpResponse> handleReadinessRequest(links::HttpRequest request);
     void logReadinessChange();
+    void repeatConfigurationProblems(TimePoint now);
     void updateGauges() const;
     AccountReports describeAccounts(TimePoint now) const;
     boost::asio::awaitable<void> finishShutdown();
@@ -116,6 +117,7 @@
     base::TimerService& m_timers;
     base::TimerSubscription m_sweepTimer;
     TimePoint m_startedAt {};
+    TimePoint m_configurationReportedAt {}; // when its problems were last logged
     TimePoint m_shutdownStartedAt {};
     bool m_isDraining { false };
     StopState m_stop;
--- a/src/gateway/gateway_hosts.cpp
+++ b/src/gateway/gateway_hosts.cpp
@@ -2,6 +2,7 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "decisions/relaying.h"
+#include "gateway/configuration_report.h"
 #include "gateway/gateway.h"
 #include "gateway/member_exchange.h"
 #include <algorithm>
@@ -164,6 +165,8 @@
     events.onConfiguration = [this](const links::GatewayConfiguration& configuration) {
         base::logEvent(LogClass::State, "configuration", { { "version", static_cast<int64_t>(configuration.version) }, { "before", static_cast<int64_t>(m_view.configuration.version) }, { "routes", static_cast<int64_t>(configuration.routes.size()) } });
         m_view.configuration = configuration;
+        logConfigurationProblems(configuration);
+        m_configurationReportedAt = Clock::now();
         m_view.isForwardingUpdateDue = true;
         m_basePingInterval = decisions::getPingInterval(getMinStalenessLimit(configuration));
         m_isPartnerChoiceDue = true;
--- a/src/gateway/gateway_reports.cpp
+++ b/src/gateway/gateway_reports.cpp
@@ -2,6 +2,7 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/metrics.h"
+#include "gateway/configuration_report.h"
 #include "gateway/gateway.h"
 
 namespace alderward::gateway {
@@ -11,6 +12,7 @@
 using base::LogClass;
 using decisions::ErrorKind;
 
+static constexpr milliseconds kConfigurationReportInterval { 60000 }; // between log lines on a configuration that is not in force as written
 static constexpr milliseconds kStatusQueryTimeout { 350 }; // a busy target answers within some tens of ms
 
 AccountReports Gateway::describeAccounts(TimePoint now) const
@@ -53,7 +55,7 @@
         if (report.bucket)
             base::setGauge(MetricFamily::QuotaLevel, { { "account", account } }, report.bucket->status.level);
     }
-    base::setGauge(MetricFamily::ConfigurationVersion, {}, static_cast<double>(m_view.configuration.version));
+    setConfigurationGauges(m_view.configuration, m_directory.getRefusedConfiguration(), now);
     base::setGauge(MetricFamily::Sessions, {}, static_cast<double>(m_sessions.size()));
     base::setGauge(MetricFamily::Ready, {}, isReady() ? 1 : 0);
     base::setGauge(MetricFamily::InvariantViolations, {}, static_cast<double>(base::getCount(base::Counter::InvariantViolations)));
@@ -73,6 +75,17 @@
     co_return response;
 }
 
+// Repeats what operators must mend for as long as it lasts.
+void Gateway::repeatConfigurationProblems(TimePoint now)
+{
+    if (now - m_configurationReportedAt < kConfigurationReportInterval)
+        return;
+    m_configurationReportedAt = now;
+    logConfigurationProblems(m_view.configuration);
+    if (auto& refused = m_directory.getRefusedConfiguration())
+        logRefusedConfiguration(*refused, m_view.configuration.version, now);
+}
+
 void Gateway::logReadinessChange()
 {
     if (isReady() == m_wasReady)
--- a/src/links/directory.h
+++ b/src/links/directory.h
@@ -20,6 +20,29 @@
     friend bool operator==(const GroupLimits&, const GroupLimits&) = default;
 };
 
+// What a host does with an item of the configuration that it cannot use as written.
+enum class ItemUse {
+    LeftOut, // as if it were not there
+    Restricted, // in force, with the strictest reading of the field
+    Limited, // in force, with the largest value that can be used
+};
+
+// A field of the configuration that is not in force as written.
+struct ConfigurationProblem {
+    std::string item {}; // such as "route orders", or its position in the document
+    std::string field {}; // empty: the whole item
+    std::string reason {}; // contains no value of the field, which may be an API key
+    ItemUse use { ItemUse::LeftOut };
+    friend bool operator==(const ConfigurationProblem&, const ConfigurationProblem&) = default;
+};
+
+// "left-out", "restricted" or "limited".
+constexpr std::string_view getItemUseName(ItemUse use)
+{
+    return use == ItemUse::LeftOut ? "left-out" : use == ItemUse::Restricted ? "restricted"
+                                                                             : "limited";
+}
+
 // One version of the operators' configuration.
 struct GatewayConfiguration {
     uint64_t version { 0 };
@@ -27,6 +50,7 @@
     std::map<std::string, GroupLimits> groups {};
     std::optional<decisions::Accounts> accounts {}; // empty: the platform has no accounts, and callers need no key
     base::milliseconds transactionIdle { 0 }; // a transaction idle for longer may be rolled back; 0: never
+    std::vector<ConfigurationProblem> problems {}; // with items that are not in force as written
     friend bool operator==(const GatewayConfiguration&, const GatewayConfiguration&) = default;
 };
 
--- a/tests/harness/gateway_rig.cpp
+++ b/tests/harness/gateway_rig.cpp
@@ -180,6 +180,15 @@
     LineCaller(getHostAddress(host, 1), "").sendRaw(alderward::links::encodeFrame(frame.SerializeAsString()));
 }
 
+void GatewayRig::announceConfiguration(unsigned host, uint64_t version)
+{
+    alderward::gateway::peer::Frame frame;
+    frame.mutable_ping()->set_number(1);
+    frame.mutable_ping()->set_host("another");
+    frame.mutable_ping()->set_configuration(version);
+    LineCaller(getHostAddress(host, 1), "").sendRaw(alderward::links::encodeFrame(frame.SerializeAsString()));
+}
+
 unsigned GatewayRig::findFirstCoordinator() const
 {
     const std::string needle = "\"holder\":\"h";
--- a/tests/harness/gateway_rig.h
+++ b/tests/harness/gateway_rig.h
@@ -72,6 +72,8 @@
     void setStoreIsolated(unsigned host, bool isIsolated);
     // Sends a host the message by which a coordinator reports a new primary.
     void announcePrimary(unsigned host, const std::string& group, const std::string& member, uint64_t term);
+    // Sends a host a ping of another host that has this configuration version in force.
+    void announceConfiguration(unsigned host, uint64_t version);
     // Returns the index of the first coordinator as last logged by host 0, or 0 if none was logged in time.
     unsigned findFirstCoordinator() const;
     // Stores a configuration with the databases db<i>-primary, db<i>-bounded and db<i>-own for each group i.
