Entries of other writers: their texts, addresses and numbers are checked for what they are used for

Cause: fields of entries were checked for their types only, and a group and a member's id are fields of the first message on each connection to it.

Change: group names and ids are words of 200 bytes at most, in entries and in the configuration; addresses are those of one machine, also of hosts' entries, which were not checked; a coordinator record leaves room for tokens (the next one overflowed to 0); the skew of sequences is compared without a sum.

Ruled out: metric labels, log lines and names of accounts are escaped; JSON texts are UTF-8.

--- a/src/decisions/promotion.cpp
+++ b/src/decisions/promotion.cpp
@@ -6,6 +6,8 @@
 
 namespace json = boost::json;
 
+static constexpr uint64_t kMaxFirstToken = uint64_t { 1 } << 62; // leaves room for the tokens of all later records
+
 CoordinatorRecord makeCoordinatorRecord(const CoordinatorRecord& previous, const std::vector<RankedCandidate>& ranked)
 {
     CoordinatorRecord next;
@@ -172,7 +174,7 @@
     auto* coordinators = findArray(object, "orderers");
     auto firstToken = findNumber(object, "firstToken");
     auto recorded = parseRecordedOrders(object);
-    if (!coordinators || !firstToken || !recorded)
+    if (!coordinators || !firstToken || *firstToken > kMaxFirstToken || !recorded)
         return std::nullopt;
     CoordinatorRecord record { {}, *firstToken, std::move(*recorded) };
     for (auto& it : *coordinators) {
--- a/src/gateway/cluster_view.cpp
+++ b/src/gateway/cluster_view.cpp
@@ -143,7 +143,8 @@
 {
     bool isUnknown = (incarnation.startedAtMs == 0 || other.startedAtMs == 0) && (incarnation.sequence == 0 || other.sequence == 0);
     bool hasEarlierStart = incarnation.startedAtMs != 0 && incarnation.startedAtMs < other.startedAtMs;
-    return isUnknown || hasEarlierStart || incarnation.sequence > other.sequence + kMaxSequenceSkew;
+    bool hasHigherSequence = incarnation.sequence > other.sequence && incarnation.sequence - other.sequence > kMaxSequenceSkew; // the sum could overflow
+    return isUnknown || hasEarlierStart || hasHigherSequence;
 }
 
 Mark getNewestKnownMark(const GroupView& group)
--- a/src/gateway/directory_changes.cpp
+++ b/src/gateway/directory_changes.cpp
@@ -2,12 +2,11 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "gateway/directory.h"
+#include "gateway/host_entry.h"
 #include <algorithm>
-#include <boost/json.hpp>
 
 namespace alderward::gateway {
 
-namespace json = boost::json;
 using base::Clock;
 using base::LogClass;
 using base::milliseconds;
@@ -18,26 +17,6 @@
 static constexpr size_t kMaxLogBytes = 1 << 20;
 static constexpr size_t kMaxRelayedValueSize = 32 << 10; // bytes; each host reads larger values from the store, so that they do not fill a relay's connections. 300 client accounts fit
 
-// Parses the output of formatHost() in directory_entry.cpp. The store may hold entries by other writers, so every field is validated.
-static std::optional<links::RegisteredHost> parseHost(const std::string& name, const std::string& text)
-{
-    boost::system::error_code ec;
-    auto value = json::parse(text, ec);
-    auto* object = ec ? nullptr : value.if_object();
-    if (!object)
-        return std::nullopt;
-    auto* address = object->if_contains("address");
-    auto* dataCentre = object->if_contains("dataCentre");
-    auto* incarnation = object->if_contains("incarnation");
-    bool isComplete = address && address->is_string() && dataCentre && dataCentre->is_string() && incarnation;
-    if (!isComplete || name.empty() || address->as_string().empty() || dataCentre->as_string().empty())
-        return std::nullopt;
-    auto number = incarnation->to_number<uint64_t>(ec);
-    if (ec)
-        return std::nullopt;
-    return links::RegisteredHost { name, std::string(address->as_string()), std::string(dataCentre->as_string()), number };
-}
-
 void Directory::logChange(const RelayedChange& change)
 {
     m_changeLog.push_back(change);
@@ -169,7 +148,7 @@
         m_events.onHostRemoved(name);
         return;
     }
-    if (auto host = parseHost(name, item.value)) {
+    if (auto host = parseHostEntry(name, item.value)) {
         m_events.onHostChanged(*host);
         return;
     }
--- a/src/gateway/directory_entry.cpp
+++ b/src/gateway/directory_entry.cpp
@@ -3,21 +3,15 @@
 #include "base/random.h"
 #include "decisions/limits.h"
 #include "gateway/directory.h"
-#include <boost/json.hpp>
+#include "gateway/host_entry.h"
 
 namespace alderward::gateway {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 using base::Clock;
 using base::milliseconds;
 using links::StoreErrorKind;
 
-static std::string formatHost(const links::RegisteredHost& host)
-{
-    return json::serialize(json::object { { "address", host.address }, { "dataCentre", host.dataCentre }, { "incarnation", host.incarnation } });
-}
-
 asio::awaitable<bool> Directory::writeEntry()
 {
     auto& store = m_platform.getStore();
@@ -28,7 +22,7 @@
         co_return false;
     links::StoreItem item;
     item.key = std::string(kHostsPrefix) + m_self.name;
-    item.value = formatHost(m_self);
+    item.value = formatHostEntry(m_self);
     item.lease = *lease;
     links::StoreChange change;
     change.puts.push_back(std::move(item));
--- a/src/links/channel.cpp
+++ b/src/links/channel.cpp
@@ -1,4 +1,5 @@
 #include "links/channel.h"
+#include "links/endpoint.h"
 #include "links/http.h"
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -52,7 +53,7 @@
 {
     auto endpoint = parseEndpoint(address);
     if (!endpoint)
-        return tl::make_unexpected(endpoint.error());
+        return tl::make_unexpected("'" + address + "' " + endpoint.error());
     boost::system::error_code ec;
     acceptor.open(endpoint->protocol(), ec);
     if (!ec)
@@ -99,7 +100,7 @@
     m_isOpen = true;
     auto endpoint = parseEndpoint(address);
     if (!endpoint) {
-        asio::post(m_socket.get_executor(), [self = shared_from_this(), reason = endpoint.error()] { self->fail(reason); });
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), reason = "the address " + endpoint.error()] { self->fail(reason); });
         return;
     }
     m_timer.expires_after(limit);
--- a/src/links/http.h
+++ b/src/links/http.h
@@ -92,7 +92,4 @@
 
 std::unique_ptr<HttpConnection> makeHttpConnection(boost::asio::any_io_executor executor, const std::string& address, HttpClientOptions options = {});
 
-// Parses "ip:port". The IP address must be numeric.
-tl::expected<boost::asio::ip::tcp::endpoint, std::string> parseEndpoint(const std::string& address);
-
 }
--- a/src/links/http_client.cpp
+++ b/src/links/http_client.cpp
@@ -1,3 +1,4 @@
+#include "links/endpoint.h"
 #include "links/http.h"
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -31,7 +32,7 @@
     {
         auto endpoint = parseEndpoint(m_address);
         if (!endpoint)
-            co_return tl::make_unexpected(LinkFailure { false, false, endpoint.error() });
+            co_return tl::make_unexpected(LinkFailure { false, false, "the address " + endpoint.error() });
         m_stream.expires_at(deadline);
         auto [ec] = co_await m_stream.async_connect(*endpoint, kUseAwaitable);
         m_stream.expires_never();
--- a/src/links/http_server.cpp
+++ b/src/links/http_server.cpp
@@ -1,3 +1,4 @@
+#include "links/endpoint.h"
 #include "links/http.h"
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -23,20 +24,6 @@
 static constexpr base::milliseconds kResponseWriteTimeout { 30000 }; // for a client that does not read the response
 static constexpr size_t kHeaderLimit = 16 * 1024;
 
-tl::expected<tcp::endpoint, std::string> parseEndpoint(const std::string& address)
-{
-    auto colon = address.rfind(':');
-    boost::system::error_code ec;
-    if (colon == std::string::npos)
-        return tl::make_unexpected("'" + address + "' is not ip:port");
-    auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    char* end = nullptr;
-    auto port = std::strtoul(address.c_str() + colon + 1, &end, 10);
-    if (ec || *end || colon + 1 == address.size() || port > 65535)
-        return tl::make_unexpected("'" + address + "' is not ip:port");
-    return tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 namespace {
 
 struct Connection {
@@ -273,7 +260,7 @@
 {
     auto endpoint = parseEndpoint(address);
     if (!endpoint)
-        return tl::make_unexpected(endpoint.error());
+        return tl::make_unexpected("'" + address + "' " + endpoint.error());
     auto server = std::make_shared<BeastServer>(context, std::move(handler), std::move(options));
     if (auto ec = server->listen(*endpoint))
         return tl::make_unexpected("cannot listen on " + address + ": " + ec.message());
--- /dev/null
+++ b/tests/gateway/odd_entries_test.cpp
@@ -0,0 +1,128 @@
+// Entries of another writer among those of the members: odd in any way, large, many. No process may end, a change made after them must be in force everywhere in
+// time, and members whose entries are sound must be served.
+#include "harness/gateway_rig.h"
+#include "standins/odd_entries.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <random>
+
+using namespace harness;
+
+namespace {
+
+constexpr milliseconds kApplyLimit { 3000 }; // from the write of a version until it is in force everywhere
+constexpr unsigned kRelayHosts = 21; // seven in each data centre: the minimum for relays
+
+const std::string kSoundMember = R"({"Service":"g0","Address":"127.0.0.1:1","Zone":"dc-a","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"DbRole":"replica","Sequence":7,"born":1789000000007})";
+const std::string kSoundHost = R"({"address":"127.0.0.1:1","dataCentre":"dc-a","incarnation":7})";
+const std::string kSoundRecord = R"({"orderers":[{"host":"h0","incarnation":7}],"firstToken":3001})";
+
+void put(GatewayRig& rig, const std::string& key, const std::string& value)
+{
+    rig.call([&] { rig.getStore().put(key, value); });
+}
+
+// Writes `count` odd values under keys of members, hosts and coordinator records.
+void putOddEntries(GatewayRig& rig, std::mt19937& random, unsigned count)
+{
+    for (unsigned i = 0; i < count; ++i) {
+        auto number = random() % 40; // some keys are written again
+        auto kind = random() % 8;
+        if (kind < 6)
+            put(rig, fmt::format("servers/odd-{}", number), standins::makeOddValue(random, kSoundMember));
+        else if (kind == 6)
+            put(rig, fmt::format("alderward/hosts/odd-{}", number), standins::makeOddValue(random, kSoundHost));
+        else
+            put(rig, fmt::format("alderward/succession/odd-{}", number), standins::makeOddValue(random, kSoundRecord));
+    }
+}
+
+// Writes a new version and checks that it is in force on all hosts in time, and that they serve writes and reads.
+void checkThatHostsFollow(GatewayRig& rig, unsigned hosts, uint64_t version, milliseconds limit = kApplyLimit)
+{
+    auto database = fmt::format("added-{}", version);
+    rig.configure(version, 1500, database);
+    auto until = std::chrono::steady_clock::now() + limit;
+    for (unsigned i = 0; i < hosts; ++i) {
+        auto left = std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
+        BOOST_TEST(rig.waitUntilConfigured(i, version, std::max(left, milliseconds(1))), "host " << i << " has not version " << version << " in force in time");
+    }
+    for (unsigned i = 0; i < hosts; ++i) {
+        BOOST_TEST(LineCaller(rig.getCallerAddress(i), database).ask("WRITE x 1").isOk(), "host " << i);
+        BOOST_TEST(LineCaller(rig.getCallerAddress(i), "db0-bounded").ask("READ x").isOk(), "host " << i);
+        BOOST_TEST(rig.getHost(i).isRunning(), "host " << i);
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(odd_entries)
+
+BOOST_AUTO_TEST_CASE(hosts_follow_after_each_of_many_odd_entries)
+{
+    GatewayRig rig;
+    rig.startHosts();
+    std::mt19937 random(58);
+    for (uint64_t version = 10; version < 18; ++version) {
+        putOddEntries(rig, random, 30);
+        checkThatHostsFollow(rig, 3, version);
+    }
+}
+
+// Guards against a member that runs what an entry says: the entry's texts are fields of the first message on a connection.
+BOOST_AUTO_TEST_CASE(no_text_of_an_entry_is_run_by_a_member)
+{
+    GatewayRig rig;
+    rig.startHosts();
+    auto address = rig.call([&] { return rig.getGroup().getAddress("g0-a"); });
+    const std::string smuggled = "QUERY smuggled WRITE x 666";
+    auto format = [&](const std::string& group) { return fmt::format(R"({{"Service":"{}","Address":"{}","Zone":"dc-a","Version":"v1","Slots":4,"State":"ready","ColdLeftMs":0,"DbRole":"primary","Sequence":7,"born":7}})", group, address); };
+    put(rig, "servers/odd-1", format("g0 h0\\r\\n" + smuggled + "\\r\\n"));
+    put(rig, "servers/odd-2\r\n" + smuggled + "\r\n", format("g0"));
+    put(rig, "servers/odd-3\r\n" + smuggled, format("g0"));
+    checkThatHostsFollow(rig, 3, 10);
+    std::this_thread::sleep_for(milliseconds(1500)); // a claim to be the primary is verified meanwhile
+    auto ran = rig.call([&] { return rig.getGroup().getExecutedStatements(); });
+    BOOST_TEST(std::ranges::count(ran, "smuggled", &standins::ExecutedStatement::id) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_start_among_odd_entries_serve)
+{
+    GatewayRig rig;
+    std::mt19937 random(59);
+    putOddEntries(rig, random, 200);
+    rig.startHosts();
+    checkThatHostsFollow(rig, 3, 10);
+}
+
+BOOST_AUTO_TEST_CASE(odd_entries_in_the_place_of_a_member_stop_only_that_member)
+{
+    GatewayRig rig;
+    rig.startHosts();
+    std::mt19937 random(60);
+    for (uint64_t version = 10; version < 14; ++version) {
+        for (int i = 0; i < 10; ++i)
+            put(rig, "servers/g0-c", standins::makeOddValue(random, kSoundMember));
+        checkThatHostsFollow(rig, 3, version);
+        rig.call([&] { rig.getStore().registerMembers(); });
+        checkThatHostsFollow(rig, 3, version + 10);
+        version += 10;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(hosts_that_receive_odd_entries_through_relays_follow)
+{
+    RigOptions options;
+    options.hosts = kRelayHosts;
+    GatewayRig rig(options);
+    rig.startHosts();
+    std::this_thread::sleep_for(milliseconds(1500)); // hosts follow their relays by then
+    std::mt19937 random(61);
+    for (uint64_t version = 10; version < 13; ++version) {
+        putOddEntries(rig, random, 40);
+        checkThatHostsFollow(rig, kRelayHosts, version, milliseconds(5000));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/harness.cpp
+++ b/tests/harness/harness.cpp
@@ -1,4 +1,5 @@
 #include "harness/harness.h"
+#include "links/endpoint.h"
 #include "links/http.h"
 #include "links/json_fields.h"
 #include <atomic>
--- a/tests/unit/comparison_test.cpp
+++ b/tests/unit/comparison_test.cpp
@@ -57,6 +57,9 @@
     BOOST_TEST(!mayHaveStartedBefore({ 0, 43 }, { 0, 40 })); // a leave and two role changes also count
     BOOST_TEST(mayHaveStartedBefore({ 5000, 40 }, { 1000, 3 })); // wrong clock
     BOOST_TEST(mayHaveStartedBefore({ 0, 0 }, { 0, 0 })); // nothing is reported
+    BOOST_TEST(mayHaveStartedBefore({ 0, UINT64_MAX }, { 0, 3 }));
+    BOOST_TEST(!mayHaveStartedBefore({ 0, 3 }, { 0, UINT64_MAX })); // the sum of a sequence and the skew would overflow
+    BOOST_TEST(!mayHaveStartedBefore({ 0, UINT64_MAX }, { 0, UINT64_MAX - 1 }));
 }
 
 // Guards against trusting a restarted primary because of a comparison with its previous process.
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -1,7 +1,9 @@
 // An item of the operators' configuration that cannot be used as written costs itself and nothing else (docs/design/0016-unusable-items.md). Accounts:
 // accounts_test.cpp.
 #include "mutation.h"
+#include "platform/accounts.h"
 #include "platform/configuration.h"
+#include "standins/odd_entries.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -356,4 +358,30 @@
     }
 }
 
+// Whatever an odd configuration is, it must mean the same on hosts that receive it through a relay, and without any key in it.
+BOOST_AUTO_TEST_CASE(a_configuration_without_keys_is_read_as_the_configuration_itself)
+{
+    constexpr int kValues = 10000; // of each seed
+    auto sound = makeConfiguration();
+    sound["Tenants"] = json::array { json::object { { "Name", "mill" }, { "ApiKeys", json::array { "a-key-of-mill", "another" } }, { "RatePerS", 5 }, { "Burst", 7 } }, json::object { { "Name", "shop" }, { "ApiKeys", json::array { "a-key-of-shop" } } } };
+    auto text = json::serialize(sound);
+    unsigned readable = 0;
+    for (auto seed : { 1U, 2U, 3U }) {
+        std::mt19937 random(seed);
+        for (int i = 0; i < kValues; ++i) {
+            auto value = standins::makeOddValue(random, text);
+            auto relayed = platform::replaceKeysWithDigests(value);
+            auto direct = platform::readConfiguration(value);
+            auto received = platform::readConfiguration(relayed);
+            BOOST_REQUIRE_MESSAGE(direct.has_value() == received.has_value(), "seed " << seed << ", value " << i << ": " << value.substr(0, 600));
+            if (!direct)
+                continue;
+            ++readable;
+            bool isSame = direct->version == received->version && direct->routes == received->routes && direct->groups == received->groups && direct->accounts == received->accounts && direct->transactionIdle == received->transactionIdle;
+            BOOST_REQUIRE_MESSAGE(isSame, "seed " << seed << ", value " << i << ": " << value.substr(0, 600));
+        }
+    }
+    BOOST_TEST(readable > 5000u); // the generator also draws configurations that can be read
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/entries_test.cpp
+++ b/tests/unit/entries_test.cpp
@@ -1,9 +1,11 @@
 // Invalid entries of members and invalid messages are refused as a whole, and no input crashes the process.
 #include "decisions/promotion.h"
+#include "gateway/host_entry.h"
 #include "mutation.h"
 #include "platform/adapter.h"
 #include "platform/entries.h"
 #include "platform/wire.h"
+#include "standins/odd_entries.h"
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -113,6 +115,63 @@
     BOOST_TEST((member->incarnation == links::MemberIncarnation { UINT64_MAX, UINT64_MAX }));
 }
 
+// Guards against a field that is split or continued by its text in a message to a member, and against names that fill messages between hosts.
+BOOST_AUTO_TEST_CASE(entries_whose_texts_cannot_be_sent_are_refused)
+{
+    for (auto* separator : { " ", "\r\n", "\n", "\t", "\x7f", "\x01" }) {
+        BOOST_TEST(!platform::readMemberEntry(std::string("m") + separator + "1", json::serialize(makeEntry())).has_value());
+        auto entry = makeEntry();
+        entry["Service"] = std::string("ledger") + separator + "QUERY 1 WRITE x 1";
+        BOOST_TEST(!isValidEntry(entry));
+    }
+    for (auto* name : { "Service", "Zone", "Version" }) {
+        auto entry = makeEntry();
+        entry[name] = std::string(200, 'x');
+        BOOST_TEST(isValidEntry(entry), name);
+        entry[name] = std::string(201, 'x');
+        BOOST_TEST(!isValidEntry(entry), name);
+    }
+}
+
+// A host would connect to itself at an unspecified address.
+BOOST_AUTO_TEST_CASE(entries_at_the_address_of_no_machine_are_refused)
+{
+    for (auto* address : { "0.0.0.0:80", "224.0.0.1:80", "239.255.255.255:80", "[::]:80", "::0:80", "ff02::1:80", "10.0.0.1: 80", "10.0.0.1:+80", " 10.0.0.1:80", "10.0.0.1:65536", "10.0.0.1:99999999999999999999" }) {
+        auto entry = makeEntry();
+        entry["Address"] = address;
+        BOOST_TEST(!isValidEntry(entry), address);
+        BOOST_TEST(!gateway::parseHostEntry("h1", gateway::formatHostEntry({ "h1", address, "hall-a", 1 })).has_value(), address);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(host_entries_with_a_field_that_cannot_be_used_are_refused)
+{
+    links::RegisteredHost host { "h1", "10.0.0.1:7400", "hall-a", UINT64_MAX };
+    auto text = gateway::formatHostEntry(host);
+    BOOST_TEST((gateway::parseHostEntry("h1", text) == host));
+    BOOST_TEST(!gateway::parseHostEntry("", text).has_value());
+    BOOST_TEST(!gateway::parseHostEntry(std::string(201, 'h'), text).has_value());
+    for (auto* field : { "address", "dataCentre", "incarnation" }) {
+        for (const json::value& wrong : { json::value(nullptr), json::value(""), json::value(-1), json::value(0.5), json::value(1e300), json::value(json::array()), json::value(std::string(201, 'x')) }) {
+            auto object = json::parse(text).as_object();
+            object[field] = wrong;
+            BOOST_TEST(!gateway::parseHostEntry("h1", json::serialize(object)).has_value(), field << " is " << json::serialize(wrong));
+        }
+    }
+}
+
+// Guards against tokens that overflow: the platform would refuse all later ones.
+BOOST_AUTO_TEST_CASE(coordinator_records_without_room_for_tokens_are_refused)
+{
+    auto withToken = [](uint64_t token) { return decisions::parseCoordinatorRecord(decisions::formatCoordinatorRecord({ { { "h1", 1 } }, token })); };
+    BOOST_TEST(withToken(uint64_t { 1 } << 53).has_value());
+    BOOST_TEST(withToken(uint64_t { 1 } << 62).has_value());
+    for (uint64_t token : { (uint64_t { 1 } << 62) + 1, uint64_t { 1 } << 63, UINT64_MAX - 1, UINT64_MAX })
+        BOOST_TEST(!withToken(token).has_value(), token);
+    auto next = decisions::makeCoordinatorRecord(*withToken(uint64_t { 1 } << 62), { { { "h2", 1 }, "hall-a" } });
+    BOOST_TEST(*decisions::getFencingToken(next, 0, 0) > uint64_t { 1 } << 62);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_entries_are_refused)
 {
     for (auto& text : { std::string(), std::string("x"), std::string("null"), std::string("[]"), std::string("\xff\xfe\0", 3), nest(10000), "{\"Service\":" + nest(10000) + "}", std::string(1 << 20, '{'), std::string("{\"Slots\":99999999999999999999999999}"), std::string(1 << 20, ' ') })
@@ -124,6 +183,7 @@
 BOOST_AUTO_TEST_CASE(mutated_entries_are_refused_or_parsed_completely)
 {
     auto entry = json::serialize(makeEntry());
+    auto hostEntry = gateway::formatHostEntry({ "h1", "10.0.0.1:7400", "hall-a", 7 });
     auto coordinatorRecord = decisions::formatCoordinatorRecord({ { { "h1", 1 }, { "h2", 2 } }, 3001 });
     int refused = 0;
     for (auto seed : kSeeds) {
@@ -133,6 +193,7 @@
             BOOST_REQUIRE((!member || hasRequiredFields(*member)));
             refused += member ? 0 : 1;
             decisions::parseCoordinatorRecord(fixtures::mutate(coordinatorRecord, random));
+            gateway::parseHostEntry("h1", fixtures::mutate(hostEntry, random));
         }
     }
     BOOST_TEST(refused > kMutations); // the majority over all seeds
