Background tasks: an exception is logged and counted, loops start again, and what a task marks as running is restored

Cause: coroutines were spawned with asio::detached, which drops an exception. One in the loop that follows the store would have stopped the host from following it for good, without a line; one in an attempt to replace a primary, a write of a coordinator record or a check of suspensions would have left the group marked as busy, for good.

A witness that fails is taken for one that reaches the primary, so no promotion follows from a bug; a replica whose suspension fails for one that did not answer. Event task-failed, metric alderward_task_failures_total.

The HTTP daemon keeps detached: no other program's bytes reach its loops unread.

--- a/src/base/families.cpp
+++ b/src/base/families.cpp
@@ -30,6 +30,7 @@
     MetricFamilyInfo { MetricFamily::StoreCalls, "alderward_store_calls_total", MetricType::Counter, "call,result", "calls to the platform's store" },
     MetricFamilyInfo { MetricFamily::StoreSeconds, "alderward_store_seconds", MetricType::Histogram, "call", "calls to the platform's store, watches apart" },
     MetricFamilyInfo { MetricFamily::EntriesRefused, "alderward_entries_refused_total", MetricType::Counter, "result", "entries in the store that could not be used: members, hosts, successions" },
+    MetricFamilyInfo { MetricFamily::TaskFailures, "alderward_task_failures_total", MetricType::Counter, "task", "background tasks that ended by an exception, started again if they are loops; any is a bug (event task-failed)" },
     MetricFamilyInfo { MetricFamily::PromotionOrders, "alderward_promotion_orders_total", MetricType::Counter, "group,result", "orders to make a member the primary" },
     MetricFamilyInfo { MetricFamily::ReplicationChanges, "alderward_replication_changes_total", MetricType::Counter, "group,change,result", "replicas suspended or resumed around promotion orders" },
     MetricFamilyInfo { MetricFamily::CommitConfirmations, "alderward_commit_confirmations_total", MetricType::Counter, "group,result", "commits whose answers were kept back for a member that may be promoted: confirmed, in-doubt" },
--- a/src/base/families.h
+++ b/src/base/families.h
@@ -29,6 +29,7 @@
     StoreCalls,
     StoreSeconds,
     EntriesRefused,
+    TaskFailures,
     PromotionOrders,
     ReplicationChanges,
     CommitConfirmations,
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -2,10 +2,9 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/random.h"
+#include "base/tasks.h"
 #include "decisions/limits.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace alderward::gateway {
@@ -55,8 +54,8 @@
 
 void Directory::start()
 {
-    asio::co_spawn(m_context, follow(), asio::detached);
-    asio::co_spawn(m_context, maintainEntry(), asio::detached);
+    base::spawnLoop(m_context, "follow-store", [this] { return follow(); });
+    base::spawnLoop(m_context, "maintain-entry", [this] { return maintainEntry(); });
 }
 
 asio::awaitable<void> Directory::stop()
--- a/src/gateway/gateway_pools.cpp
+++ b/src/gateway/gateway_pools.cpp
@@ -1,9 +1,8 @@
 // The connection pools of a host: their creation and limits, what they report, and their periodic work.
 #include "base/event_log.h"
+#include "base/tasks.h"
 #include "gateway/gateway.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace alderward::gateway {
 
@@ -53,7 +52,7 @@
             auto report = co_await m_promoter.queryStatusFromAnyHost(target, plainQuery);
             done(report);
         };
-        boost::asio::co_spawn(m_context, std::move(query), boost::asio::detached);
+        base::spawnTask(m_context, "query-successor", query());
     };
     return { m_context, m_view, m_platform->getCodec(), m_settings.name, getSuccessors, queryStatus };
 }
--- a/src/gateway/gateway_stop.cpp
+++ b/src/gateway/gateway_stop.cpp
@@ -1,8 +1,7 @@
 // The planned stop of a host: sessions are closed between transactions, then transactions are ended, and what runs is answered before the process ends.
 #include "base/event_log.h"
+#include "base/tasks.h"
 #include "gateway/gateway.h"
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace alderward::gateway {
 
@@ -56,7 +55,7 @@
     if (!isDone && now < m_stop.answersUntil)
         return;
     m_sweepTimer.stop();
-    asio::co_spawn(m_context, finishShutdown(), asio::detached);
+    base::spawnTask(m_context, "finish-shutdown", finishShutdown(), [this] { m_context.stop(); });
 }
 
 asio::awaitable<void> Gateway::finishShutdown()
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -2,11 +2,10 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/metrics.h"
+#include "base/tasks.h"
 #include "gateway/directory.h"
 #include "gateway/promoter_evidence.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <set>
 
 namespace alderward::gateway {
@@ -199,7 +198,12 @@
         if (!due || state.isPromoting || state.isResuming || now < state.nextAttemptAt || !mustActNow(state, *due, now))
             continue;
         state.isPromoting = true;
-        asio::co_spawn(m_context.context, replacePrimary(group, due->task == decisions::PromotionTask::HandOver, due->cause), asio::detached);
+        base::spawnTask(m_context.context, "replace-primary", replacePrimary(group, due->task == decisions::PromotionTask::HandOver, due->cause), [this, group] {
+            auto& failed = m_groups[group];
+            failed.isPromoting = false;
+            failed.isResuming = false;
+            failed.nextAttemptAt = Clock::now() + kAttemptCooldown;
+        });
     }
 }
 
--- a/src/gateway/promoter.h
+++ b/src/gateway/promoter.h
@@ -159,6 +159,7 @@
         Conflict, // the record has changed
         Unknown, // the store did not answer, or refused
     };
+    void spawnRecordWrite(const std::string& group, decisions::CoordinatorRecord record, uint64_t revision);
     boost::asio::awaitable<void> writeCoordinatorRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision);
     boost::asio::awaitable<RecordWrite> storeRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision);
     std::vector<decisions::RecordedOrder> getRecordedOrders(const std::string& group, const GroupState& state) const;
--- a/src/gateway/promoter_evidence.cpp
+++ b/src/gateway/promoter_evidence.cpp
@@ -1,9 +1,8 @@
 // Evidence gathered before a primary is replaced: which hosts reach it, and what its replicas hold.
 #include "gateway/promoter_evidence.h"
 #include "base/event_log.h"
+#include "base/tasks.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <set>
 
 namespace alderward::gateway {
@@ -117,7 +116,10 @@
     witnesses.push_back(m_context.self.host);
     auto examination = std::make_shared<PrimaryExamination>(m_context.context.get_executor(), witnesses.size());
     for (auto& name : witnesses)
-        asio::co_spawn(m_context.context, examinePrimary(name, primary, examination), asio::detached);
+        base::spawnTask(m_context.context, "examine-primary", examinePrimary(name, primary, examination), [name, examination] {
+            examination->reachedBy = name; // nothing is known of the primary, so it is not replaced
+            examination->latch.open();
+        });
     co_await examination->latch.wait();
     auto& reachedBy = examination->reachedBy;
     auto& deniedBy = examination->deniedBy;
@@ -157,7 +159,7 @@
         if (isPrimaryMember && !includePrimary)
             continue;
         replicas->latch.add();
-        asio::co_spawn(m_context.context, queryReplica(m_context.view.members.at(id), !isPrimaryMember, replicas), asio::detached);
+        base::spawnTask(m_context.context, "query-replica", queryReplica(m_context.view.members.at(id), !isPrimaryMember, replicas), [replicas] { replicas->latch.countDown(); });
     }
     replicas->latch.countDown();
 }
--- a/src/gateway/promoter_records.cpp
+++ b/src/gateway/promoter_records.cpp
@@ -3,12 +3,11 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/metrics.h"
+#include "base/tasks.h"
 #include "gateway/directory.h"
 #include "gateway/promoter_evidence.h"
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace alderward::gateway {
@@ -116,7 +115,12 @@
     auto ranked = rankLiveHosts(group);
     std::ranges::stable_partition(ranked, [this](const decisions::RankedCandidate& it) { return canPerformTask(it.coordinator.host, decisions::PromotionTask::HandOver); });
     state.isWritingRecord = true;
-    asio::co_spawn(m_context.context, writeCoordinatorRecord(group, decisions::makeCoordinatorRecord(state.record, ranked), state.revision), asio::detached);
+    spawnRecordWrite(group, decisions::makeCoordinatorRecord(state.record, ranked), state.revision);
+}
+
+void Promoter::spawnRecordWrite(const std::string& group, decisions::CoordinatorRecord record, uint64_t revision)
+{
+    base::spawnTask(m_context.context, "write-record", writeCoordinatorRecord(group, std::move(record), revision), [this, group] { m_groups[group].isWritingRecord = false; });
 }
 
 asio::awaitable<void> Promoter::writeCoordinatorRecord(std::string group, decisions::CoordinatorRecord record, uint64_t revision)
@@ -223,7 +227,7 @@
     if (!m_context.hasStore())
         return;
     state.isWritingRecord = true;
-    asio::co_spawn(m_context.context, writeCoordinatorRecord(group, std::move(record), state.revision), asio::detached);
+    spawnRecordWrite(group, std::move(record), state.revision);
 }
 
 // Recorded orders bind the next attempts, whoever sent them.
--- a/src/gateway/promoter_suspension.cpp
+++ b/src/gateway/promoter_suspension.cpp
@@ -4,11 +4,10 @@
 #include "base/event_log.h"
 #include "base/families.h"
 #include "base/metrics.h"
+#include "base/tasks.h"
 #include "decisions/suspension.h"
 #include "gateway/promoter_evidence.h"
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace alderward::gateway {
@@ -58,7 +57,10 @@
     if (isBusy || m_context.isDraining || (!isRoutineDue && !isCheckDue))
         return;
     state.isCheckingSuspensions = true;
-    asio::co_spawn(m_context.context, checkSuspensions(group), asio::detached);
+    base::spawnTask(m_context.context, "check-suspensions", checkSuspensions(group), [this, group] {
+        m_groups[group].isCheckingSuspensions = false;
+        m_groups[group].isResuming = false;
+    });
 }
 
 // After an attempt: without an order that may be carried out, nothing is to stay suspended.
@@ -220,7 +222,10 @@
         if (!hasOrderInForce(group))
             m_groups[group].resumable.insert(it);
         round->latch.add();
-        asio::co_spawn(m_context.context, suspendReplica(member->second.getTarget(), term, round), asio::detached);
+        base::spawnTask(m_context.context, "suspend-replica", suspendReplica(member->second.getTarget(), term, round), [round] {
+            round->isIncomplete = true; // as if the replica had not answered
+            round->latch.countDown();
+        });
     }
     round->latch.countDown();
     co_await round->latch.wait();
--- a/tests/gateway/odd_entries_test.cpp
+++ b/tests/gateway/odd_entries_test.cpp
@@ -57,6 +57,7 @@
         BOOST_TEST(LineCaller(rig.getCallerAddress(i), "db0-bounded").ask("READ x").isOk(), "host " << i);
         BOOST_TEST(rig.getHost(i).isRunning(), "host " << i);
     }
+    BOOST_TEST(rig.countEvents("task-failed") == 0u);
 }
 
 }
