Background tasks: the query of a possible successor outlives the lambda that begins it

It is a member function with parameters now; tasks.h says which tasks are allowed, and the other uses are functions with parameters already.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
     decisions::QuotaRule getQuotaRule() const;
     PoolLimits getPoolLimits(const TargetAddress& target) const;
     PoolObserver makePoolObserver();
+    boost::asio::awaitable<void> querySuccessor(TargetAddress target, std::function<void(const StatusReport&)> done);
     CommitGateContext makeCommitGateContext();
     PeerCallbacks makePeerCallbacks();
     DirectoryEvents makeDirectoryEvents();
--- a/src/gateway/gateway_pools.cpp
+++ b/src/gateway/gateway_pools.cpp
@@ -43,16 +43,18 @@
     return { std::max(2U, (configuredLimit - std::min(configuredLimit, kReservedConnections)) / 2), slots + 1, m_view.configuration.accounts.has_value() };
 }
 
+boost::asio::awaitable<void> Gateway::querySuccessor(TargetAddress target, std::function<void(const StatusReport&)> done)
+{
+    links::StatusQuery plainQuery;
+    auto report = co_await m_promoter.queryStatusFromAnyHost(target, plainQuery);
+    done(report);
+}
+
 CommitGateContext Gateway::makeCommitGateContext()
 {
     auto getSuccessors = [this](const std::string& group) { return m_promoter.getPossibleSuccessors(group); };
     auto queryStatus = [this](const TargetAddress& target, std::function<void(const StatusReport&)> done) {
-        auto query = [this, target, done = std::move(done)]() -> boost::asio::awaitable<void> {
-            links::StatusQuery plainQuery;
-            auto report = co_await m_promoter.queryStatusFromAnyHost(target, plainQuery);
-            done(report);
-        };
-        base::spawnTask(m_context, "query-successor", query());
+        base::spawnTask(m_context, "query-successor", querySuccessor(target, std::move(done)));
     };
     return { m_context, m_view, m_platform->getCodec(), m_settings.name, getSuccessors, queryStatus };
 }
--- a/src/gateway/promoter.cpp
+++ b/src/gateway/promoter.cpp
@@ -10,7 +10,6 @@
 
 namespace alderward::gateway {
 
-namespace asio = boost::asio;
 using base::Clock;
 using base::LogClass;
 
