--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -1,10 +1,12 @@
 // Records and settings: invalid ones are refused with the field or line at fault.
 #include "base/settings.h"
 #include "decisions/records.h"
+#include "standins/odd_entries.h"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 using namespace alderward;
@@ -136,4 +138,20 @@
     }
 }
 
+// Other programs write to the store as well: no value may end the process, and what is accepted must be complete.
+BOOST_AUTO_TEST_CASE(odd_values_of_the_store_are_refused_or_read_completely)
+{
+    constexpr int kValues = 20000; // of each kind
+    const auto record = makeRecord(R"(,"reads":{"fresh":{"maximumAgeMs":0}})");
+    const auto envelope = decisions::formatEnvelope({ record, { { "id", "x", 7, "summary" } } });
+    const std::string host = R"({"address":"127.0.0.1:1","operatorAddress":"127.0.0.1:2","dataCentre":"x","leaving":false,"incarnation":7})";
+    std::mt19937 random(1);
+    for (int i = 0; i < kValues; ++i) {
+        if (auto read = parseGroupRecord("g", standins::makeOddValue(random, record)))
+            BOOST_REQUIRE(!read->members.empty());
+        decisions::parseEnvelope(standins::makeOddValue(random, envelope));
+        decisions::parsePlatformHost("h1", standins::makeOddValue(random, host));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
