Configuration: at most 1,000 problems of one version are kept

A document of 1 MB can have 400,000 elements that cannot be used, each with a problem of some hundred bytes: a host of 112 MB would have ended. Found by reading. A list of texts is one problem whatever its elements, and beyond 1,000 one note says that there are more. unit/configuration/the_problems_of_one_document_are_limited (400,000 before). No change for a version that can be used as written.

--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -219,6 +219,24 @@
     }
 }
 
+// Guards against a document of the largest size that fills a host's memory with what is wrong in it.
+BOOST_AUTO_TEST_CASE(the_problems_of_one_document_are_limited)
+{
+    constexpr size_t kElements = 400000; // of about 1 MB
+    auto configuration = makeConfiguration();
+    json::array keys(kElements, nullptr);
+    configuration["Tenants"] = json::array { json::object { { "Name", "mill" }, { "ApiKeys", keys } } };
+    BOOST_TEST(read(configuration)->problems.size() == 1u);
+    for (auto* section : { "Services", "Tenants" }) {
+        auto large = makeConfiguration();
+        large[section] = json::array(kElements, 7);
+        auto result = read(large);
+        BOOST_TEST(result->problems.size() == 1001u);
+        BOOST_TEST(result->problems.back().item == "the document");
+        BOOST_TEST(result->routes.size() == 2u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(limits_of_a_service_are_limited_or_take_their_strictest_value)
 {
     struct Row {
